--- /dev/null
+++ b/deploy/daemon.py
@@ -0,0 +1,11 @@
+"""Starts the command line from a checkout, with the package under ``src``."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+
+from mulberrydock.cli import main  # noqa: E402
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/mulberrydock/_serve_model.py
@@ -0,0 +1,56 @@
+"""Settings classes generated from schema/serve.schema.json."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class Listen:
+    """Addresses as host:port, and the ports free for peers."""
+
+    front: str = attrs.field()
+    ready: str = attrs.field()
+    directory: str = attrs.field()
+    metrics_port: int = attrs.field(default=0)
+    peer_ports: list[int] = attrs.field()
+
+
+@attrs.define(kw_only=True)
+class PlatformStoreSettings:
+    """Where the platform's store answers."""
+
+    address: str = attrs.field()
+    least_lease_seconds: float = attrs.field(default=1.0)
+
+
+@attrs.define(kw_only=True)
+class Timing:
+    """The users' bounds, in seconds unless the name says otherwise."""
+
+    config_apply_seconds: float = attrs.field()
+    drain_seconds: float = attrs.field()
+    grace_seconds: float = attrs.field()
+    answer_ttl_seconds: float = attrs.field()
+    retry_budget_ratio: float = attrs.field()
+    retry_budget_window_seconds: float = attrs.field()
+    retry_budget_floor: float = attrs.field()
+
+
+@attrs.define(kw_only=True)
+class ServeSettings:
+    """Settings of one entry VM on the users' platform."""
+
+    name: str = attrs.field()
+    data_centre: str = attrs.field()
+    region: str = attrs.field()
+    ip: str = attrs.field()
+    listen: Listen = attrs.field()
+    store: PlatformStoreSettings = attrs.field()
+    timing: Timing = attrs.field()
+
+
+attrs.resolve_types(Listen)
+attrs.resolve_types(PlatformStoreSettings)
+attrs.resolve_types(Timing)
+attrs.resolve_types(ServeSettings)
--- a/src/mulberrydock/cli.py
+++ b/src/mulberrydock/cli.py
@@ -12,7 +12,7 @@
 
 import defopt
 
-from . import fake_engine, fake_service, fake_store, fake_vmlist, faultproxy, log
+from . import log
 from .exceptions import MulberrydockError
 
 DEFAULT_SETTINGS = "lagos"
@@ -72,6 +72,32 @@
     _run(Controller.from_settings(loaded, name).run())
 
 
+def serve(*, settings: str = ""):
+    """Run the daemon of one entry VM on the users' platform.
+
+    :param settings: settings file; the platform names it in the environment.
+    """
+    from . import platform
+    from .serve import ServeDaemon
+    from .serve_settings import load_serve_settings
+
+    path = settings or os.environ.get(platform.SETTINGS_VARIABLE, "")
+    if not path:
+        raise SystemExit(
+            f"serve: name a file with --settings or in {platform.SETTINGS_VARIABLE}"
+        )
+    try:
+        loaded = load_serve_settings(path)
+    except OSError as error:
+        raise SystemExit(f"serve: {error}") from error
+    sink = log.configure(loaded.name)
+
+    async def run():
+        await ServeDaemon.from_settings(loaded, sink).run()
+
+    _run(run())
+
+
 def config_show(*, settings: str = DEFAULT_SETTINGS):
     """Print the declared configuration in force and its version number.
 
@@ -130,6 +156,8 @@
 
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     """
+    from . import fake_store
+
     _run(fake_store.serve(_settings(settings).store.address))
 
 
@@ -139,6 +167,8 @@
     :param name: the engine's name in the settings.
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     """
+    from . import fake_engine
+
     found = next(e for e in _settings(settings).engines if e.name == name)
     config = fake_engine.EngineConfig(
         name=name,
@@ -158,6 +188,8 @@
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     :param latency: seconds each call takes.
     """
+    from . import fake_service
+
     found = next(s for s in _settings(settings).services if s.name == name)
     _run(fake_service.serve(found.address, name, latency))
 
@@ -168,6 +200,8 @@
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     :param lag: seconds by which the list trails the truth.
     """
+    from . import fake_vmlist
+
     loaded = _settings(settings)
     names = [e.name for e in loaded.entries] + [e.name for e in loaded.engines]
     _run(fake_vmlist.serve(loaded.vm_list.address, names, lag))
@@ -180,6 +214,8 @@
     :param target: ``host:port`` to forward to.
     :param control: ``host:port`` of its ``POST /faults`` control.
     """
+    from . import faultproxy
+
     _run(faultproxy.serve(listen, target, control))
 
 
@@ -217,7 +253,7 @@
     """
     from . import ctl
 
-    log.configure("demo", level="WARNING")
+    log.configure("demo", level="WARNING", stream=sys.stderr)
     report = ctl.demo(_settings(deployment), deployment, seconds, scale)
     print(report.table)
     sys.exit(0 if report.rows else 1)
@@ -233,6 +269,7 @@
     commands = {
         "entry": entry,
         "control": control,
+        "serve": serve,
         "ctl": {
             "config": [config_show, config_patch],
             "vm": [vm_drain],
--- a/src/mulberrydock/entry.py
+++ b/src/mulberrydock/entry.py
@@ -21,7 +21,7 @@
 from .configuration import ConfigFollower, PeerConfig
 from .idempotency import RecordLeases
 from .load_report import LoadFollower
-from .membership import Membership
+from .membership import Membership, Peer
 from .metrics import EntryMetrics
 from .policies import POLICIES
 from .routing import Router, Upstream
@@ -125,12 +125,12 @@
         leaving = self.leaving_vms()
         peers = dict(self.membership.peers)
         if not self.draining:
-            peers[self.entry.name] = (self.entry.address, self.entry.data_centre)
+            peers[self.entry.name] = Peer(self.entry.address, self.entry.data_centre)
         else:
             peers.pop(self.entry.name, None)
         return [
-            {"name": name, "address": address, "data_centre": centre}
-            for name, (address, centre) in sorted(peers.items())
+            {"name": name, "address": peer.address, "data_centre": peer.data_centre}
+            for name, peer in sorted(peers.items())
             if name not in leaving
         ]
 
--- /dev/null
+++ b/src/mulberrydock/fleet_view.py
@@ -0,0 +1,67 @@
+"""What an entry VM believes of its fleet, and the choices made from it."""
+
+from .admission import RetryBudget
+from .instances import InstanceRegistry
+from .peer_loads import LoadBook
+from .placement import Placement, Plan
+from .route_table import RouteTable
+from .suspicion import Suspicion
+
+#: Share of the connection cap of an instance that the entry VMs use together;
+#: the rest covers VMs that come and go.
+CONNECTION_SHARE = 0.8
+#: Share of the fleet-wide retry budget that the VMs spend together: their
+#: windows and views of each other never quite agree.
+BUDGET_SHARE = 0.7
+
+
+class FleetView:
+    """Routes, instances, loads and suspicion of one entry VM.
+
+    :param timing: the ``[timing]`` settings, for the retry budget.
+    :param peers: returns the number of entry VMs, this one included.
+    """
+
+    def __init__(self, data_centre, timing, peers, on_gone):
+        self.routes = RouteTable()
+        self.instances = InstanceRegistry(on_gone)
+        self.loads = LoadBook()
+        self.suspicion = Suspicion()
+        self.placement = Placement(data_centre)
+        self.timing = timing
+        self.peers = peers
+        self.budgets = {}
+
+    def budget(self, service):
+        """Return this VM's retry budget for a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self.timing.retry_budget_ratio * BUDGET_SHARE,
+                window_seconds=self.timing.retry_budget_window_seconds,
+            )
+            self.budgets[service] = budget
+        share = self.timing.retry_budget_floor * BUDGET_SHARE / self.peers()
+        budget.floor = share
+        return budget
+
+    def connection_limit(self, instance):
+        """Connections this VM may open to one instance."""
+        spec = self.routes.config.services.get(instance.record.service)
+        cap = spec.max_connections if spec else 100
+        return max(2, int(cap * CONNECTION_SHARE / self.peers()))
+
+    def plan(self, request, service, tried, now):
+        """Return the :class:`Plan` of one attempt, or None."""
+        serving = self.instances.serving(service)
+        fresh = [i for i in serving if i.id not in tried]
+        if not fresh:
+            return None
+        sound = self.suspicion.sound(fresh, now)
+        loads = self.loads.total(now)
+        if not request.prompt.tokens:
+            return Plan(self.placement.least_loaded(sound, loads))
+        plan = self.placement.plan(request.prompt, sound, loads)
+        if plan is None:
+            plan = self.placement.plan(request.prompt, fresh, loads)
+        return plan
--- /dev/null
+++ b/src/mulberrydock/front.py
@@ -0,0 +1,131 @@
+"""The client-facing HTTP server: reads whole requests, hands them to a relay."""
+
+import asyncio
+
+import tornado.httputil
+from loguru import logger
+
+from .ports import Sink
+
+#: Reason phrases come with the status; an unknown code gets a neutral one.
+UNKNOWN_REASON = "Unknown"
+
+
+class ConnectionSink(Sink):
+    """Answers one request on its client connection.
+
+    :param closing: returns True when the client should open a new connection
+        elsewhere for its next request.
+    """
+
+    def __init__(self, connection, closing):
+        self.connection = connection
+        self.closing = closing
+        self.done = False
+
+    def _head(self, status, headers):
+        fields = tornado.httputil.HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        if self.closing():
+            fields["Connection"] = "close"
+        reason = tornado.httputil.responses.get(status, UNKNOWN_REASON)
+        return tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason), fields
+
+    def respond(self, status, headers, body):
+        start, fields = self._head(status, headers)
+        if status not in (204, 304):
+            fields["Content-Length"] = str(len(body))
+        self.done = True
+        self.connection.write_headers(start, fields, body or None)
+        self.connection.finish()
+
+    def begin(self, status, headers):
+        start, fields = self._head(status, headers)
+        self.connection.write_headers(start, fields)
+
+    def write(self, chunk):
+        return self.connection.write(chunk)
+
+    def finish(self):
+        self.done = True
+        self.connection.finish()
+
+    def abort(self):
+        self.done = True
+        self.connection.close()
+
+
+class RequestReader(tornado.httputil.HTTPMessageDelegate):
+    """Reads one request; on its end starts the relay, on a close cancels it."""
+
+    def __init__(self, front, connection):
+        self.front = front
+        self.connection = connection
+        self.start_line = None
+        self.headers = None
+        self.chunks = []
+        self.task = None
+
+    def headers_received(self, start_line, headers):
+        self.start_line = start_line
+        self.headers = headers
+
+    def data_received(self, chunk):
+        self.chunks.append(chunk)
+
+    def finish(self):
+        sink = ConnectionSink(self.connection, self.front.closing)
+        self.task = self.front.start(
+            self.start_line, self.headers, b"".join(self.chunks), sink
+        )
+        self.connection.set_close_callback(self.on_connection_close)
+
+    def on_connection_close(self):
+        # The client has left: nothing may work for it any more.
+        if self.task is not None:
+            self.task.cancel()
+
+
+class Front(tornado.httputil.HTTPServerConnectionDelegate):
+    """Accepts client requests and counts those in progress.
+
+    :param relay: a :class:`~mulberrydock.relay.Relay`.
+    :param clock: returns the present time, monotonic seconds.
+    """
+
+    def __init__(self, relay, wire, clock):
+        self.relay = relay
+        self.wire = wire
+        self.clock = clock
+        self.draining = False
+        self.tasks = set()
+
+    def closing(self):
+        """True while this VM is leaving: connections should move elsewhere."""
+        return self.draining
+
+    def start_request(self, server_conn, request_conn):
+        return RequestReader(self, request_conn)
+
+    def start(self, start_line, headers, body, sink):
+        """Begin serving one whole request; return its task."""
+        request = self.wire.read_request(start_line, headers, body, self.clock())
+        task = asyncio.ensure_future(self._serve(request, sink))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _serve(self, request, sink):
+        try:
+            await self.relay.serve(request, sink)
+        except asyncio.CancelledError:
+            logger.info("client left", request=request.id)
+            sink.abort()
+        except Exception:
+            # A fault of this process: the client must not wait for nothing,
+            # and whether an upstream ran the request is unknown.
+            logger.exception("request fault", request=request.id)
+            if sink.done:
+                return
+            sink.abort()
--- /dev/null
+++ b/src/mulberrydock/instances.py
@@ -0,0 +1,161 @@
+"""What this VM believes of the upstream instances, and since when.
+
+Instances register themselves in the store; this registry follows those
+records. What this VM saw itself (an instance that is leaving, or another one
+at its address) binds at once, whatever the store says.
+"""
+
+import enum
+
+import attrs
+from loguru import logger
+
+#: Seconds after the store's return within which records that lapsed during
+#: its outage come back if their instance lives (the platform's promise).
+LAPSE_GRACE_SECONDS = 2.0
+
+
+class Stage(enum.Enum):
+    """What an engine does: prefill prompts, or decode; plain services have none."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    NONE = ""
+
+
+@attrs.define(frozen=True)
+class InstanceRecord:
+    """One instance as it registered itself; ``slots`` are places at once."""
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    stage: Stage = Stage.NONE
+
+
+@attrs.define(eq=False)
+class Instance:
+    """A registered instance and what this VM knows of its load.
+
+    ``in_flight`` and ``prefill_tokens`` are this VM's own unfinished sends.
+    """
+
+    record: InstanceRecord
+    leaving: bool = False
+    lapsed_at: float | None = None
+    in_flight: int = 0
+    prefill_tokens: int = 0
+    suspect_until: float = 0.0
+    failures: int = 0
+    full_until: float = 0.0
+
+    @property
+    def id(self):
+        return self.record.id
+
+    @property
+    def address(self):
+        return self.record.address
+
+
+class InstanceRegistry:
+    """Instances by id; every decision takes the present time.
+
+    :param on_gone: called with the id of an instance that left the registry.
+    """
+
+    def __init__(self, on_gone=lambda instance_id: None):
+        self.instances = {}
+        self.ended = set()
+        self.on_gone = on_gone
+        self.store_lost_at = None
+        self.store_back_at = -LAPSE_GRACE_SECONDS
+
+    def put(self, record, now):
+        """Take a record from the store."""
+        if record.id in self.ended:
+            # An instance that is over never returns under its id: a record
+            # read late must not bring it back.
+            return
+        known = self.instances.get(record.id)
+        if known is None:
+            known = Instance(record)
+            self.instances[record.id] = known
+            logger.info("instance seen", instance=record.id, service=record.service)
+        known.record = record
+        known.lapsed_at = None
+        if record.draining and not known.leaving:
+            known.leaving = True
+            logger.info("instance draining", instance=record.id)
+
+    def remove(self, instance_id, now):
+        """Take a removed record: gone at once, or held if the store was away.
+
+        Records lapse while the store is away although their instances live;
+        those are back within the grace. Any other removal means it leaves.
+        """
+        known = self.instances.get(instance_id)
+        if known is None:
+            return
+        if self._settling(now):
+            if known.lapsed_at is None:
+                known.lapsed_at = now
+                logger.info("instance record lapsed", instance=instance_id)
+            return
+        self._drop(instance_id, "record removed")
+
+    def replace(self, records, now):
+        """Take a full read: what is missing from it is removed."""
+        present = {record.id for record in records}
+        for record in records:
+            self.put(record, now)
+        for instance_id in [i for i in self.instances if i not in present]:
+            self.remove(instance_id, now)
+
+    def store_lost(self, now):
+        """The store stopped answering this VM."""
+        if self.store_lost_at is None:
+            self.store_lost_at = now
+
+    def store_back(self, now):
+        """The store answers again."""
+        if self.store_lost_at is not None:
+            self.store_lost_at = None
+            self.store_back_at = now
+
+    def _settling(self, now):
+        away = self.store_lost_at is not None
+        return away or now < self.store_back_at + LAPSE_GRACE_SECONDS
+
+    def sweep(self, now):
+        """Drop lapsed instances whose grace is over."""
+        if self._settling(now):
+            return
+        for instance_id, instance in list(self.instances.items()):
+            if instance.lapsed_at is not None:
+                self._drop(instance_id, "record still missing after the outage")
+
+    def left(self, instance_id, reason):
+        """This VM saw itself that the instance is over or not there."""
+        if instance_id in self.instances:
+            self._drop(instance_id, reason)
+            self.ended.add(instance_id)
+
+    def _drop(self, instance_id, reason):
+        instance = self.instances.pop(instance_id)
+        instance.leaving = True
+        logger.info("instance gone", instance=instance_id, reason=reason)
+        self.on_gone(instance_id)
+
+    def serving(self, service, stage=None):
+        """Instances of ``service`` that may take new work, optionally by stage."""
+        return [
+            i
+            for i in self.instances.values()
+            if i.record.service == service
+            and not i.leaving
+            and (stage is None or i.record.stage is stage)
+        ]
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -9,9 +9,27 @@
 import asyncio
 import time
 
+import attrs
+from loguru import logger
+
 from . import defaults, records
 from .watch import PrefixWatch
 
+#: Seconds between two looks at whether this entry's record is still there.
+CHECK_SECONDS = 0.2
+
+
+@attrs.define(frozen=True)
+class Peer:
+    """An entry VM as it registered itself; addresses are ``host:port``.
+
+    ``peer_address`` takes the datagrams of its peers and may be empty.
+    """
+
+    address: str
+    data_centre: str
+    peer_address: str = ""
+
 
 class Membership:
     """Task that registers this entry and follows the others.
@@ -19,15 +37,31 @@
     :param store: a :class:`~mulberrydock.store.StoreClient`.
     :param entry: this entry's settings row.
     :param ttl: seconds of the registration lease.
+    :param peer_address: where this entry takes datagrams, empty if nowhere.
+    :param watch_options: further arguments of the :class:`PrefixWatch`.
+
+    ``lapsed`` holds entries whose record is gone: the store may have lost the
+    lease during an outage while the entry lives.
     """
 
-    def __init__(self, store, entry, ttl=defaults.ENTRY_LEASE_TTL_SECONDS):
+    def __init__(
+        self,
+        store,
+        entry,
+        ttl=defaults.ENTRY_LEASE_TTL_SECONDS,
+        peer_address="",
+        **watch_options,
+    ):
         self.store = store
         self.entry = entry
         self.ttl = ttl
+        self.peer_address = peer_address
+        self.watch_options = watch_options
         self.lease = 0
+        self.registered = False
         self.leaving = False
         self.peers = {}
+        self.lapsed = {}
 
     @property
     def key(self):
@@ -41,6 +75,7 @@
                 dataCentre=self.entry.data_centre,
                 leaving=self.leaving,
                 startedAt=time.time(),
+                peerAddress=self.peer_address,
             )
         )
 
@@ -51,7 +86,8 @@
             return False
         self.lease = granted.ok
         written = await self.store.put(self.key, self._record(), lease=self.lease)
-        return written.is_ok()
+        self.registered = written.is_ok()
+        return self.registered
 
     async def mark_leaving(self):
         """Rewrite the record with ``leaving`` set; peers stop listing us."""
@@ -70,11 +106,23 @@
             await self.store.revoke(self.lease)
 
     async def keep_alive(self):
-        """Renew the lease every third of its ttl; re-register when it lapsed."""
+        """Renew the lease every third of its ttl; re-register when it lapsed.
+
+        The store may also drop the record alone, which no call shows; the
+        watch does, and then the record is written again at once.
+        """
+        renewed_at = 0.0
         while True:
-            if not self.lease or not (await self._renew()):
+            now = time.monotonic()
+            if self.leaving:
+                pass
+            elif not self.registered:
                 await self.register()
-            await asyncio.sleep(self.ttl / 3)
+                renewed_at = now
+            elif now - renewed_at >= self.ttl / 3:
+                self.registered = await self._renew()
+                renewed_at = now
+            await asyncio.sleep(CHECK_SECONDS)
 
     async def _renew(self):
         renewed = await self.store.keepalive(self.lease)
@@ -84,16 +132,41 @@
     def _apply(self, key, value, version):
         name = key[len(defaults.ENTRY_PREFIX) :]
         if value is None:
-            self.peers.pop(name, None)
+            self._lapse(name)
             return
         record = records.decode(records.EntryRecord, value)
+        self.lapsed.pop(name, None)
         if record.leaving:
             self.peers.pop(name, None)
-        else:
-            self.peers[name] = (record.address, record.dataCentre)
+            logger.info("peer leaving", peer=name, revision=version)
+            return
+        if name not in self.peers:
+            logger.info("peer seen", peer=name, revision=version)
+        self.peers[name] = Peer(record.address, record.dataCentre, record.peerAddress)
+
+    def _lapse(self, name):
+        peer = self.peers.pop(name, None)
+        if peer is not None:
+            self.lapsed[name] = peer
+            logger.info("peer record gone", peer=name)
+        if name == self.entry.name:
+            self.registered = False
+
+    def _reset(self):
+        self.lapsed.update(self.peers)
+        self.peers.clear()
+
+    def _loaded(self):
+        if self.entry.name not in self.peers:
+            self.registered = False
 
     async def follow(self):
         """Keep :attr:`peers` current from the ``entries/`` prefix."""
         await PrefixWatch(
-            self.store, defaults.ENTRY_PREFIX, self._apply, self.peers.clear
+            self.store,
+            defaults.ENTRY_PREFIX,
+            self._apply,
+            self._reset,
+            on_loaded=self._loaded,
+            **self.watch_options,
         ).run()
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -67,3 +67,43 @@
             prometheus_client.generate_latest(self.registry),
             prometheus_client.CONTENT_TYPE_LATEST,
         )
+
+
+class ServeMetrics:
+    """Metrics of one entry VM on the platform, in their own registry."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.latency = prometheus_client.Histogram(
+            "mulberrydock_request_seconds",
+            "Seconds from a request's arrival to the end of its answer.",
+            ["route", "code"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.sends = prometheus_client.Counter(
+            "mulberrydock_sends_total",
+            "Requests sent to an upstream instance, retries included.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.rejected = prometheus_client.Counter(
+            "mulberrydock_rejected_total",
+            "Requests ended with an answer of this process's own.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.config_version = prometheus_client.Gauge(
+            "mulberrydock_config_version",
+            "Version of the configuration in force here.",
+            registry=self.registry,
+        )
+        self.log_dropped = prometheus_client.Gauge(
+            "mulberrydock_log_lines_dropped",
+            "Log lines dropped since the start for volume or a full pipe.",
+            registry=self.registry,
+        )
+
+    def render(self):
+        """Return the text exposition format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/mulberrydock/peer_loads.py
@@ -0,0 +1,80 @@
+"""What the entry VMs together have in flight at each instance.
+
+Each VM sends its own counts to its peers several times a second; a VM sees
+only an eighth or a ninth of the requests itself, so its own counts alone say
+little about how busy an engine is.
+"""
+
+import attrs
+
+#: Seconds after which a peer's counts say nothing about the present. Peers
+#: send five times a second; three lost datagrams in a row are rare.
+LOAD_EXPIRY_SECONDS = 0.8
+
+
+@attrs.define(frozen=True)
+class Load:
+    """Unfinished work: requests, and prompt tokens not yet prefilled."""
+
+    running: int = 0
+    prefill_tokens: int = 0
+
+
+@attrs.define(frozen=True)
+class PeerReport:
+    """Loads by instance id as a peer sent them, and when they arrived."""
+
+    sequence: int
+    received_at: float
+    loads: dict
+    leaving: bool = False
+
+
+class LoadBook:
+    """This VM's own loads and those its peers reported."""
+
+    def __init__(self):
+        self.own = {}
+        self.reports = {}
+
+    def add(self, instance_id, running=0, prefill_tokens=0):
+        """Count work in (positive) or out (negative) at an instance."""
+        load = self.own.get(instance_id, Load())
+        load = Load(load.running + running, load.prefill_tokens + prefill_tokens)
+        if load.running <= 0 and load.prefill_tokens <= 0:
+            self.own.pop(instance_id, None)
+        else:
+            self.own[instance_id] = load
+
+    def receive(self, peer, report):
+        """Take a peer's report unless a newer one was seen.
+
+        A peer that restarted counts from a new, larger sequence, which is
+        drawn from its clock.
+        """
+        known = self.reports.get(peer)
+        if known is None or report.sequence > known.sequence:
+            self.reports[peer] = report
+
+    def heard_at(self, peer):
+        """When the peer was last heard, None if never."""
+        report = self.reports.get(peer)
+        return report.received_at if report else None
+
+    def fresh(self, now):
+        """Return the peers' reports that still say something."""
+        return {
+            peer: report
+            for peer, report in self.reports.items()
+            if now - report.received_at <= LOAD_EXPIRY_SECONDS
+        }
+
+    def total(self, now):
+        """Return all VMs' loads by instance id."""
+        running, tokens = {}, {}
+        books = [report.loads for report in self.fresh(now).values()]
+        for loads in [self.own, *books]:
+            for instance_id, load in loads.items():
+                running[instance_id] = running.get(instance_id, 0) + load.running
+                tokens[instance_id] = tokens.get(instance_id, 0) + load.prefill_tokens
+        return {i: Load(running[i], tokens[i]) for i in running}
--- /dev/null
+++ b/src/mulberrydock/peers.py
@@ -0,0 +1,100 @@
+"""Datagrams between entry VMs: who is alive, who leaves, what is in flight."""
+
+import asyncio
+import socket
+import time
+
+from loguru import logger
+
+from . import records
+from ._http import split_address
+from .peer_loads import Load, PeerReport
+
+#: Seconds between two messages to each peer. A prefill takes 20 to 150 ms, so
+#: a view of 200 ms still tells a busy engine from an idle one; half of it
+#: doubles the traffic between data centres, which is priced.
+SEND_SECONDS = 0.2
+#: Bytes read at once; a message names at most a few dozen instances.
+DATAGRAM_BYTES = 65536
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Sends this VM's loads to its peers and takes theirs.
+
+    :param name: this VM's name.
+    :param book: the :class:`~mulberrydock.peer_loads.LoadBook` to send from
+        and to feed.
+    :param addresses: returns the peers' addresses as ``host:port``.
+    :param leaving: returns True once this VM drains.
+    """
+
+    def __init__(self, name, book, addresses, leaving):
+        self.name = name
+        self.book = book
+        self.addresses = addresses
+        self.leaving = leaving
+        # Larger after each restart, so that peers take the new count.
+        self.sequence = int(time.time() * 1000)
+        self.transport = None
+
+    async def open(self, ip, port):
+        """Bind the socket at ``ip:port``."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((ip, port))
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        try:
+            with records.PeerMessage.from_bytes(data) as message:
+                report = PeerReport(
+                    message.sequence,
+                    time.monotonic(),
+                    {
+                        row.instance: Load(row.running, row.prefillTokens)
+                        for row in message.loads
+                    },
+                    message.leaving,
+                )
+                name = message.name
+        except Exception as error:  # capnp raises its own unlisted types
+            logger.warning("peer message refused", source=addr[0], error=repr(error))
+            return
+        self.book.receive(name, report)
+
+    def error_received(self, exc):
+        logger.debug("peer send failed", error=repr(exc))
+
+    def message(self):
+        """Return this VM's next message as bytes."""
+        self.sequence += 1
+        rows = [
+            {
+                "instance": instance,
+                "running": max(0, load.running),
+                "prefillTokens": max(0, load.prefill_tokens),
+            }
+            for instance, load in self.book.own.items()
+        ]
+        message = records.PeerMessage.new_message(
+            name=self.name,
+            sequence=self.sequence,
+            leaving=self.leaving(),
+            loads=rows,
+        )
+        return message.to_bytes()
+
+    def send(self):
+        """Send one message to every peer."""
+        data = self.message()
+        for address in self.addresses():
+            self.transport.sendto(data, split_address(address))
+
+    async def run(self):
+        """Send for ever."""
+        while True:
+            self.send()
+            await asyncio.sleep(SEND_SECONDS)
--- /dev/null
+++ b/src/mulberrydock/placement.py
@@ -0,0 +1,123 @@
+"""Where a request runs: which instance, and where its prompt is prefilled.
+
+The load pattern this answers is a mix of long prompts that share documents
+and short ones, on engines that each either prefill fast or decode. A prompt
+goes to the prefill engine that most likely holds its shared parts unless the
+wait there exceeds what the cache saves; a short prompt is prefilled by the
+decode engine itself when that is quicker.
+"""
+
+import hashlib
+
+import attrs
+
+from .instances import Stage
+from .peer_loads import Load
+
+#: Prompt tokens a prefill engine reads in a second (the users' sheet: 92.1 a
+#: millisecond, less the cost of attention over long prompts).
+PREFILL_TOKENS_PER_SECOND = 85_000.0
+#: A decode engine prefills at half the speed, between other requests' tokens.
+IN_PLACE_TOKENS_PER_SECOND = PREFILL_TOKENS_PER_SECOND / 2
+#: Seconds that a hand-over costs beside the prefill: two more hops, the
+#: transfer's set-up and the KV cache itself.
+HANDOVER_SECONDS = 0.01
+#: Prompt tokens above which a decode engine's own prefill would stall the
+#: streams it carries: such prompts always go to a prefill engine, if any.
+IN_PLACE_LIMIT_TOKENS = 2000
+#: Weight of one running request at a decode engine, in seconds of wait: a
+#: step takes 0.12 ms longer for each, over some 30 steps.
+RUNNING_SECONDS = 0.004
+#: Seconds that a hop to another data centre costs, and bytes are priced.
+FAR_SECONDS = 0.002
+
+
+@attrs.define(frozen=True)
+class Plan:
+    """Where one attempt runs; ``prefill`` is None when done in place.
+
+    ``wait`` estimates the seconds to the first token.
+    """
+
+    target: object
+    prefill: object = None
+    wait: float = 0.0
+
+
+def _rank(key, instance_id):
+    return hashlib.blake2b(f"{key}/{instance_id}".encode(), digest_size=8).digest()
+
+
+def owner(key, instances):
+    """Return the instance that owns ``key`` by rendezvous hashing.
+
+    Every VM finds the same owner with no directory, and a change of the set
+    moves only the keys of the instance that came or went (after "Slotmap
+    mode: directory-free deterministic KV placement", PeerCache).
+    """
+    return max(instances, key=lambda i: _rank(key, i.id))
+
+
+class Placement:
+    """Chooses instances from their loads; ``data_centre`` is this VM's."""
+
+    def __init__(self, data_centre):
+        self.data_centre = data_centre
+
+    def _distance(self, instance):
+        same = instance.record.data_centre == self.data_centre
+        return 0.0 if same else FAR_SECONDS
+
+    def least_loaded(self, instances, loads):
+        """Return the plain-service instance with the most room."""
+        return min(
+            instances,
+            key=lambda i: (
+                loads.get(i.id, Load()).running / max(1, i.record.slots)
+                + self._distance(i),
+                _rank(self.data_centre, i.id),
+            ),
+        )
+
+    def _prefill_costs(self, prompt, instances, loads):
+        key = prompt.shared_parts[-1].id if prompt.shared_parts else ""
+        holder = owner(key, instances) if key else None
+        costs = []
+        for instance in instances:
+            tokens = prompt.tokens
+            if instance is holder:
+                tokens -= prompt.shared_tokens
+            backlog = loads.get(instance.id, Load()).prefill_tokens
+            cost = (backlog + tokens) / PREFILL_TOKENS_PER_SECOND
+            costs.append((cost + self._distance(instance), instance.id, instance))
+        return costs
+
+    def _decode_costs(self, instances, loads):
+        costs = []
+        for instance in instances:
+            load = loads.get(instance.id, Load())
+            cost = load.running * RUNNING_SECONDS
+            cost += load.prefill_tokens / IN_PLACE_TOKENS_PER_SECOND
+            costs.append((cost + self._distance(instance), instance.id, instance))
+        return costs
+
+    def plan(self, prompt, instances, loads, resumed=False):
+        """Return a :class:`Plan` for a prompt, or None without an engine.
+
+        :param instances: engines that may take new work, of any stage.
+        """
+        prefills = [i for i in instances if i.record.stage is Stage.PREFILL]
+        decoders = [i for i in instances if i.record.stage is not Stage.PREFILL]
+        if not decoders:
+            return None
+        decode_cost, _, target = min(self._decode_costs(decoders, loads))
+        in_place = decode_cost + prompt.tokens / IN_PLACE_TOKENS_PER_SECOND
+        if not prefills:
+            return Plan(target, None, in_place)
+        cost, _, prefill = min(self._prefill_costs(prompt, prefills, loads))
+        handed_over = cost + HANDOVER_SECONDS + decode_cost
+        if prompt.tokens <= IN_PLACE_LIMIT_TOKENS and in_place <= handed_over:
+            return Plan(target, None, in_place)
+        if prompt.tokens <= IN_PLACE_LIMIT_TOKENS:
+            return Plan(target, None, in_place)
+        return Plan(target, prefill, handed_over)
--- /dev/null
+++ b/src/mulberrydock/platform/documents.py
@@ -0,0 +1,113 @@
+"""Decodes the documents that the operator and the instances keep in the store."""
+
+import json
+
+from ..exceptions import SettingsError
+from ..instances import InstanceRecord, Stage
+from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
+
+#: Prefix of the operator's configuration; the whole of it is one key.
+CONFIG_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+#: Prefix of the records that engines and services keep of themselves.
+INSTANCE_PREFIX = "servers/"
+
+#: The platform's word for an instance that leaves after a planned notice.
+DRAINING = "draining"
+
+
+def read_config(key, text):
+    """Return the :class:`RoutingConfig` in ``text``, None for another key.
+
+    :raises SettingsError: when the document lacks a field.
+    """
+    if key != CONFIG_KEY:
+        return None
+    try:
+        document = json.loads(text)
+        services = {row["name"]: _service(row) for row in document["services"]}
+        return RoutingConfig(
+            version=int(document["version"]),
+            routes=tuple(_route(row) for row in document["routes"]),
+            services=services,
+            limits=_limits(document.get("limits") or {}),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise SettingsError(f"{key}: {error!r}") from error
+
+
+def _route(row):
+    return Route(
+        name=row["name"],
+        host=row["host"],
+        path_prefix=row["path_prefix"],
+        kind=Kind(row["kind"]),
+        splits=_splits(row),
+        timeout=row["timeout_ms"] / 1000,
+        latency_objective=row.get("target_latency_ms", row["timeout_ms"]) / 1000,
+        gap_objective=row.get("target_gap_ms", row["timeout_ms"]) / 1000,
+        priority=int(row.get("priority", 0)),
+        max_attempts=int(row.get("max_attempts", 1)),
+        resumable=bool(row.get("resumable", False)),
+    )
+
+
+def _splits(row):
+    # A route names either one service or a weighted list of them.
+    if row.get("traffic_split"):
+        return tuple(
+            Split(part["service"], float(part["weight"]))
+            for part in row["traffic_split"]
+        )
+    return (Split(row["service"], 1.0),)
+
+
+def _service(row):
+    engine = row.get("engine") or {}
+    return ServiceSpec(
+        name=row["name"],
+        max_connections=int(row.get("max_connections", 100)),
+        kv_tokens=int(engine.get("kv_tokens", 0)),
+        slots=int(engine.get("slots", 0)),
+    )
+
+
+def _limits(row):
+    return RequestLimits(
+        max_header_bytes=int(row.get("max_header_bytes", 16384)),
+        max_body_bytes=int(row.get("max_body_bytes", 4194304)),
+        idle_timeout=row.get("idle_timeout_ms", 15000) / 1000,
+    )
+
+
+def instance_id(key):
+    """Return the instance id in a record's key."""
+    return key.removeprefix(INSTANCE_PREFIX)
+
+
+def read_instance(key, text):
+    """Return the :class:`InstanceRecord` in ``text``.
+
+    :raises SettingsError: when the document lacks a field.
+    """
+    try:
+        row = json.loads(text)
+        return InstanceRecord(
+            id=instance_id(key),
+            service=row["service"],
+            address=row["address"],
+            # The platform's zone is a data centre.
+            data_centre=row.get("zone", ""),
+            slots=int(row.get("slots", 0)),
+            draining=row.get("state") == DRAINING,
+            stage=_stage(row.get("stage")),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise SettingsError(f"{key}: {error!r}") from error
+
+
+def _stage(word):
+    try:
+        return Stage(word or "")
+    except ValueError:
+        return Stage.NONE
--- /dev/null
+++ b/src/mulberrydock/platform/wire.py
@@ -0,0 +1,182 @@
+"""Headers and bodies of the platform's clients and engines."""
+
+import json
+
+import tornado.httputil
+
+from ..exceptions import UpstreamError
+from ..ports import Wire
+from ..request import KvHandle, Prompt, PromptPart, Request, ResponseMarks
+
+ATTEMPT_ID = "X-Mulberrydock-Attempt-Id"
+DEADLINE = "X-Mulberrydock-Deadline-Ms"
+EXPECT_INSTANCE = "X-Mulberrydock-Expect-Instance"
+INSTANCE_ID = "X-Mulberrydock-Instance-Id"
+KV_SOURCE = "X-Mulberrydock-Kv-Source"
+LAST_EVENT_ID = "Last-Event-Id"
+NOT_EXECUTED = "X-Mulberrydock-Not-Executed"
+PRIORITY = "X-Mulberrydock-Request-Priority"
+PROMPT_PREFIX = "X-Mulberrydock-Prompt-Prefix"
+SIGNATURE = "X-Mulberrydock-Response-Signature"
+STAGE = "X-Mulberrydock-Stage"
+TOKEN_COUNTS = "X-Mulberrydock-Token-Counts"
+
+#: Set by the system alone; a client's value would steer an engine.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE,
+        EXPECT_INSTANCE,
+        KV_SOURCE,
+        LAST_EVENT_ID,
+        NOT_EXECUTED,
+        PRIORITY,
+        SIGNATURE,
+        STAGE,
+        "X-Mulberrydock-Expect-Version",
+        INSTANCE_ID,
+        "X-Mulberrydock-Kv-Backup",
+        "X-Mulberrydock-Kv-Hold",
+        "X-Mulberrydock-Pin-Ms",
+        "X-Mulberrydock-Weight-Versions",
+        "Kv-Fetch",
+        "Wait-Ms",
+    )
+)
+#: Headers that concern one connection only (RFC 9110, 7.6.1), and framing.
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+#: Headers without which a request isn't the client's any more; a client may
+#: not take them away by naming them in ``Connection``.
+END_TO_END = frozenset(
+    name.lower()
+    for name in (ATTEMPT_ID, PROMPT_PREFIX, TOKEN_COUNTS, "X-Mulberrydock-Model")
+)
+
+#: Milliseconds when a client names no deadline.
+DEFAULT_DEADLINE_MS = 60_000
+
+
+class PlatformWire(Wire):
+    """The platform's header names, over :class:`~mulberrydock.ports.Wire`."""
+
+    def read_request(self, start_line, headers, body, now):
+        return Request(
+            id=headers.get(ATTEMPT_ID, ""),
+            method=start_line.method,
+            target=start_line.path,
+            host=headers.get("Host", ""),
+            headers=_end_to_end(headers, SYSTEM_HEADERS),
+            body=body,
+            arrived=now,
+            deadline=now + _number(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000,
+            prompt=_prompt(headers),
+            last_event_id=int(_number(headers.get(LAST_EVENT_ID), 0)),
+        )
+
+    def upstream_headers(self, request, options):
+        headers = tornado.httputil.HTTPHeaders()
+        headers["Host"] = request.host
+        for name, value in request.headers:
+            headers.add(name, value)
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(request.body))
+        headers[DEADLINE] = str(max(1, options.deadline_ms))
+        headers[EXPECT_INSTANCE] = options.instance
+        if request.prompt.tokens:
+            headers[PRIORITY] = str(options.priority)
+        if options.last_event_id:
+            headers[LAST_EVENT_ID] = str(options.last_event_id)
+        if options.prefill_only:
+            headers[STAGE] = "prefill"
+        if options.kv_source:
+            source = options.kv_source
+            headers[KV_SOURCE] = f"{source.address}/{source.id}"
+        return headers
+
+    def read_marks(self, headers):
+        return ResponseMarks(
+            request_id=headers.get(ATTEMPT_ID, ""),
+            instance=headers.get(INSTANCE_ID, ""),
+            signed=SIGNATURE in headers,
+            not_executed=NOT_EXECUTED in headers,
+            keep_alive_seconds=_keep_alive(headers),
+            closing="close" in headers.get("Connection", "").lower(),
+        )
+
+    def answer_headers(self, headers):
+        """Return an upstream's end-to-end headers as (name, value) pairs."""
+        return _end_to_end(headers, frozenset())
+
+    def read_handle(self, address, body):
+        try:
+            document = json.loads(body)
+            return KvHandle(address, document["kv_handle"], int(document["tokens"]))
+        except (ValueError, KeyError, TypeError) as error:
+            raise UpstreamError(f"prefill answer: {error!r}") from error
+
+    def release_path(self, handle):
+        return f"/kv-handle/{handle.id}"
+
+
+def _end_to_end(headers, dropped):
+    # A sender names further headers of its own connection in Connection.
+    named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
+    named -= END_TO_END
+    return [
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in HOP_HEADERS
+        and name.lower() not in dropped
+        and name.lower() not in named
+    ]
+
+
+def _number(text, default):
+    try:
+        return float(text)
+    except (TypeError, ValueError):
+        return default
+
+
+def _keep_alive(headers):
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout":
+            return _number(value, None)
+    return None
+
+
+def _prompt(headers):
+    counts = headers.get(TOKEN_COUNTS, "").split(",")
+    tokens = int(_number(counts[0], 0))
+    output = int(_number(counts[1], 0)) if len(counts) > 1 else 0
+    return Prompt(tokens, output, _parts(headers.get(PROMPT_PREFIX, "")))
+
+
+def _parts(text):
+    parts = []
+    for entry in text.split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if part_id:
+            parts.append(PromptPart(part_id, int(_number(tokens, 0))))
+    return tuple(parts)
+
+
+def resolve_body(addresses, ttl_seconds):
+    """Return the body that tells a client which addresses to use."""
+    return json.dumps({"addresses": addresses, "ttl_s": ttl_seconds}).encode()
--- a/src/mulberrydock/records.py
+++ b/src/mulberrydock/records.py
@@ -17,6 +17,7 @@
 LeaderRecord = messages.LeaderRecord
 IdempotencyRecord = messages.IdempotencyRecord
 PlanRecord = messages.PlanRecord
+PeerMessage = messages.PeerMessage
 
 
 def encode(message):
--- /dev/null
+++ b/src/mulberrydock/request.py
@@ -0,0 +1,183 @@
+"""One client request and the route it takes, as typed values.
+
+Nothing here knows how a request arrives or how an upstream is reached: fronts
+build :class:`Request`, decisions read it, the relay carries it.
+"""
+
+import enum
+
+import attrs
+
+
+class Kind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@attrs.define(frozen=True)
+class Split:
+    """A share of a route's traffic: service name and relative weight."""
+
+    service: str
+    weight: float
+
+
+@attrs.define(frozen=True)
+class Route:
+    """A declared route: which requests it takes and how they are served.
+
+    ``timeout``, ``latency_objective`` and ``gap_objective`` are seconds;
+    ``priority`` is 0 for the most urgent; ``max_attempts`` counts upstreams
+    that one request may be sent to.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: Kind
+    splits: tuple
+    timeout: float
+    latency_objective: float
+    gap_objective: float
+    priority: int
+    max_attempts: int
+    resumable: bool
+
+    @property
+    def repeatable(self):
+        """True when a request that may have run may be sent again."""
+        return self.kind is Kind.IDEMPOTENT or (
+            self.kind is Kind.STREAMING and self.resumable
+        )
+
+
+@attrs.define(frozen=True)
+class ServiceSpec:
+    """A declared service: connection cap per instance and engine limits.
+
+    ``kv_tokens`` is 0 for a plain application service.
+    """
+
+    name: str
+    max_connections: int
+    kv_tokens: int = 0
+    slots: int = 0
+
+    @property
+    def is_engine(self):
+        """True for a pool of model engines."""
+        return self.kv_tokens > 0
+
+
+@attrs.define(frozen=True)
+class RequestLimits:
+    """What a client may send; bytes and seconds."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    idle_timeout: float
+
+
+@attrs.define(frozen=True)
+class RoutingConfig:
+    """One version of the declared routes and services."""
+
+    version: int
+    routes: tuple
+    services: dict
+    limits: RequestLimits
+
+
+@attrs.define(frozen=True)
+class PromptPart:
+    """A part of a prompt that requests may share, with its length in tokens."""
+
+    id: str
+    tokens: int
+
+
+@attrs.define(frozen=True)
+class Prompt:
+    """What a request asks of a model engine."""
+
+    tokens: int = 0
+    max_output_tokens: int = 0
+    parts: tuple = ()
+
+    @property
+    def shared_parts(self):
+        """Parts that other requests have too: all but the last."""
+        return self.parts[:-1]
+
+    @property
+    def shared_tokens(self):
+        """Tokens of the shared parts."""
+        return sum(part.tokens for part in self.shared_parts)
+
+
+@attrs.define(frozen=True)
+class KvHandle:
+    """KV cache that an engine keeps for one decode run after a prefill.
+
+    ``address`` is the engine that holds it; ``tokens`` its length.
+    """
+
+    address: str
+    id: str
+    tokens: int
+
+
+@attrs.define(eq=False)
+class Request:
+    """One attempt of a client, read whole from its connection.
+
+    ``arrived`` and ``deadline`` are monotonic seconds; ``headers`` are the
+    end-to-end headers to pass on, in order, as (name, value) pairs.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    headers: list
+    body: bytes
+    arrived: float
+    deadline: float
+    prompt: Prompt = Prompt()
+    last_event_id: int = 0
+
+    @property
+    def path(self):
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+@attrs.define(frozen=True)
+class SendOptions:
+    """What the system sets on one send to an upstream instance."""
+
+    instance: str
+    deadline_ms: int
+    priority: int = 5
+    last_event_id: int = 0
+    prefill_only: bool = False
+    kv_source: KvHandle | None = None
+
+
+@attrs.define(frozen=True)
+class ResponseMarks:
+    """What an upstream states about its answer beside status and body.
+
+    ``request_id`` is the request that the answer names and ``instance`` the
+    incarnation that gave it, empty when none.
+    """
+
+    request_id: str
+    instance: str
+    signed: bool
+    not_executed: bool
+    keep_alive_seconds: float | None
+    closing: bool
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -9,6 +9,7 @@
   dataCentre @2 :Text;
   leaving @3 :Bool;
   startedAt @4 :Float64;   # wall-clock seconds since the epoch
+  peerAddress @5 :Text;    # where it takes its peers' datagrams, empty if nowhere
 }
 
 struct LeaderRecord {
@@ -37,3 +38,18 @@
   holder @0 :Text;
   held @1 :List(Text);     # engines that must get no new work
 }
+
+struct LoadRecord {
+  # Unfinished work of one entry VM at one upstream instance.
+  instance @0 :Text;
+  running @1 :UInt32;
+  prefillTokens @2 :UInt32;
+}
+
+struct PeerMessage {
+  # Sent several times a second from each entry VM to its peers over UDP.
+  name @0 :Text;
+  sequence @1 :UInt64;     # grows over restarts: drawn from the clock at start
+  leaving @2 :Bool;
+  loads @3 :List(LoadRecord);
+}
--- /dev/null
+++ b/src/mulberrydock/serve.py
@@ -0,0 +1,312 @@
+"""The daemon of one entry VM on the users' platform.
+
+One process answers clients, tells them which VMs to use, and follows the
+configuration, the instances and its peers through the platform's store.
+"""
+
+import asyncio
+import os
+import signal
+import time
+
+import attrs
+import tornado.httpserver
+import tornado.web
+from loguru import logger
+
+from . import platform
+from ._http import split_address
+from .directory import Directory
+from .exceptions import SettingsError
+from .fleet_view import FleetView
+from .front import Front
+from .membership import Membership
+from .metrics import ServeMetrics
+from .peers import PeerLink
+from .relay import Relay
+from .serve_settings import load_serve_settings
+from .watch import PrefixWatch
+
+#: Seconds a watch waits at the store. The configuration must be in force
+#: within 2 s also when a connection goes silent, so a silent watch has to be
+#: noticed before: this and the store's call timeout stay under that.
+WATCH_SECONDS = 1.2
+#: Seconds of this VM's registration in the store; its peers notice its death
+#: by its silence, much sooner, unless they are cut off from it as well.
+MEMBER_LEASE_SECONDS = 4.0
+#: Seconds for which clients may keep an answer of the directory. A third of
+#: the clients keeps it three times as long.
+ANSWER_TTL_SECONDS = 2.0
+#: Seconds of the grace period that a stopping process leaves unused.
+GRACE_MARGIN_SECONDS = 1.0
+#: Seconds after which an idle client connection is closed; far above the
+#: configured limit, so that no client's request crosses the close.
+CLIENT_IDLE_SECONDS = 120
+#: Seconds between two looks at the settings file and at lapsed records.
+SWEEP_SECONDS = 0.25
+
+
+@attrs.define(frozen=True)
+class EntryVm:
+    """This VM as it registers itself; ``address`` is its front's."""
+
+    name: str
+    address: str
+    data_centre: str
+
+
+class _ReadyHandler(tornado.web.RequestHandler):
+    def initialize(self, daemon):
+        self.daemon = daemon
+
+    def get(self):
+        self.set_status(200 if self.daemon.ready else 503)
+
+
+class _ResolveHandler(tornado.web.RequestHandler):
+    def initialize(self, daemon):
+        self.daemon = daemon
+
+    def get(self):
+        daemon = self.daemon
+        now = time.monotonic()
+        addresses = daemon.directory.addresses(daemon.draining, now)
+        ttl = min(ANSWER_TTL_SECONDS, daemon.settings.timing.answer_ttl_seconds)
+        self.set_header("Content-Type", "application/json")
+        self.finish(platform.resolve_body(addresses, ttl))
+
+
+class _MetricsHandler(tornado.web.RequestHandler):
+    def initialize(self, daemon):
+        self.daemon = daemon
+
+    def get(self):
+        self.daemon.metrics.log_dropped.set(self.daemon.log_sink.dropped)
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self.daemon.metrics.render())
+
+
+class ServeDaemon:
+    """State of one entry VM's process. Build it with :meth:`from_settings`."""
+
+    def __init__(self, settings, store, wire, log_sink):
+        self.settings = settings
+        self.store = store
+        self.log_sink = log_sink
+        self.metrics = ServeMetrics()
+        self.draining = False
+        self.store_answers = None
+        self.stop = asyncio.Event()
+        self.instance_keys = set()
+        self.fleet = FleetView(
+            settings.data_centre, settings.timing, self.peer_count, self._on_gone
+        )
+        self.relay = Relay(self.fleet, wire, self.metrics)
+        self.front = Front(self.relay, wire, time.monotonic)
+        peer_port = settings.listen.peer_ports[0]
+        self.membership = Membership(
+            store,
+            EntryVm(settings.name, settings.listen.front, settings.data_centre),
+            max(MEMBER_LEASE_SECONDS, settings.store.least_lease_seconds),
+            f"{settings.ip}:{peer_port}",
+            wait=WATCH_SECONDS,
+        )
+        self.directory = Directory(
+            self.membership, self.fleet.loads, settings.listen.front
+        )
+        self.peers = PeerLink(
+            settings.name, self.fleet.loads, self._peer_addresses, self._leaving
+        )
+
+    @classmethod
+    def from_settings(cls, settings, log_sink):
+        """Build the daemon over the platform's store and wire."""
+        store = platform.PlatformStore(settings.store.address)
+        return cls(settings, store, platform.PlatformWire(), log_sink)
+
+    @property
+    def ready(self):
+        """True when clients may be sent here."""
+        return not self.draining and self.fleet.routes.config is not None
+
+    def _leaving(self):
+        return self.draining
+
+    def peer_count(self):
+        """Return the number of entry VMs believed alive, this one included."""
+        return max(1, len(set(self.membership.peers) | {self.settings.name}))
+
+    def _peer_addresses(self):
+        peers = self.membership.lapsed | self.membership.peers
+        return [
+            peer.peer_address
+            for name, peer in peers.items()
+            if name != self.settings.name and peer.peer_address
+        ]
+
+    def _on_gone(self, instance_id):
+        self.relay.forget(instance_id)
+        self.fleet.suspicion.forget(instance_id)
+
+    def _on_config(self, key, value, revision):
+        if value is None:
+            return
+        try:
+            config = platform.read_config(key, value)
+        except SettingsError as error:
+            logger.error("configuration refused", revision=revision, error=str(error))
+            return
+        if config is None or not self.fleet.routes.accept(config):
+            return
+        self.metrics.config_version.set(config.version)
+        logger.info(
+            "configuration in force",
+            version=config.version,
+            revision=revision,
+            routes=len(config.routes),
+        )
+
+    def _on_instance(self, key, value, revision):
+        now = time.monotonic()
+        if value is None:
+            self.fleet.instances.remove(platform.instance_id(key), now)
+            return
+        try:
+            record = platform.read_instance(key, value)
+        except SettingsError as error:
+            logger.error("instance refused", revision=revision, error=str(error))
+            return
+        self.instance_keys.add(record.id)
+        self.fleet.instances.put(record, now)
+
+    def _on_instance_reset(self):
+        self.instance_keys.clear()
+
+    def _on_instances_loaded(self):
+        now = time.monotonic()
+        for instance_id in list(self.fleet.instances.instances):
+            if instance_id not in self.instance_keys:
+                self.fleet.instances.remove(instance_id, now)
+
+    def _on_store_answer(self, answered):
+        now = time.monotonic()
+        if answered:
+            self.fleet.instances.store_back(now)
+        else:
+            self.fleet.instances.store_lost(now)
+        if answered != self.store_answers:
+            event = "store answers" if answered else "store lost"
+            logger.warning(event, address=self.settings.store.address)
+        self.store_answers = answered
+
+    def _watches(self):
+        return [
+            PrefixWatch(
+                self.store,
+                platform.CONFIG_PREFIX,
+                self._on_config,
+                wait=WATCH_SECONDS,
+            ),
+            PrefixWatch(
+                self.store,
+                platform.INSTANCE_PREFIX,
+                self._on_instance,
+                self._on_instance_reset,
+                self._on_store_answer,
+                self._on_instances_loaded,
+                wait=WATCH_SECONDS,
+            ),
+        ]
+
+    async def _sweep(self):
+        while True:
+            self.fleet.instances.sweep(time.monotonic())
+            await asyncio.sleep(SWEEP_SECONDS)
+
+    def _listen(self):
+        listen = self.settings.listen
+        args = {"daemon": self}
+        self.front_server = tornado.httpserver.HTTPServer(
+            self.front, idle_connection_timeout=CLIENT_IDLE_SECONDS
+        )
+        host, port = split_address(listen.front)
+        self.front_server.listen(port, address=host)
+        pages = tornado.web.Application(
+            [
+                (platform.READY_PATH, _ReadyHandler, args),
+                (platform.RESOLVE_PATH, _ResolveHandler, args),
+                (r"/metrics", _MetricsHandler, args),
+            ],
+            log_function=lambda handler: None,
+        )
+        server = tornado.httpserver.HTTPServer(pages)
+        for address in {listen.ready, listen.directory}:
+            host, port = split_address(address)
+            server.listen(port, address=host)
+        if listen.metrics_port:
+            server.listen(listen.metrics_port, address=self.settings.ip)
+
+    async def run(self):
+        """Serve until SIGTERM or SIGINT, then drain and return."""
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        self._listen()
+        await self.peers.open(self.settings.ip, self.settings.listen.peer_ports[0])
+        tasks = [asyncio.ensure_future(watch.run()) for watch in self._watches()]
+        tasks += [
+            asyncio.ensure_future(self.membership.follow()),
+            asyncio.ensure_future(self.membership.keep_alive()),
+            asyncio.ensure_future(self.peers.run()),
+            asyncio.ensure_future(self._sweep()),
+        ]
+        for task in tasks:
+            task.add_done_callback(self._on_task_end)
+        logger.info("started", name=self.settings.name, pid=os.getpid())
+        await self.stop.wait()
+        await self.drain()
+        for task in tasks:
+            task.cancel()
+        logger.info("stopped")
+
+    def _on_task_end(self, task):
+        if task.cancelled():
+            return
+        # A follower that ended leaves this VM with a view that only ages:
+        # ending the process lets the platform start it afresh.
+        logger.error("task ended", error=repr(task.exception()))
+        self.stop.set()
+
+    def _on_hangup(self):
+        """Read the settings again and log what changed; addresses need a restart."""
+        try:
+            settings = load_serve_settings(os.environ[platform.SETTINGS_VARIABLE])
+        except (SettingsError, OSError, KeyError) as error:
+            logger.error("reload refused", error=str(error))
+            return
+        self.settings.timing = settings.timing
+        self.fleet.timing = settings.timing
+        logger.info("reloaded")
+
+    async def drain(self):
+        """Leave: clients move away, requests in progress end, then return.
+
+        Clients keep an old list of addresses for up to three times its time
+        to live, so new connections are served until the grace is nearly over.
+        """
+        self.draining = True
+        self.front.draining = True
+        started = time.monotonic()
+        logger.info("draining", in_flight=len(self.front.tasks))
+        self.peers.send()
+        leaving = asyncio.ensure_future(self.membership.mark_leaving())
+        grace = self.settings.timing.grace_seconds - GRACE_MARGIN_SECONDS
+        stay = min(grace, 3 * ANSWER_TTL_SECONDS)
+        await asyncio.sleep(stay)
+        self.front_server.stop()
+        left = grace - (time.monotonic() - started)
+        if self.front.tasks and left > 0:
+            await asyncio.wait(set(self.front.tasks), timeout=left)
+        leaving.cancel()
+        logger.info("drained", in_flight=len(self.front.tasks))
--- a/src/mulberrydock/settings.py
+++ b/src/mulberrydock/settings.py
@@ -26,14 +26,13 @@
 _converter = cattrs.Converter(forbid_extra_keys=True)
 
 
-def _schema():
-    text = importlib.resources.files(__package__).joinpath(
-        "schema/settings.schema.json"
-    )
+def load_schema(name):
+    """Return the parsed JSON Schema ``name`` of this package."""
+    text = importlib.resources.files(__package__).joinpath(f"schema/{name}")
     return json.loads(text.read_text())
 
 
-_SCHEMA = _schema()
+_SCHEMA = load_schema("settings.schema.json")
 _VALIDATOR = jsonschema.Draft202012Validator(_SCHEMA)
 _DECLARED_VALIDATOR = jsonschema.Draft202012Validator(
     {"$ref": "#/$defs/Declared", "$defs": _SCHEMA["$defs"]}
@@ -50,13 +49,28 @@
     return "".join(parts) or "(top level)"
 
 
-def _check(validator, document, source):
+def check_document(validator, document, source):
+    """Check a parsed document against a schema.
+
+    :raises SettingsError: with every offending key and why.
+    """
     errors = sorted(validator.iter_errors(document), key=lambda e: list(e.path))
     if errors:
         lines = [f"{_path(e)}: {e.message}" for e in errors]
         raise SettingsError(f"{source}: " + "; ".join(lines))
 
 
+def parse_toml(text, source):
+    """Return the document in TOML ``text``.
+
+    :raises SettingsError: when it isn't TOML.
+    """
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{source}: not TOML: {error}") from error
+
+
 def _unique(items, what, source):
     names = [item.name for item in items]
     repeated = sorted({name for name in names if names.count(name) > 1})
@@ -106,11 +120,8 @@
     :raises SettingsError: on a syntax error, a wrong key, type or range, or
         a cross-reference to an unknown name; nothing is applied.
     """
-    try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(f"{source}: not TOML: {error}") from error
-    _check(_VALIDATOR, document, source)
+    document = parse_toml(text, source)
+    check_document(_VALIDATOR, document, source)
     settings = _converter.structure(document, Settings)
     _cross_check(settings, source)
     return settings
@@ -135,11 +146,8 @@
 
     :raises SettingsError: as :func:`parse_settings`.
     """
-    try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(f"{source}: not TOML: {error}") from error
-    _check(_DECLARED_VALIDATOR, document, source)
+    document = parse_toml(text, source)
+    check_document(_DECLARED_VALIDATOR, document, source)
     declared = _converter.structure(document, Declared)
     check_declared(declared, settings, source)
     return declared
--- /dev/null
+++ b/src/mulberrydock/suspicion.py
@@ -0,0 +1,80 @@
+"""Which upstream instances to pass over for a while, from failures seen here.
+
+An instance may fail part of its requests, answer nothing, or refuse
+connections while its health check is good; only the requests show it.
+"""
+
+import attrs
+
+#: Seconds for which an instance is passed over after its first failure, and
+#: the longest such time; each further failure doubles it. A crashed engine is
+#: back after 2 to 5 s, so a probe by one request every few seconds is enough.
+FIRST_HOLD_SECONDS = 1.0
+LONGEST_HOLD_SECONDS = 8.0
+#: Failures in a row, without an answer between, before the first hold: single
+#: failures (a lost answer, a spoiled one) happen at sound instances too.
+TOLERATED_FAILURES = 1
+#: Seconds for which an instance that said it is full gets nothing new.
+FULL_SECONDS = 0.25
+
+
+@attrs.define
+class Standing:
+    """What the requests of this VM showed of one instance."""
+
+    failures: int = 0
+    suspect_until: float = 0.0
+    full_until: float = 0.0
+
+
+class Suspicion:
+    """Standings by instance id; every decision takes the present time."""
+
+    def __init__(self):
+        self.standings = {}
+
+    def of(self, instance_id):
+        """Return the :class:`Standing` of an instance."""
+        return self.standings.setdefault(instance_id, Standing())
+
+    def answered(self, instance_id):
+        """The instance gave a whole answer."""
+        standing = self.of(instance_id)
+        standing.failures = 0
+        standing.suspect_until = 0.0
+
+    def failed(self, instance_id, now, unreachable=False):
+        """A request failed; ``unreachable`` when no connection could be made.
+
+        :returns: True when the instance is now passed over.
+        """
+        standing = self.of(instance_id)
+        standing.failures += 1
+        tolerated = 0 if unreachable else TOLERATED_FAILURES
+        steps = standing.failures - tolerated - 1
+        if steps < 0:
+            return False
+        hold = min(FIRST_HOLD_SECONDS * 2**steps, LONGEST_HOLD_SECONDS)
+        standing.suspect_until = now + hold
+        return True
+
+    def full(self, instance_id, now):
+        """The instance refused a request for lack of a place."""
+        self.of(instance_id).full_until = now + FULL_SECONDS
+
+    def forget(self, instance_id):
+        """The instance is gone for good."""
+        self.standings.pop(instance_id, None)
+
+    def sound(self, instances, now):
+        """Return those neither suspected nor full, or else all of them.
+
+        With every instance suspected the suspicion says nothing: the cause is
+        more likely here or on the way.
+        """
+        kept = []
+        for instance in instances:
+            standing = self.of(instance.id)
+            if standing.suspect_until <= now and standing.full_until <= now:
+                kept.append(instance)
+        return kept or list(instances)
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -18,13 +18,28 @@
     :param on_reset: called with no argument before a full read is applied.
     :param on_item: called with ``(key, value, version)``; ``value`` is None
         when the key was deleted.
+    :param on_answer: called after each call with True when the store answered.
+    :param on_loaded: called after a full read was applied.
+    :param wait: seconds a long poll waits at the store.
     """
 
-    def __init__(self, store, prefix, on_item, on_reset=lambda: None):
+    def __init__(
+        self,
+        store,
+        prefix,
+        on_item,
+        on_reset=lambda: None,
+        on_answer=lambda answered: None,
+        on_loaded=lambda: None,
+        wait=defaults.WATCH_TIMEOUT_SECONDS,
+    ):
         self.store = store
         self.prefix = prefix
         self.on_item = on_item
         self.on_reset = on_reset
+        self.on_answer = on_answer
+        self.on_loaded = on_loaded
+        self.wait = wait
         self.revision = 0
         self.loaded = False
 
@@ -32,7 +47,8 @@
         """One read or long poll; False when the store did not answer."""
         if not self.loaded:
             return await self._read()
-        batch = await self.store.watch(self.prefix, self.revision)
+        batch = await self.store.watch(self.prefix, self.revision, self.wait)
+        self.on_answer(batch.is_ok())
         if batch.is_error():
             return False
         if batch.ok.compacted:
@@ -45,6 +61,7 @@
 
     async def _read(self):
         read = await self.store.range(self.prefix)
+        self.on_answer(read.is_ok())
         if read.is_error():
             return False
         revision, items = read.ok
@@ -53,6 +70,7 @@
             self.on_item(item.key, item.value, item.version)
         self.revision = revision
         self.loaded = True
+        self.on_loaded()
         return True
 
     async def run(self):
--- a/tools/generate_settings.py
+++ b/tools/generate_settings.py
@@ -1,16 +1,20 @@
-"""Generate ``src/mulberrydock/_settings_model.py`` from the settings schema.
+"""Generate the settings classes from the settings schemas.
 
-Run ``python tools/generate_settings.py`` after changing
-``src/mulberrydock/schema/settings.schema.json``; the output is committed so
-that installing the package needs no generator.
+Run ``python tools/generate_settings.py`` after changing a schema under
+``src/mulberrydock/schema``; the output is committed so that installing the
+package needs no generator.
 """
 
 import json
 import pathlib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SCHEMA = ROOT / "src" / "mulberrydock" / "schema" / "settings.schema.json"
-OUTPUT = ROOT / "src" / "mulberrydock" / "_settings_model.py"
+PACKAGE = ROOT / "src" / "mulberrydock"
+#: Each schema under ``schema/`` and the module generated from it.
+MODELS = {
+    "settings.schema.json": "_settings_model.py",
+    "serve.schema.json": "_serve_model.py",
+}
 SCALARS = {"string": "str", "number": "float", "integer": "int", "boolean": "bool"}
 
 
@@ -44,10 +48,10 @@
     return "\n".join(lines)
 
 
-def generate(schema):
-    """Return the module text for ``schema`` (a parsed JSON Schema)."""
+def generate(schema, source):
+    """Return the module text for ``schema``, parsed from the file ``source``."""
     parts = [
-        '"""Settings classes generated from schema/settings.schema.json."""',
+        f'"""Settings classes generated from schema/{source}."""',
         "",
         "from __future__ import annotations",
         "",
@@ -62,4 +66,6 @@
 
 
 if __name__ == "__main__":
-    OUTPUT.write_text(generate(json.loads(SCHEMA.read_text())))
+    for source, output in MODELS.items():
+        schema = json.loads((PACKAGE / "schema" / source).read_text())
+        (PACKAGE / output).write_text(generate(schema, source))
