--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -30,6 +30,24 @@
     leaving: bool = False
 
 
+@attrs.define(eq=False)
+class Work:
+    """One send counted in a :class:`LoadBook` until it ends."""
+
+    book: object
+    instance_id: str
+    tokens: int
+
+    def prefilled(self):
+        """The prompt is read: only the running request still counts."""
+        self.book.add(self.instance_id, 0, -self.tokens)
+        self.tokens = 0
+
+    def end(self):
+        """The send is over."""
+        self.book.add(self.instance_id, -1, -self.tokens)
+
+
 class LoadBook:
     """This VM's own loads and those its peers reported."""
 
@@ -37,6 +55,11 @@
         self.own = {}
         self.reports = {}
 
+    def begin(self, instance_id, prefill_tokens):
+        """Count a send of ``prefill_tokens`` in; return its :class:`Work`."""
+        self.add(instance_id, 1, prefill_tokens)
+        return Work(self, instance_id, prefill_tokens)
+
     def add(self, instance_id, running=0, prefill_tokens=0):
         """Count work in (positive) or out (negative) at an instance."""
         load = self.own.get(instance_id, Load())
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -24,7 +24,7 @@
 HANDOVER_SECONDS = 0.01
 #: Prompt tokens above which a decode engine's own prefill would stall the
 #: streams it carries: such prompts always go to a prefill engine, if any.
-IN_PLACE_LIMIT_TOKENS = 2000
+IN_PLACE_LIMIT_TOKENS = 2800
 #: Weight of one running request at a decode engine, in seconds of wait: a
 #: step takes 0.12 ms longer for each, over some 30 steps.
 RUNNING_SECONDS = 0.004
@@ -36,11 +36,13 @@
 class Plan:
     """Where one attempt runs; ``prefill`` is None when done in place.
 
-    ``wait`` estimates the seconds to the first token.
+    ``tokens`` are the prompt tokens that have to be read, those expected in
+    the cache left out; ``wait`` estimates the seconds to the first token.
     """
 
     target: object
     prefill: object = None
+    tokens: int = 0
     wait: float = 0.0
 
 
@@ -79,29 +81,33 @@
             ),
         )
 
-    def _prefill_costs(self, prompt, instances, loads):
+    def _options(self, prompt, instances, loads, rate):
+        """Return (seconds, id, instance, tokens to read) for each instance.
+
+        :param rate: prompt tokens a second that these instances read.
+        """
         key = prompt.shared_parts[-1].id if prompt.shared_parts else ""
         holder = owner(key, instances) if key else None
-        costs = []
+        options = []
         for instance in instances:
             tokens = prompt.tokens
             if instance is holder:
                 tokens -= prompt.shared_tokens
-            backlog = loads.get(instance.id, Load()).prefill_tokens
-            cost = (backlog + tokens) / PREFILL_TOKENS_PER_SECOND
-            costs.append((cost + self._distance(instance), instance.id, instance))
-        return costs
-
-    def _decode_costs(self, instances, loads):
-        costs = []
-        for instance in instances:
             load = loads.get(instance.id, Load())
-            cost = load.running * RUNNING_SECONDS
-            cost += load.prefill_tokens / IN_PLACE_TOKENS_PER_SECOND
-            costs.append((cost + self._distance(instance), instance.id, instance))
-        return costs
+            seconds = (load.prefill_tokens + tokens) / rate
+            seconds += self._distance(instance)
+            options.append((seconds, instance.id, instance, tokens))
+        return options
+
+    def _decode_seconds(self, instance, loads):
+        load = loads.get(instance.id, Load())
+        return (
+            load.running * RUNNING_SECONDS
+            + load.prefill_tokens / IN_PLACE_TOKENS_PER_SECOND
+            + self._distance(instance)
+        )
 
-    def plan(self, prompt, instances, loads, resumed=False):
+    def plan(self, prompt, instances, loads):
         """Return a :class:`Plan` for a prompt, or None without an engine.
 
         :param instances: engines that may take new work, of any stage.
@@ -110,14 +116,28 @@
         decoders = [i for i in instances if i.record.stage is not Stage.PREFILL]
         if not decoders:
             return None
-        decode_cost, _, target = min(self._decode_costs(decoders, loads))
-        in_place = decode_cost + prompt.tokens / IN_PLACE_TOKENS_PER_SECOND
+        in_place = self._in_place(prompt, decoders, loads)
         if not prefills:
-            return Plan(target, None, in_place)
-        cost, _, prefill = min(self._prefill_costs(prompt, prefills, loads))
-        handed_over = cost + HANDOVER_SECONDS + decode_cost
-        if prompt.tokens <= IN_PLACE_LIMIT_TOKENS and in_place <= handed_over:
-            return Plan(target, None, in_place)
+            return in_place
+        handed_over = self._handed_over(prompt, prefills, decoders, loads)
         if prompt.tokens <= IN_PLACE_LIMIT_TOKENS:
-            return Plan(target, None, in_place)
-        return Plan(target, prefill, handed_over)
+            return in_place
+        return handed_over
+
+    def _in_place(self, prompt, decoders, loads):
+        rows = self._options(prompt, decoders, loads, IN_PLACE_TOKENS_PER_SECOND)
+        rows = [
+            (seconds + loads.get(key, Load()).running * RUNNING_SECONDS, key, *rest)
+            for seconds, key, *rest in rows
+        ]
+        seconds, _, target, tokens = min(rows)
+        return Plan(target, None, tokens, seconds)
+
+    def _handed_over(self, prompt, prefills, decoders, loads):
+        rows = self._options(prompt, prefills, loads, PREFILL_TOKENS_PER_SECOND)
+        seconds, _, prefill, tokens = min(rows)
+        decode, _, target = min(
+            (self._decode_seconds(i, loads), i.id, i) for i in decoders
+        )
+        wait = seconds + HANDOVER_SECONDS + decode
+        return Plan(target, prefill, tokens, wait)
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -69,6 +69,7 @@
         self.chunks = []
         self.progress_at = None
         self.error = None
+        self.work = None
         state.splitter.buffer = b""
 
     def on_headers(self, status, headers):
@@ -92,6 +93,8 @@
             raise
         if not events:
             return None
+        if self.progress_at is None:
+            self.work.prefilled()
         self.progress_at = time.monotonic()
         if not self.state.begun:
             self.state.begun = True
@@ -189,9 +192,9 @@
 
     async def _call(self, request, route, plan, deadline, attempts, sink):
         """One send of a plain call; True when the client was answered."""
-        limit = PLAIN_ANSWER_SECONDS if route.repeatable else None
-        if attempts.sends + 1 >= max(2, route.max_attempts):
-            limit = None
+        limit = None
+        if self._may_move(route, attempts):
+            limit = PLAIN_ANSWER_SECONDS
         answer = WholeAnswer()
         if not await self._send(
             request, route, plan, deadline, attempts, answer, None, limit
@@ -218,8 +221,9 @@
         taken = False
         try:
             listener = _StreamListener(self, request, sink, state)
-            resumable = route.repeatable and attempts.sends == 0
-            limit = FIRST_EVENT_SECONDS + WAIT_MARGIN * plan.wait
+            limit = None
+            if self._may_move(route, attempts):
+                limit = FIRST_EVENT_SECONDS + WAIT_MARGIN * plan.wait
             sent = await self._send(
                 request,
                 route,
@@ -228,7 +232,7 @@
                 attempts,
                 listener,
                 handle,
-                limit if resumable else None,
+                limit,
                 state,
             )
             taken = listener.good if listener.marks else False
@@ -253,6 +257,14 @@
         self._respond(sink, answer)
         return True
 
+    def _may_move(self, route, attempts):
+        """True when a silent instance may be left for another one.
+
+        On the last attempt that is allowed there is nothing to gain: an
+        answer may still come.
+        """
+        return route.repeatable and attempts.sends + 1 < route.max_attempts
+
     def _still_there(self, instance):
         return not instance.leaving
 
@@ -304,7 +316,7 @@
             last_event_id=resumed,
             kv_source=handle,
         )
-        tokens = request.prompt.tokens if handle is None else 0
+        tokens = plan.tokens if handle is None else 0
         logger.info(
             "send",
             request=request.id,
@@ -314,7 +326,9 @@
             wait=round(plan.wait, 3),
             config=self.fleet.routes.version,
         )
-        self.fleet.loads.add(target.id, 1, tokens)
+        work = self.fleet.loads.begin(target.id, tokens)
+        if state is not None:
+            listener.work = work
         self.metrics.sends.labels(target.record.service).inc()
         try:
             exchange = self.pool(target).exchange(
@@ -326,15 +340,15 @@
                 accepts=lambda headers: self._is_answer(request, headers),
                 keep_alive=self._keep_alive,
             )
-            await self._watch(exchange, listener, limit, target, tokens)
+            await self._watch(exchange, listener, limit, target)
         except UpstreamError as error:
             self._failed(request, target, error, attempts)
             return False
         finally:
-            self.fleet.loads.add(target.id, -1, -tokens)
+            work.end()
         return True
 
-    async def _watch(self, exchange, listener, limit, target, tokens):
+    async def _watch(self, exchange, listener, limit, target):
         """Run ``exchange``; end it when it shows no progress for too long."""
         task = asyncio.ensure_future(exchange)
         started = time.monotonic()
@@ -402,8 +416,7 @@
             prefill_only=True,
         )
         answer = WholeAnswer()
-        tokens = request.prompt.tokens
-        self.fleet.loads.add(engine.id, 1, tokens)
+        work = self.fleet.loads.begin(engine.id, plan.tokens)
         limit = min(PREFILL_SECONDS + WAIT_MARGIN * plan.wait, deadline - now)
         try:
             await asyncio.wait_for(
@@ -431,7 +444,7 @@
             )
             return None
         finally:
-            self.fleet.loads.add(engine.id, -1, -tokens)
+            work.end()
         self.fleet.suspicion.answered(engine.id)
         return handle
 
