Stage orders by the holder of the lease; one watch for all keys

Change: one VM holds the leader lease and orders a decode engine to prefill when a pool lacks prefill engines; a new holder waits a whole lease before its first order; the order names the engine's incarnation and its order count (from its report: the same field in its record counts heartbeats, seen as 409 to each order); engines under change are held at all VMs by the peers' messages. All keys are followed by one watch instead of three.

--- a/src/mulberrydock/_serve_model.py
+++ b/src/mulberrydock/_serve_model.py
@@ -32,6 +32,7 @@
     drain_seconds: float = attrs.field()
     grace_seconds: float = attrs.field()
     answer_ttl_seconds: float = attrs.field()
+    lease_seconds: float = attrs.field()
     retry_budget_ratio: float = attrs.field()
     retry_budget_window_seconds: float = attrs.field()
     retry_budget_floor: float = attrs.field()
--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -270,7 +270,7 @@
         http = tornado.http1connection.HTTP1Connection(stream, True, PARAMS)
         start = tornado.httputil.RequestStartLine(method, target, "HTTP/1.1")
         try:
-            http.write_headers(start, headers)
+            http.write_headers(start, tornado.httputil.HTTPHeaders(headers))
             if body:
                 http.write(body)
             http.finish()
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -53,8 +53,9 @@
 
     def plan(self, request, service, tried, now):
         """Return the :class:`Plan` of one attempt, or None."""
+        excluded = tried | self.loads.held(now)
         serving = self.instances.serving(service)
-        fresh = [i for i in serving if i.id not in tried]
+        fresh = [i for i in serving if i.id not in excluded]
         if not fresh:
             return None
         sound = self.suspicion.sound(fresh, now)
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -36,21 +36,27 @@
     stage: Stage = Stage.NONE
 
 
-@attrs.define(eq=False)
-class Instance:
-    """A registered instance and what this VM knows of its load.
+@attrs.define(frozen=True)
+class EngineReport:
+    """What an engine reports of itself, some hundred milliseconds late.
 
-    ``in_flight`` and ``prefill_tokens`` are this VM's own unfinished sends.
+    ``busy`` while an order is being carried out; ``orders`` counts those it
+    accepted since its start.
     """
 
+    stage: Stage
+    busy: bool
+    orders: int
+
+
+@attrs.define(eq=False)
+class Instance:
+    """A registered instance, whether it leaves, and since when its record is
+    missing after an outage of the store."""
+
     record: InstanceRecord
     leaving: bool = False
     lapsed_at: float | None = None
-    in_flight: int = 0
-    prefill_tokens: int = 0
-    suspect_until: float = 0.0
-    failures: int = 0
-    full_until: float = 0.0
 
     @property
     def id(self):
@@ -100,7 +106,7 @@
         known = self.instances.get(instance_id)
         if known is None:
             return
-        if self._settling(now):
+        if self.unsettled(now):
             if known.lapsed_at is None:
                 known.lapsed_at = now
                 logger.info("instance record lapsed", instance=instance_id)
@@ -126,13 +132,14 @@
             self.store_lost_at = None
             self.store_back_at = now
 
-    def _settling(self, now):
+    def unsettled(self, now):
+        """True while records may be missing whose instances live."""
         away = self.store_lost_at is not None
         return away or now < self.store_back_at + LAPSE_GRACE_SECONDS
 
     def sweep(self, now):
         """Drop lapsed instances whose grace is over."""
-        if self._settling(now):
+        if self.unsettled(now):
             return
         for instance_id, instance in list(self.instances.items()):
             if instance.lapsed_at is not None:
--- a/src/mulberrydock/lease.py
+++ b/src/mulberrydock/lease.py
@@ -25,6 +25,7 @@
     lease: int = 0
     token: int = 0
     renewed_at: float = 0.0
+    acquired_at: float = 0.0
 
     def valid(self, now, ttl):
         """True while orders may go: held and renewed recently enough.
@@ -42,12 +43,18 @@
     :param store: a :class:`~mulberrydock.store.StoreClient`.
     :param name: this controller's name, written in the leader record.
     :param ttl: seconds of the lease.
+    :param vacant: returns False while the leader record is known to exist, so
+        that no call is spent on an attempt that must fail.
+    :param clock: returns the present time; one that counts the seconds for
+        which a VM is suspended keeps a woken holder from using a lost lease.
     """
 
-    def __init__(self, store, name, ttl):
+    def __init__(self, store, name, ttl, vacant=lambda: True, clock=time.monotonic):
         self.store = store
         self.name = name
         self.ttl = ttl
+        self.vacant = vacant
+        self.clock = clock
         self.authority = Authority()
 
     def valid(self, now):
@@ -75,7 +82,7 @@
             version = read.ok.version
         else:
             version = written.ok
-        self.authority = Authority(granted.ok, version, now)
+        self.authority = Authority(granted.ok, version, now, self.clock())
         logger.info("control active", token=version)
         return True
 
@@ -92,9 +99,9 @@
         """Keep or take the lease, forever, apart from whatever orders wait for."""
         while True:
             if self.authority.token:
-                await self.renew(time.monotonic())
-            else:
-                await self.acquire(time.monotonic())
+                await self.renew(self.clock())
+            elif self.vacant():
+                await self.acquire(self.clock())
             await asyncio.sleep(self.ttl * RENEW_SHARE)
 
     async def release(self):
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -38,7 +38,6 @@
     :param entry: this entry's settings row.
     :param ttl: seconds of the registration lease.
     :param peer_address: where this entry takes datagrams, empty if nowhere.
-    :param watch_options: further arguments of the :class:`PrefixWatch`.
 
     ``lapsed`` holds entries whose record is gone: the store may have lost the
     lease during an outage while the entry lives.
@@ -50,13 +49,11 @@
         entry,
         ttl=defaults.ENTRY_LEASE_TTL_SECONDS,
         peer_address="",
-        **watch_options,
     ):
         self.store = store
         self.entry = entry
         self.ttl = ttl
         self.peer_address = peer_address
-        self.watch_options = watch_options
         self.lease = 0
         self.registered = False
         self.leaving = False
@@ -129,7 +126,8 @@
         # An outage is not a lapse: keep the lease id and try again.
         return renewed.is_error() or renewed.ok
 
-    def _apply(self, key, value, version):
+    def apply(self, key, value, version):
+        """Take one entry's record, or its removal when ``value`` is None."""
         name = key[len(defaults.ENTRY_PREFIX) :]
         if value is None:
             self._lapse(name)
@@ -152,11 +150,13 @@
         if name == self.entry.name:
             self.registered = False
 
-    def _reset(self):
+    def reset(self):
+        """A full read follows: what it lacks has lapsed."""
         self.lapsed.update(self.peers)
         self.peers.clear()
 
-    def _loaded(self):
+    def loaded(self):
+        """A full read is applied: our own record must be among the others."""
         if self.entry.name not in self.peers:
             self.registered = False
 
@@ -165,8 +165,7 @@
         await PrefixWatch(
             self.store,
             defaults.ENTRY_PREFIX,
-            self._apply,
-            self._reset,
-            on_loaded=self._loaded,
-            **self.watch_options,
+            self.apply,
+            self.reset,
+            on_loaded=self.loaded,
         ).run()
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -28,6 +28,7 @@
     received_at: float
     loads: dict
     leaving: bool = False
+    held: frozenset = frozenset()
 
 
 @attrs.define(eq=False)
@@ -53,8 +54,26 @@
 
     def __init__(self):
         self.own = {}
+        self.held_until = {}
         self.reports = {}
 
+    def hold(self, instance_id, until):
+        """Give an instance under change no new work until then, here and at
+        the peers that hear of it."""
+        self.held_until[instance_id] = until
+
+    def own_held(self, now):
+        """Return the instances that this VM holds."""
+        self.held_until = {i: t for i, t in self.held_until.items() if t > now}
+        return set(self.held_until)
+
+    def held(self, now):
+        """Return the instances that get no new work, by any VM's word."""
+        held = self.own_held(now)
+        for report in self.fresh(now).values():
+            held |= report.held
+        return held
+
     def begin(self, instance_id, prefill_tokens):
         """Count a send of ``prefill_tokens`` in; return its :class:`Work`."""
         self.add(instance_id, 1, prefill_tokens)
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -58,6 +58,7 @@
                         for row in message.loads
                     },
                     message.leaving,
+                    frozenset(message.held),
                 )
                 name = message.name
         except Exception as error:  # capnp raises its own unlisted types
@@ -68,8 +69,8 @@
     def error_received(self, exc):
         logger.debug("peer send failed", error=repr(exc))
 
-    def message(self):
-        """Return this VM's next message as bytes."""
+    def message(self, now):
+        """Return this VM's message at ``now`` as bytes."""
         self.sequence += 1
         rows = [
             {
@@ -84,12 +85,13 @@
             sequence=self.sequence,
             leaving=self.leaving(),
             loads=rows,
+            held=sorted(self.book.own_held(now)),
         )
         return message.to_bytes()
 
     def send(self):
         """Send one message to every peer."""
-        data = self.message()
+        data = self.message(time.monotonic())
         for address in self.addresses():
             self.transport.sendto(data, split_address(address))
 
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -2,8 +2,8 @@
 
 import json
 
-from ..exceptions import SettingsError
-from ..instances import InstanceRecord, Stage
+from ..exceptions import SettingsError, UpstreamError
+from ..instances import EngineReport, InstanceRecord, Stage
 from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
 
 #: Prefix of the operator's configuration; the whole of it is one key.
@@ -106,6 +106,20 @@
         raise SettingsError(f"{key}: {error!r}") from error
 
 
+def read_report(body):
+    """Return the :class:`EngineReport` in an engine's answer.
+
+    :raises UpstreamError: when the body isn't such an answer.
+    """
+    try:
+        row = json.loads(body)
+        # Here "sequence" counts accepted orders; in an instance's record the
+        # same name counts its heartbeats.
+        return EngineReport(_stage(row["stage"]), bool(row["busy"]), row["sequence"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise UpstreamError(f"engine report: {error!r}") from error
+
+
 def _stage(word):
     try:
         return Stage(word or "")
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -6,7 +6,8 @@
 
 from ..exceptions import UpstreamError
 from ..ports import Wire
-from ..request import KvHandle, Prompt, PromptPart, Request, ResponseMarks
+from ..request import KvHandle, Prompt, PromptPart, Request, ResponseMarks, UpstreamCall
+from .documents import read_report
 
 ATTEMPT_ID = "X-Mulberrydock-Attempt-Id"
 DEADLINE = "X-Mulberrydock-Deadline-Ms"
@@ -129,8 +130,37 @@
         except (ValueError, KeyError, TypeError) as error:
             raise UpstreamError(f"prefill answer: {error!r}") from error
 
-    def release_path(self, handle):
-        return f"/kv-handle/{handle.id}"
+    def release(self, handle):
+        return UpstreamCall(
+            "DELETE", f"/kv-handle/{handle.id}", {"Host": handle.address}
+        )
+
+    def report(self, record):
+        return UpstreamCall(
+            "GET",
+            "/report",
+            {"Host": record.address, EXPECT_INSTANCE: record.id},
+        )
+
+    def read_report(self, body):
+        return read_report(body)
+
+    def stage_order(self, record, stage, orders, holder, token):
+        body = {
+            "op": "stage",
+            "stage": stage,
+            "holder": holder,
+            "fencing_token": token,
+            "expected": orders,
+        }
+        payload = json.dumps(body).encode()
+        headers = {
+            "Host": record.address,
+            "Content-Type": "application/json",
+            "Content-Length": str(len(payload)),
+            EXPECT_INSTANCE: record.id,
+        }
+        return UpstreamCall("POST", "/order", headers, payload)
 
 
 def _end_to_end(headers, dropped):
--- a/src/mulberrydock/ports.py
+++ b/src/mulberrydock/ports.py
@@ -33,8 +33,30 @@
         """
 
     @abc.abstractmethod
-    def release_path(self, handle):
-        """Return the path that frees ``handle`` by ``DELETE``."""
+    def release(self, handle):
+        """Return the :class:`UpstreamCall` that frees ``handle``."""
+
+    @abc.abstractmethod
+    def report(self, record):
+        """Return the :class:`UpstreamCall` that asks for an engine's report."""
+
+    @abc.abstractmethod
+    def read_report(self, body):
+        """Return the :class:`~mulberrydock.instances.EngineReport` in ``body``.
+
+        :raises UpstreamError: when the body isn't such an answer.
+        """
+
+    @abc.abstractmethod
+    def stage_order(self, record, stage, orders, holder, token):
+        """Return the :class:`UpstreamCall` that orders a stage.
+
+        :param record: the engine's :class:`InstanceRecord`; the order is void
+            once the engine restarted.
+        :param orders: the engine's order count on which this was decided; the
+            order is void once it took another one.
+        :param token: the fencing token of ``holder``.
+        """
 
 
 class Sink(abc.ABC):
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -456,14 +456,14 @@
 
     async def _release_handle(self, engine, handle):
         answer = WholeAnswer()
-        headers = {"Host": engine.address}
+        call = self.wire.release(handle)
         try:
             await asyncio.wait_for(
                 self.pool(engine).exchange(
-                    "DELETE",
-                    self.wire.release_path(handle),
-                    headers,
-                    b"",
+                    call.method,
+                    call.target,
+                    call.headers,
+                    call.body,
                     answer,
                     keep_alive=self._keep_alive,
                 ),
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -181,3 +181,13 @@
     not_executed: bool
     keep_alive_seconds: float | None
     closing: bool
+
+
+@attrs.define(frozen=True)
+class UpstreamCall:
+    """A call to an instance beside the requests of clients."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes = b""
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -52,4 +52,5 @@
   sequence @1 :UInt64;     # grows over restarts: drawn from the clock at start
   leaving @2 :Bool;
   loads @3 :List(LoadRecord);
+  held @4 :List(Text);     # instances under change: no new work for now
 }
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -14,17 +14,20 @@
 import tornado.web
 from loguru import logger
 
-from . import platform
+from . import defaults, platform
 from ._http import split_address
+from .clock import boot_seconds
 from .directory import Directory
 from .exceptions import SettingsError
 from .fleet_view import FleetView
 from .front import Front
+from .lease import LeaderLease
 from .membership import Membership
 from .metrics import ServeMetrics
 from .peers import PeerLink
 from .relay import Relay
 from .serve_settings import load_serve_settings
+from .stage_duty import StageDuty
 from .watch import PrefixWatch
 
 #: Seconds a watch waits at the store. The configuration must be in force
@@ -98,6 +101,7 @@
         self.store_answers = None
         self.stop = asyncio.Event()
         self.instance_keys = set()
+        self.leader_known = False
         self.fleet = FleetView(
             settings.data_centre, settings.timing, self.peer_count, self._on_gone
         )
@@ -109,11 +113,31 @@
             EntryVm(settings.name, settings.listen.front, settings.data_centre),
             max(MEMBER_LEASE_SECONDS, settings.store.least_lease_seconds),
             f"{settings.ip}:{peer_port}",
-            wait=WATCH_SECONDS,
         )
         self.directory = Directory(
             self.membership, self.fleet.loads, settings.listen.front
         )
+        self.lease = LeaderLease(
+            store,
+            settings.name,
+            settings.timing.lease_seconds,
+            lambda: self.store_answers and not self.leader_known and not self.draining,
+            boot_seconds,
+        )
+        self.duty = StageDuty(
+            self.fleet,
+            self.relay,
+            wire,
+            self.lease,
+            settings.name,
+            settings.timing.lease_seconds,
+        )
+        self.handlers = {
+            platform.CONFIG_PREFIX: self._on_config,
+            platform.INSTANCE_PREFIX: self._on_instance,
+            defaults.ENTRY_PREFIX: self.membership.apply,
+            defaults.LEADER_KEY: self._on_leader,
+        }
         self.peers = PeerLink(
             settings.name, self.fleet.loads, self._peer_addresses, self._leaving
         )
@@ -179,15 +203,6 @@
         self.instance_keys.add(record.id)
         self.fleet.instances.put(record, now)
 
-    def _on_instance_reset(self):
-        self.instance_keys.clear()
-
-    def _on_instances_loaded(self):
-        now = time.monotonic()
-        for instance_id in list(self.fleet.instances.instances):
-            if instance_id not in self.instance_keys:
-                self.fleet.instances.remove(instance_id, now)
-
     def _on_store_answer(self, answered):
         now = time.monotonic()
         if answered:
@@ -199,24 +214,38 @@
             logger.warning(event, address=self.settings.store.address)
         self.store_answers = answered
 
-    def _watches(self):
-        return [
-            PrefixWatch(
-                self.store,
-                platform.CONFIG_PREFIX,
-                self._on_config,
-                wait=WATCH_SECONDS,
-            ),
-            PrefixWatch(
-                self.store,
-                platform.INSTANCE_PREFIX,
-                self._on_instance,
-                self._on_instance_reset,
-                self._on_store_answer,
-                self._on_instances_loaded,
-                wait=WATCH_SECONDS,
-            ),
-        ]
+    def _on_leader(self, key, value, revision):
+        self.leader_known = value is not None
+
+    def _on_item(self, key, value, revision):
+        for prefix, handler in self.handlers.items():
+            if key.startswith(prefix):
+                handler(key, value, revision)
+
+    def _on_reset(self):
+        self.instance_keys.clear()
+        self.leader_known = False
+        self.membership.reset()
+
+    def _on_loaded(self):
+        now = time.monotonic()
+        for instance_id in list(self.fleet.instances.instances):
+            if instance_id not in self.instance_keys:
+                self.fleet.instances.remove(instance_id, now)
+        self.membership.loaded()
+
+    def _watch(self):
+        # One watch for all keys: a watch counts as a call each time it is
+        # answered, and this process needs every prefix.
+        return PrefixWatch(
+            self.store,
+            "",
+            self._on_item,
+            self._on_reset,
+            self._on_store_answer,
+            self._on_loaded,
+            WATCH_SECONDS,
+        )
 
     async def _sweep(self):
         while True:
@@ -254,9 +283,10 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         self._listen()
         await self.peers.open(self.settings.ip, self.settings.listen.peer_ports[0])
-        tasks = [asyncio.ensure_future(watch.run()) for watch in self._watches()]
-        tasks += [
-            asyncio.ensure_future(self.membership.follow()),
+        tasks = [
+            asyncio.ensure_future(self._watch().run()),
+            asyncio.ensure_future(self.lease.run()),
+            asyncio.ensure_future(self.duty.run()),
             asyncio.ensure_future(self.membership.keep_alive()),
             asyncio.ensure_future(self.peers.run()),
             asyncio.ensure_future(self._sweep()),
@@ -289,6 +319,10 @@
         self.fleet.timing = settings.timing
         logger.info("reloaded")
 
+    async def _leave(self):
+        await self.membership.mark_leaving()
+        await self.lease.release()
+
     async def drain(self):
         """Leave: clients move away, requests in progress end, then return.
 
@@ -300,7 +334,7 @@
         started = time.monotonic()
         logger.info("draining", in_flight=len(self.front.tasks))
         self.peers.send()
-        leaving = asyncio.ensure_future(self.membership.mark_leaving())
+        leaving = asyncio.ensure_future(self._leave())
         grace = self.settings.timing.grace_seconds - GRACE_MARGIN_SECONDS
         stay = min(grace, 3 * ANSWER_TTL_SECONDS)
         await asyncio.sleep(stay)
--- /dev/null
+++ b/src/mulberrydock/stage_duty.py
@@ -0,0 +1,143 @@
+"""The task that gives stage orders to engines, on one entry VM at a time.
+
+The holder of the leader lease gives them, with the lease's fencing token. A
+new holder first waits as long as a lease lasts: an order that its predecessor
+sent while it still held the lease has arrived by then.
+"""
+
+import asyncio
+import time
+
+import attrs
+from loguru import logger
+
+from . import stages
+from .clock import boot_seconds
+from .connections import WholeAnswer
+from .exceptions import UpstreamError
+from .stages import StagePlanner
+
+#: Seconds between two looks at the pools.
+LOOK_SECONDS = 0.25
+#: Seconds for an engine's answer to an order; it answers before it acts.
+ORDER_SECONDS = 1.0
+#: Seconds for which an engine under change gets no new work beyond the answer
+#: to its order; the users' engines are dark for 3 s.
+CHANGE_SECONDS = 3.5
+
+
+@attrs.define
+class StageDuty:
+    """Plans and orders stage changes while this VM holds the lease.
+
+    :param lease: a :class:`~mulberrydock.lease.LeaderLease`.
+    :param quiet_seconds: how long a new holder waits before its first order.
+    """
+
+    fleet: object
+    relay: object
+    wire: object
+    lease: object
+    name: str
+    quiet_seconds: float
+    planners: dict = attrs.field(factory=dict)
+
+    def may_order(self, now):
+        """True while the lease holds and its predecessor's orders are over.
+
+        :param now: seconds since boot, see :func:`~mulberrydock.clock.boot_seconds`.
+        """
+        authority = self.lease.authority
+        waited = now - authority.acquired_at >= self.quiet_seconds
+        return self.lease.valid(now) and waited
+
+    async def run(self):
+        """Look at the pools for ever."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            if self.may_order(boot_seconds()):
+                await self.look(time.monotonic())
+
+    async def look(self, now):
+        """Order at most one change in each pool."""
+        config = self.fleet.routes.config
+        if config is None or self.fleet.instances.unsettled(now):
+            # Records that lapsed with the store may be back in a moment.
+            return
+        for service in config.services.values():
+            if not service.is_engine:
+                continue
+            planner = self.planners.setdefault(service.name, StagePlanner())
+            engines = self.fleet.instances.serving(service.name)
+            change = planner.decide(engines, self.fleet.loads.total(now), now)
+            if change is not None:
+                until = await self.order(change, now)
+                planner.note_order(change.instance.id, now + until)
+
+    async def order(self, change, now):
+        """Send one order; return for how many seconds to leave the pool alone."""
+        instance = change.instance
+        report = await self._call(instance, self.wire.report(instance.record))
+        if report is None or report.status != 200:
+            return stages.REFUSED_SETTLE_SECONDS
+        try:
+            report = self.wire.read_report(report.body)
+        except UpstreamError as error:
+            logger.warning("report refused", instance=instance.id, error=str(error))
+            return stages.REFUSED_SETTLE_SECONDS
+        if report.busy:
+            return stages.ORDER_SETTLE_SECONDS
+        # The lease is checked at the moment of sending.
+        if not self.may_order(boot_seconds()):
+            return 0.0
+        token = self.lease.authority.token
+        self.fleet.loads.hold(instance.id, now + CHANGE_SECONDS)
+        answer = await self._call(
+            instance,
+            self.wire.stage_order(
+                instance.record, change.stage.value, report.orders, self.name, token
+            ),
+        )
+        status = answer.status if answer else None
+        logger.info(
+            "order",
+            instance=instance.id,
+            stage=change.stage.value,
+            token=token,
+            orders=report.orders,
+            status=status,
+        )
+        return await self._settle(instance, token, status, now)
+
+    async def _settle(self, instance, token, status, now):
+        if status is None:
+            return stages.UNANSWERED_SETTLE_SECONDS
+        if status in (200, 202):
+            return stages.ORDER_SETTLE_SECONDS
+        self.fleet.loads.hold(instance.id, now)
+        if status == 412:
+            # Another holder has a newer token: this one must never be used
+            # again.
+            logger.warning("order refused as stale", token=token)
+            await self.lease.release()
+        return stages.REFUSED_SETTLE_SECONDS
+
+    async def _call(self, instance, call):
+        """Return the :class:`WholeAnswer`, None when none came."""
+        answer = WholeAnswer()
+        try:
+            await asyncio.wait_for(
+                self.relay.pool(instance).exchange(
+                    call.method, call.target, call.headers, call.body, answer
+                ),
+                ORDER_SECONDS,
+            )
+        except (UpstreamError, asyncio.TimeoutError) as error:
+            logger.warning(
+                "engine call failed",
+                instance=instance.id,
+                target=call.target,
+                error=repr(error),
+            )
+            return None
+        return answer
