--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -18,7 +18,7 @@
 #: millisecond, less the cost of attention over long prompts).
 PREFILL_TOKENS_PER_SECOND = 85_000.0
 #: A decode engine prefills at half the speed, between other requests' tokens.
-IN_PLACE_TOKENS_PER_SECOND = PREFILL_TOKENS_PER_SECOND / 2
+IN_PLACE_TOKENS_PER_SECOND = 30_000.0
 #: Seconds that a hand-over costs beside the prefill: two more hops, the
 #: transfer's set-up and the KV cache itself.
 HANDOVER_SECONDS = 0.01
@@ -120,9 +120,9 @@
         if not prefills:
             return in_place
         handed_over = self._handed_over(prompt, prefills, decoders, loads)
-        if prompt.tokens <= IN_PLACE_LIMIT_TOKENS:
-            return in_place
-        return handed_over
+        if prompt.tokens > IN_PLACE_LIMIT_TOKENS:
+            return handed_over
+        return min(in_place, handed_over, key=lambda plan: plan.wait)
 
     def _in_place(self, prompt, decoders, loads):
         rows = self._options(prompt, decoders, loads, IN_PLACE_TOKENS_PER_SECOND)
