Stand-ins of the platform's store and engines; the daemon's failures as tests

The stand-ins move into one folder; two new ones speak the platform's protocol, so that the real daemon runs in the project's tests without the bench: ordinary requests, resumed and cut streams, calls that may run once, refusals, strange answers, prefill apart, clients that leave, draining and reused addresses, store outages and lost answers, graceful stops, stage orders, metrics.

--- a/src/mulberrydock/cli.py
+++ b/src/mulberrydock/cli.py
@@ -156,7 +156,7 @@
 
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     """
-    from . import fake_store
+    from .standin import store as fake_store
 
     _run(fake_store.serve(_settings(settings).store.address))
 
@@ -167,7 +167,7 @@
     :param name: the engine's name in the settings.
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     """
-    from . import fake_engine
+    from .standin import engine as fake_engine
 
     found = next(e for e in _settings(settings).engines if e.name == name)
     config = fake_engine.EngineConfig(
@@ -188,7 +188,7 @@
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     :param latency: seconds each call takes.
     """
-    from . import fake_service
+    from .standin import service as fake_service
 
     found = next(s for s in _settings(settings).services if s.name == name)
     _run(fake_service.serve(found.address, name, latency))
@@ -200,7 +200,7 @@
     :param settings: settings file, or ``lagos`` / ``montevideo``.
     :param lag: seconds by which the list trails the truth.
     """
-    from . import fake_vmlist
+    from .standin import vmlist as fake_vmlist
 
     loaded = _settings(settings)
     names = [e.name for e in loaded.entries] + [e.name for e in loaded.engines]
@@ -214,7 +214,7 @@
     :param target: ``host:port`` to forward to.
     :param control: ``host:port`` of its ``POST /faults`` control.
     """
-    from . import faultproxy
+    from .standin import faultproxy
 
     _run(faultproxy.serve(listen, target, control))
 
--- /dev/null
+++ b/src/mulberrydock/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of everything outside the system, for tests and local fleets."""
--- a/src/mulberrydock/fake_batch.py
+++ b/src/mulberrydock/standin/batch.py
@@ -15,8 +15,8 @@
 
 import attrs
 
-from . import defaults
-from .prefix import block_hashes
+from .. import defaults
+from ..prefix import block_hashes
 
 #: Prompt tokens prefilled in one step; a quarter of it on a decode engine.
 PREFILL_CHUNK_TOKENS = 512
--- a/src/mulberrydock/fake_engine.py
+++ b/src/mulberrydock/standin/engine.py
@@ -1,6 +1,6 @@
 """A fake model engine speaking the OpenAI completions protocol over HTTP.
 
-The batching itself is in ``fake_batch``. This module speaks the protocol:
+The batching itself is in ``batch``. This module speaks the protocol:
 completions whole and streamed, resume, prefill with an exported KV cache,
 priorities, cancellation when the caller goes away, lagging load reports,
 late and gappy cache events, and fenced orders to load a model or change
@@ -17,10 +17,10 @@
 import tornado.iostream
 import tornado.web
 
-from . import defaults
-from ._http import JsonHandler, fetch_json, split_address
-from .fake_batch import CUT, Batch, EngineConfig, Run
-from .prefix import prompt_tokens
+from .. import defaults
+from .._http import JsonHandler, fetch_json, split_address
+from ..prefix import prompt_tokens
+from .batch import CUT, Batch, EngineConfig, Run
 
 __all__ = ["EngineConfig", "EngineState", "make_app", "serve"]
 
--- a/src/mulberrydock/faultproxy.py
+++ b/src/mulberrydock/standin/faultproxy.py
@@ -14,7 +14,7 @@
 import tornado.tcpserver
 import tornado.web
 
-from ._http import JsonHandler, split_address
+from .._http import JsonHandler, split_address
 
 #: Bytes read from one side at a time.
 CHUNK_BYTES = 65536
--- /dev/null
+++ b/src/mulberrydock/standin/platform_store.py
@@ -0,0 +1,210 @@
+"""A stand-in of the users' platform store, speaking its protocol.
+
+The data is :class:`~mulberrydock.standin.store.StoreState`; here are the
+platform's calls over it, with the faults that tests ask for.
+"""
+
+import asyncio
+import base64
+import json
+import time
+
+import tornado.web
+
+from .store import StoreState
+
+#: Seconds between two sweeps of expired leases.
+EXPIRY_SECONDS = 0.05
+
+
+class PlatformStoreState(StoreState):
+    """Store data plus the faults that a test switches on.
+
+    ``refusing`` answers 503 to every call; ``silent`` answers nothing;
+    ``lose_writes`` counts writes to be done and not answered.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.refusing = False
+        self.silent = False
+        self.lose_writes = 0
+        self.compacted_at = 0
+
+    def write(self, key, document):
+        """Write a document as the operator or an instance does."""
+        text = json.dumps(document).encode()
+        return self.put(key, _encode(text), None, 0, time.monotonic())
+
+    def forget_history(self):
+        """Drop the history, as a compaction does."""
+        self.history.clear()
+        self.compacted_at = self.revision
+
+    def events_after(self, prefix, after):
+        if after < self.compacted_at:
+            return None
+        return super().events_after(prefix, after)
+
+
+def _encode(raw):
+    return base64.b64encode(raw).decode("ascii")
+
+
+def _row(key, item, revision=None):
+    return {
+        "key": key,
+        "value": item.value,
+        "revision": item.version,
+        "created": item.create_revision,
+        "lease": item.lease,
+    }
+
+
+class _Handler(tornado.web.RequestHandler):
+    writes = False
+
+    def initialize(self, state):
+        self.state = state
+
+    async def prepare(self):
+        self.state.calls[self.request.path] += 1
+        if self.state.silent:
+            await asyncio.sleep(3600)
+        if self.state.refusing:
+            self.set_status(503)
+            self.finish()
+
+    def body(self):
+        """Return the parsed request body."""
+        return json.loads(self.request.body)
+
+    def answer(self, document, status=200):
+        """Send ``document``, or drop it where a lost answer is due."""
+        if self.writes and self.state.lose_writes > 0:
+            self.state.lose_writes -= 1
+            self.request.connection.stream.close()
+            return
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(document))
+
+
+class _KeyHandler(_Handler):
+    def get(self):
+        key = self.get_argument("key")
+        item = self.state.items.get(key)
+        if item is None:
+            self.answer({"store_revision": self.state.revision}, 404)
+            return
+        self.answer(_row(key, item) | {"store_revision": self.state.revision})
+
+
+class _RangeHandler(_Handler):
+    def get(self):
+        prefix = self.get_argument("path_prefix", "")
+        rows = [
+            _row(key, item)
+            for key, item in sorted(self.state.items.items())
+            if key.startswith(prefix)
+        ]
+        self.answer(
+            {"items": rows, "truncated": False, "store_revision": self.state.revision}
+        )
+
+
+class _WatchHandler(_Handler):
+    async def get(self):
+        prefix = self.get_argument("path_prefix", "")
+        after = int(self.get_argument("after"))
+        end = time.monotonic() + int(self.get_argument("wait_ms")) / 1000
+        while True:
+            events = self.state.events_after(prefix, after)
+            if events is None:
+                self.answer({"store_revision": self.state.revision}, 410)
+                return
+            left = end - time.monotonic()
+            if events or left <= 0:
+                break
+            changed = self.state.changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except asyncio.TimeoutError:
+                continue
+        rows = [self._event(*event) for event in events]
+        self.answer({"events": rows, "store_revision": self.state.revision})
+
+    def _event(self, revision, key, item):
+        if item is None:
+            return {"key": key, "revision": revision, "tombstone": True}
+        return _row(key, item) | {"revision": revision}
+
+
+class _TxnHandler(_Handler):
+    writes = True
+
+    def post(self):
+        body = self.body()
+        state = self.state
+        for row in body["expected"]:
+            item = state.items.get(row["key"])
+            if (item.version if item else 0) != row["revision"]:
+                items = [_row(row["key"], item)] if item else [{"key": row["key"]}]
+                self.answer({"items": items}, 412)
+                return
+        for row in body["puts"]:
+            if row["lease"] and row["lease"] not in state.leases:
+                self.answer({}, 404)
+                return
+        now = time.monotonic()
+        for row in body["puts"]:
+            state.put(row["key"], row["value"], None, row["lease"], now)
+        for key in body["remove"]:
+            state.delete(key, None)
+        self.answer({"revision": state.revision})
+
+
+class _LeaseHandler(_Handler):
+    writes = True
+
+    def post(self):
+        ttl_ms = self.body()["ttl_ms"]
+        lease = self.state.grant(ttl_ms / 1000, time.monotonic())
+        self.answer({"lease": lease, "ttl_ms": ttl_ms})
+
+
+class _KeepHandler(_Handler):
+    def post(self, lease):
+        kept = self.state.keepalive(int(lease), time.monotonic())
+        self.answer({}, 200 if kept else 404)
+
+
+class _LeaseEndHandler(_Handler):
+    def delete(self, lease):
+        self.state.revoke(int(lease))
+        self.answer({})
+
+
+async def expire_leases(state):
+    """End leases whose time is over, for ever."""
+    while True:
+        if not state.refusing and not state.silent:
+            state.expire(time.monotonic())
+        await asyncio.sleep(EXPIRY_SECONDS)
+
+
+def make_app(state):
+    """Return the tornado application of the store."""
+    args = {"state": state}
+    return tornado.web.Application(
+        [
+            (r"/kv-key", _KeyHandler, args),
+            (r"/kv-range", _RangeHandler, args),
+            (r"/kv-watch", _WatchHandler, args),
+            (r"/kv-txn", _TxnHandler, args),
+            (r"/kv-lease", _LeaseHandler, args),
+            (r"/kv-keep/([0-9]+)", _KeepHandler, args),
+            (r"/kv-lease-end/([0-9]+)", _LeaseEndHandler, args),
+        ],
+        log_function=lambda handler: None,
+    )
--- a/src/mulberrydock/fake_service.py
+++ b/src/mulberrydock/standin/service.py
@@ -12,8 +12,8 @@
 
 import tornado.web
 
-from . import defaults
-from ._http import JsonHandler, split_address
+from .. import defaults
+from .._http import JsonHandler, split_address
 
 
 class ServiceState:
--- a/src/mulberrydock/fake_store.py
+++ b/src/mulberrydock/standin/store.py
@@ -15,9 +15,9 @@
 import tornado.web
 from expression import Error, Ok
 
-from . import store
-from ._http import JsonHandler
-from .exceptions import StoreError, VersionConflict
+from .. import store
+from .._http import JsonHandler
+from ..exceptions import StoreError, VersionConflict
 
 #: Events kept for watches; an older ``after`` gets 410 and must re-read.
 HISTORY_LIMIT = 10000
--- a/src/mulberrydock/fake_vmlist.py
+++ b/src/mulberrydock/standin/vmlist.py
@@ -9,7 +9,7 @@
 
 import tornado.web
 
-from ._http import JsonHandler, split_address
+from .._http import JsonHandler, split_address
 
 #: Seconds by which the list trails the truth.
 DEFAULT_LAG_SECONDS = 5.0
--- a/src/mulberrydock/store.py
+++ b/src/mulberrydock/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform store's protocol (see ``fake_store``).
+"""Client of the platform store's protocol (see ``standin.store``).
 
 Every call returns an :class:`expression.Result`: ``Ok`` with the answer, or
 ``Error`` with a :class:`~mulberrydock.exceptions.StoreError`. Nothing here
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,264 @@
+"""A small fleet on the platform's protocol: stand-ins here, real daemons apart."""
+
+import asyncio
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import tornado.httpserver
+
+from mulberrydock.platform import SETTINGS_VARIABLE, wire
+from mulberrydock.standin import platform_store
+from mulberrydock.standin.platform_engine import PlatformEngine
+
+HOST = "shop.example"
+LETTER = "/letters/"
+QUERY = "/queries/"
+STATUS = "/status/"
+RECEIPT = "/receipts/"
+
+SETTINGS = """
+name = "{name}"
+data_centre = "dc1"
+region = "r1"
+ip = "127.0.0.1"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+directory = "127.0.0.1:{directory}"
+metrics_port = {metrics}
+peer_ports = [{peer}, {peer}]
+[store]
+address = "{store}"
+[timing]
+config_apply_seconds = 2.0
+drain_seconds = 2.0
+grace_seconds = {grace}
+answer_ttl_seconds = 5.0
+lease_seconds = 1.0
+retry_budget_ratio = 0.2
+retry_budget_window_seconds = 10.0
+retry_budget_floor = 50.0
+"""
+
+
+def free_ports(count):
+    """Return ports that are free now, held open together while choosing."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def until(check, seconds=15.0):
+    """Wait until ``check()`` is true and return its value."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        value = check()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError("condition not met in time")
+
+
+def route(prefix, kind, service, **options):
+    """Return a route document."""
+    row = {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+    return row | options
+
+
+def config(version, routes=None):
+    """Return a configuration document with the usual four routes."""
+    routes = routes or [
+        route(LETTER, "streaming", "llm", resumable=True, target_gap_ms=300),
+        route(QUERY, "streaming", "llm", max_attempts=1, target_gap_ms=300),
+        route(STATUS, "idempotent", "app"),
+        route(RECEIPT, "non_idempotent", "app"),
+    ]
+    services = [
+        {"name": "llm", "max_connections": 100, "engine": {"kv_tokens": 1000}},
+        {"name": "app", "max_connections": 100},
+    ]
+    return {"version": version, "routes": routes, "services": services, "limits": {}}
+
+
+class PlatformFleet:
+    """Store and instances on a loop of their own; daemons as processes."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.store = self.call(self._start_store)
+        self.store_address = f"127.0.0.1:{self.store_port}"
+        self.engines = {}
+        self.daemons = {}
+        self.settings = {}
+
+    def call(self, function, *args):
+        """Run ``function`` on the stand-ins' loop and return its result."""
+
+        async def run():
+            return function(*args)
+
+        return asyncio.run_coroutine_threadsafe(run(), self.loop).result(10)
+
+    def _start_store(self):
+        state = platform_store.PlatformStoreState()
+        app = platform_store.make_app(state)
+        self.store_port = free_ports(1)[0]
+        server = tornado.httpserver.HTTPServer(app)
+        server.listen(self.store_port, address="127.0.0.1")
+        self.expiry = asyncio.ensure_future(platform_store.expire_leases(state))
+        return state
+
+    def write(self, key, document):
+        """Write a document to the store as the operator or an instance."""
+        self.call(self.store.write, key, document)
+
+    def remove(self, key):
+        """Remove a key from the store."""
+        self.call(self.store.delete, key, None)
+
+    def add(self, instance_id, service, stage="", address="", **options):
+        """Start and register an instance."""
+        address = address or f"127.0.0.1:{free_ports(1)[0]}"
+        engine = PlatformEngine(instance_id, address, service, stage, **options)
+        self.call(engine.listen)
+        self.engines[instance_id] = engine
+        self.write(f"servers/{instance_id}", engine.record())
+        return engine
+
+    def fail_next(self, service, *faults):
+        """Let the next runs at a service fail, at whichever instance they are."""
+        shared = list(faults)
+        for engine in self.engines.values():
+            if engine.service == service:
+                engine.faults = shared
+        return shared
+
+    def start(self, name="entry-1", grace=3.0):
+        """Start a daemon and wait until it is ready."""
+        ports = free_ports(5)
+        keys = ("front", "ready", "directory", "metrics", "peer")
+        self.settings[name] = dict(zip(keys, ports))
+        path = self.directory / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=name, store=self.store_address, grace=grace, **self.settings[name]
+            )
+        )
+        log = open(self.directory / f"{name}.log", "ab")
+        self.daemons[name] = subprocess.Popen(
+            [sys.executable, "-m", "mulberrydock", "serve"],
+            env=dict(os.environ, **{SETTINGS_VARIABLE: str(path)}),
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+        return name
+
+    def ready(self, name="entry-1"):
+        """True when the daemon says that it is ready."""
+        try:
+            return self.get(self.settings[name]["ready"], "/ready")[0] == 200
+        except OSError:
+            return False
+
+    def wait_ready(self, name="entry-1", instances=()):
+        """Wait until the daemon is ready and knows ``instances``."""
+        until(lambda: self.ready(name))
+        for instance in instances or self.engines:
+            until(lambda: f'"instance":"{instance}"' in self.log(name))
+
+    def log(self, name="entry-1"):
+        """Return what the daemon wrote so far."""
+        return (self.directory / f"{name}.log").read_text()
+
+    def events(self, event, name="entry-1"):
+        """Return the daemon's log records of one event."""
+        records = []
+        for line in self.log(name).splitlines():
+            try:
+                record = json.loads(line)
+            except ValueError:
+                continue
+            if record.get("event") == event:
+                records.append(record)
+        return records
+
+    def get(self, port, path):
+        """Return (status, body) of one GET."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        connection.request("GET", path)
+        response = connection.getresponse()
+        body = response.read()
+        connection.close()
+        return response.status, body
+
+    def connect(self, name="entry-1"):
+        """Open a client connection to the daemon's front."""
+        port = self.settings[name]["front"]
+        return http.client.HTTPConnection("127.0.0.1", port, timeout=15)
+
+    def request(self, prefix, request_id, connection=None, name="entry-1", **headers):
+        """Send one request and return the whole response."""
+        own = connection is None
+        connection = connection or self.connect(name)
+        send(connection, prefix, request_id, **headers)
+        response = connection.getresponse()
+        try:
+            response.text = response.read()
+            response.whole = True
+        except (http.client.IncompleteRead, ConnectionError) as error:
+            response.text = getattr(error, "partial", b"")
+            response.whole = False
+        if own:
+            connection.close()
+        return response
+
+    def stop(self):
+        """End the daemons that this fleet started, then the stand-ins."""
+        for process in self.daemons.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(10)
+
+
+def send(connection, prefix, request_id, body=b"prompt", **headers):
+    """Send one client request on an open connection."""
+    fields = {
+        "Host": HOST,
+        wire.ATTEMPT_ID: request_id,
+        wire.DEADLINE: "3000",
+        wire.TOKEN_COUNTS: "100,10",
+        wire.PROMPT_PREFIX: "aa:50,bb:50",
+    }
+    fields.update({k.replace("_", "-"): v for k, v in headers.items()})
+    connection.request("POST", f"{prefix}x?q=1", body, fields)
+
+
+def event_ids(text):
+    """Return the ids of the events in a stream's bytes."""
+    return [int(line[3:]) for line in text.split(b"\n") if line.startswith(b"id:")]
--- a/tests/test_authority_model.py
+++ b/tests/test_authority_model.py
@@ -16,11 +16,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from mulberrydock.control import Controller
-from mulberrydock.fake_batch import EngineConfig
-from mulberrydock.fake_engine import EngineState
-from mulberrydock.fake_store import DirectStore, StoreState
 from mulberrydock.lease import LeaderLease
 from mulberrydock.rollout import EngineView, Target
+from mulberrydock.standin.batch import EngineConfig
+from mulberrydock.standin.engine import EngineState
+from mulberrydock.standin.store import DirectStore, StoreState
 
 TTL = 5.0
 
--- a/tests/test_configuration_model.py
+++ b/tests/test_configuration_model.py
@@ -27,8 +27,8 @@
     seed_config,
 )
 from mulberrydock.exceptions import ResultCode
-from mulberrydock.fake_store import DirectStore, StoreState
 from mulberrydock.settings import default_settings_text, parse_settings
+from mulberrydock.standin.store import DirectStore, StoreState
 
 SETTINGS = parse_settings(default_settings_text("lagos"))
 ENGINES = [e.name for e in SETTINGS.engines]
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -8,8 +8,8 @@
 
 from mulberrydock import records
 from mulberrydock.exceptions import ResultCode
-from mulberrydock.fake_store import DirectStore, StoreState
 from mulberrydock.idempotency import IdempotentCall, Outcome, RecordLeases
+from mulberrydock.standin.store import DirectStore, StoreState
 
 
 class Daemon:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,8 +5,8 @@
 import pytest
 import tornado.httpserver
 
-from mulberrydock import fake_store
 from mulberrydock.fleet import free_ports
+from mulberrydock.standin import store as fake_store
 from mulberrydock.store import StoreClient
 from mulberrydock.watch import PrefixWatch
 
