The decode engine is chosen after the prefill, not before it

Ruled out: a late watch (the VM logged the notice at once). Change: the target is chosen anew when the handle is there; test fails first.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -1,5 +1,7 @@
 """What an entry VM believes of its fleet, and the choices made from it."""
 
+import attrs
+
 from .admission import RetryBudget
 from .instances import InstanceRegistry
 from .peer_loads import LoadBook
@@ -51,11 +53,20 @@
         cap = spec.max_connections if spec else 100
         return max(2, int(cap * CONNECTION_SHARE / self.peers()))
 
-    def plan(self, request, service, tried, now):
-        """Return the :class:`Plan` of one attempt, or None."""
+    def _fresh(self, service, tried, now):
         excluded = tried | self.loads.held(now)
         serving = self.instances.serving(service)
-        fresh = [i for i in serving if i.id not in excluded]
+        return [i for i in serving if i.id not in excluded]
+
+    def decode_plan(self, service, plan, tried, now):
+        """Return ``plan`` with the decode engine that is best now, or None."""
+        sound = self.suspicion.sound(self._fresh(service, tried, now), now)
+        target = self.placement.decoder(sound, self.loads.total(now))
+        return target and attrs.evolve(plan, target=target)
+
+    def plan(self, request, service, tried, now):
+        """Return the :class:`Plan` of one attempt, or None."""
+        fresh = self._fresh(service, tried, now)
         if not fresh:
             return None
         sound = self.suspicion.sound(fresh, now)
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -136,8 +136,14 @@
     def _handed_over(self, prompt, prefills, decoders, loads):
         rows = self._options(prompt, prefills, loads, PREFILL_TOKENS_PER_SECOND)
         seconds, _, prefill, tokens = min(rows)
-        decode, _, target = min(
-            (self._decode_seconds(i, loads), i.id, i) for i in decoders
-        )
-        wait = seconds + HANDOVER_SECONDS + decode
+        target = self.decoder(decoders, loads)
+        wait = seconds + HANDOVER_SECONDS + self._decode_seconds(target, loads)
         return Plan(target, prefill, tokens, wait)
+
+    def decoder(self, instances, loads):
+        """Return the least loaded engine that decodes, None without one."""
+        return min(
+            (i for i in instances if i.record.stage is not Stage.PREFILL),
+            key=lambda i: (self._decode_seconds(i, loads), i.id),
+            default=None,
+        )
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -166,7 +166,7 @@
                 return self._give_up(request, attempts, state, sink)
             if route.kind is Kind.STREAMING:
                 done = await self._stream(
-                    request, route, plan, deadline, attempts, state, sink
+                    request, route, service, plan, deadline, attempts, state, sink
                 )
             else:
                 done = await self._call(request, route, plan, deadline, attempts, sink)
@@ -211,12 +211,22 @@
         self._respond(sink, answer)
         return True
 
-    async def _stream(self, request, route, plan, deadline, attempts, state, sink):
+    async def _stream(
+        self, request, route, service, plan, deadline, attempts, state, sink
+    ):
         """One run of a streamed request; True when the client was answered."""
-        handle = None
-        if plan.prefill is not None:
+        handle, prefill = None, plan.prefill
+        if prefill is not None:
             handle = await self._prefill(request, route, plan, deadline)
-            if handle is None and not self._still_there(plan.target):
+            # The prefill may have waited for seconds: the decode engine that
+            # was best before may be leaving or busy now, and one that leaves
+            # must get nothing new a moment after its notice.
+            plan = self.fleet.decode_plan(
+                service, plan, attempts.tried, time.monotonic()
+            )
+            if plan is None:
+                if handle is not None:
+                    self._release(prefill, handle)
                 return False
         taken = False
         try:
@@ -238,7 +248,7 @@
             taken = listener.good if listener.marks else False
         finally:
             if handle is not None and not taken:
-                self._release(plan.prefill, handle)
+                self._release(prefill, handle)
         if not sent:
             return False
         if listener.good:
@@ -265,9 +275,6 @@
         """
         return route.repeatable and attempts.sends + 1 < route.max_attempts
 
-    def _still_there(self, instance):
-        return not instance.leaving
-
     def _accept(self, plan, marks, status, attempts):
         """False when the answer says that the request did not run there."""
         now = time.monotonic()
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -51,6 +51,7 @@
 
     :param faults: what to do with the next requests, in order.
     :param events: events of a whole stream; ids begin at 1.
+    :param prefill_gate: prefill calls are answered once this is set.
     """
 
     id: str
@@ -60,6 +61,7 @@
     data_centre: str = "dc1"
     events: int = 4
     event_seconds: float = 0.0
+    prefill_gate: asyncio.Event | None = None
     faults: list = attrs.field(factory=list)
     runs: list = attrs.field(factory=list)
     prefills: list = attrs.field(factory=list)
@@ -134,7 +136,7 @@
             reader.respond(503, {wire.NOT_EXECUTED: "1"}, b"")
             return
         if reader.headers.get(wire.STAGE) == "prefill":
-            self._prefill(reader)
+            await self._prefill(reader)
             return
         run = Run(
             reader.headers.get(wire.ATTEMPT_ID, ""),
@@ -152,9 +154,11 @@
             run.ended = "cancelled"
             raise
 
-    def _prefill(self, reader):
+    async def _prefill(self, reader):
         handle = f"h{len(self.prefills)}"
         self.prefills.append(reader.headers.get(wire.ATTEMPT_ID))
+        if self.prefill_gate is not None:
+            await self.prefill_gate.wait()
         body = json.dumps({"kv_handle": handle, "tokens": 10, "version": 1})
         reader.respond(200, {wire.ATTEMPT_ID: self.prefills[-1]}, body.encode())
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -3,6 +3,7 @@
 Real daemon processes; the store, engines and services are our stand-ins.
 """
 
+import asyncio
 import signal
 import time
 
@@ -210,6 +211,25 @@
     until(lambda: "h1" in prefill.released)
 
 
+def test_decode_engine_that_leaves_during_the_prefill_gets_nothing(fleet):
+    """A long prompt waits at a busy prefill engine. Meanwhile every decode
+    engine but one announces that it leaves. The stream must start at the one
+    that stays, not where it seemed best before the wait."""
+    gate = asyncio.Event()
+    prefill = fleet.add("p1", "llm", "prefill", prefill_gate=gate)
+    until(lambda: '"instance":"p1"' in fleet.log())
+    connection = fleet.connect()
+    send(connection, LETTER, "q1", X_Mulberrydock_Token_Counts="200000,10")
+    until(lambda: prefill.prefills)
+    fleet.add("d3", "llm", "decode")
+    for engine in ("d1", "d2"):
+        fleet.write(f"servers/{engine}", fleet.engines[engine].record("draining"))
+    until(lambda: len(fleet.events("instance draining")) == 2)
+    fleet.call(gate.set)
+    assert event_ids(connection.getresponse().read()) == [1, 2, 3, 4]
+    assert [r.id for r in fleet.engines["d3"].runs] == ["q1"]
+
+
 @pytest.mark.parametrize("prefix", [LETTER, STATUS, RECEIPT])
 def test_client_that_leaves_stops_the_work(fleet, prefix):
     """A client closes its connection while an instance works for it. The
