Repeated and refused prefill calls draw on the retry budget; VMs without a record still count as peers

A second prefill call of a request was free here and counts at the engines; and a VM that lost its peers' records took the whole fleet's floor for itself. Change: both counted; peers whose record lapsed still share.

--- a/src/mulberrydock/admission.py
+++ b/src/mulberrydock/admission.py
@@ -91,14 +91,19 @@
         self.requests.append(now)
         self._forget(now)
 
-    def allow(self, now):
-        """True, and counted, when a retry may be sent at ``now``."""
+    def allow(self, now, count=1):
+        """True, and counted, when ``count`` more sends may go out at ``now``."""
         self._forget(now)
-        if len(self.retries) >= self.floor + self.ratio * len(self.requests):
+        bound = self.floor + self.ratio * len(self.requests)
+        if len(self.retries) + count > bound:
             return False
-        self.retries.append(now)
+        self.spend(now, count)
         return True
 
+    def spend(self, now, count=1):
+        """Count sends that went out beyond the first of their request."""
+        self.retries.extend([now] * count)
+
     def _forget(self, now):
         for times in (self.requests, self.retries):
             while times and times[0] <= now - self.window_seconds:
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -64,6 +64,15 @@
     def key(self):
         return defaults.ENTRY_PREFIX + self.entry.name
 
+    def count(self):
+        """Return the number of entry VMs that may be alive, this one included.
+
+        VMs whose record is gone still count: the store may have dropped all
+        records at once, and then each VM alone would take the whole fleet's
+        retry budget and connections.
+        """
+        return len({self.entry.name, *self.peers, *self.lapsed})
+
     def _record(self):
         return records.encode(
             records.EntryRecord.new_message(
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -41,6 +41,7 @@
     """What the sends of one request showed so far."""
 
     sends: int = 0
+    prefills: int = 0
     tried: set = attrs.field(factory=set)
     may_have_run: bool = False
     answer: object = None
@@ -121,9 +122,10 @@
         """Return the connections to one incarnation of an instance."""
         pool = self.pools.get(instance.id)
         if pool is None:
-            limit = self.fleet.connection_limit(instance)
-            pool = ConnectionPool(instance.address, limit)
+            pool = ConnectionPool(instance.address)
             self.pools[instance.id] = pool
+        # The share of the cap shrinks as more entry VMs become known.
+        pool.limit = self.fleet.connection_limit(instance)
         return pool
 
     def forget(self, instance_id):
@@ -185,9 +187,12 @@
         plan = self.fleet.plan(request, service, attempts.tried, now)
         if plan is None:
             return None
-        if attempts.sends and not self.fleet.budget(service).allow(now):
-            attempts.cause += "; retry budget spent"
-            return None
+        if attempts.sends or attempts.prefills:
+            # Only a request's first prefill call and first send are free.
+            extra = 2 if plan.prefill is not None and attempts.prefills else 1
+            if not self.fleet.budget(service).allow(now, extra):
+                attempts.cause += "; retry budget spent"
+                return None
         return plan
 
     async def _call(self, request, route, plan, deadline, attempts, sink):
@@ -217,7 +222,8 @@
         """One run of a streamed request; True when the client was answered."""
         handle, prefill = None, plan.prefill
         if prefill is not None:
-            handle = await self._prefill(request, route, plan, deadline)
+            attempts.prefills += 1
+            handle = await self._prefill(request, route, service, plan, deadline)
             # The prefill may have waited for seconds: the decode engine that
             # was best before may be leaving or busy now, and one that leaves
             # must get nothing new a moment after its notice.
@@ -412,7 +418,7 @@
         marks = self.wire.read_marks(headers)
         return 0 if marks.closing else marks.keep_alive_seconds
 
-    async def _prefill(self, request, route, plan, deadline):
+    async def _prefill(self, request, route, service, plan, deadline):
         """Prefill apart; return the handle, or None when the decode engine must."""
         engine = plan.prefill
         now = time.monotonic()
@@ -439,6 +445,8 @@
                 limit,
             )
             if answer.status != 200:
+                # A refused prefill call counts as a repeat, the first as well.
+                self.fleet.budget(service).spend(time.monotonic())
                 raise UpstreamError(f"prefill status {answer.status}")
             handle = self.wire.read_handle(engine.address, answer.body)
         except (UpstreamError, asyncio.TimeoutError) as error:
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -102,11 +102,6 @@
         self.stop = asyncio.Event()
         self.instance_keys = set()
         self.leader_known = False
-        self.fleet = FleetView(
-            settings.data_centre, settings.timing, self.peer_count, self._on_gone
-        )
-        self.relay = Relay(self.fleet, wire, self.metrics)
-        self.front = Front(self.relay, wire, time.monotonic)
         peer_port = settings.listen.peer_ports[0]
         self.membership = Membership(
             store,
@@ -114,6 +109,14 @@
             max(MEMBER_LEASE_SECONDS, settings.store.least_lease_seconds),
             f"{settings.ip}:{peer_port}",
         )
+        self.fleet = FleetView(
+            settings.data_centre,
+            settings.timing,
+            self.membership.count,
+            self._on_gone,
+        )
+        self.relay = Relay(self.fleet, wire, self.metrics)
+        self.front = Front(self.relay, wire, time.monotonic)
         self.directory = Directory(
             self.membership, self.fleet.loads, settings.listen.front
         )
@@ -156,10 +159,6 @@
     def _leaving(self):
         return self.draining
 
-    def peer_count(self):
-        """Return the number of entry VMs believed alive, this one included."""
-        return max(1, len(set(self.membership.peers) | {self.settings.name}))
-
     def _peer_addresses(self):
         peers = self.membership.lapsed | self.membership.peers
         return [
