A prefill engine that refuses is asked once; long prompts stay with the owner of their shared parts

Change 1: engines of each stage are chosen among the sound ones of that stage, a tried prefill engine isn't asked again, a 421 there counts as one of a run.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -3,7 +3,7 @@
 import attrs
 
 from .admission import RetryBudget
-from .instances import InstanceRegistry
+from .instances import InstanceRegistry, Stage
 from .peer_loads import LoadBook
 from .placement import Placement, Plan
 from .route_table import RouteTable
@@ -58,22 +58,31 @@
         serving = self.instances.serving(service)
         return [i for i in serving if i.id not in excluded]
 
+    def _split(self, engines, now):
+        """Return the (prefill, decode) engines to choose from, the sound ones
+        of each stage where there are any."""
+        prefills = [i for i in engines if i.record.stage is Stage.PREFILL]
+        decoders = [i for i in engines if i.record.stage is not Stage.PREFILL]
+        sound = self.suspicion.sound
+        return sound(prefills, now), sound(decoders, now)
+
     def decode_plan(self, service, plan, tried, now):
         """Return ``plan`` with the decode engine that is best now, or None."""
-        sound = self.suspicion.sound(self._fresh(service, tried, now), now)
-        target = self.placement.decoder(sound, self.loads.total(now))
+        _, decoders = self._split(self._fresh(service, tried, now), now)
+        target = self.placement.decoder(decoders, self.loads.total(now))
         return target and attrs.evolve(plan, target=target)
 
     def plan(self, request, service, tried, now):
-        """Return the :class:`Plan` of one attempt, or None."""
+        """Return the :class:`Plan` of one attempt, or None.
+
+        :param tried: ids of instances that this request was sent to before.
+        """
         fresh = self._fresh(service, tried, now)
         if not fresh:
             return None
-        sound = self.suspicion.sound(fresh, now)
         loads = self.loads.total(now)
         if not request.prompt.tokens:
+            sound = self.suspicion.sound(fresh, now)
             return Plan(self.placement.least_loaded(sound, loads))
-        plan = self.placement.plan(request.prompt, sound, loads)
-        if plan is None:
-            plan = self.placement.plan(request.prompt, fresh, loads)
-        return plan
+        prefills, decoders = self._split(fresh, now)
+        return self.placement.plan(request.prompt, prefills, decoders, loads)
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -11,7 +11,6 @@
 
 import attrs
 
-from .instances import Stage
 from .peer_loads import Load
 
 #: Prompt tokens a prefill engine reads in a second (the users' sheet: 92.1 a
@@ -25,6 +24,9 @@
 #: Prompt tokens above which a decode engine's own prefill would stall the
 #: streams it carries: such prompts always go to a prefill engine, if any.
 IN_PLACE_LIMIT_TOKENS = 2800
+#: Weight of reading shared parts again at an engine that doesn't own them,
+#: beside the time it takes: it fills the engine's memory with a second copy.
+REREAD_WEIGHT = 15.0
 #: Weight of one running request at a decode engine, in seconds of wait: a
 #: step takes 0.12 ms longer for each, over some 30 steps.
 RUNNING_SECONDS = 0.004
@@ -91,10 +93,13 @@
         options = []
         for instance in instances:
             tokens = prompt.tokens
+            penalty = 0.0
             if instance is holder:
                 tokens -= prompt.shared_tokens
+            elif holder is not None:
+                penalty = prompt.shared_tokens / rate * REREAD_WEIGHT
             load = loads.get(instance.id, Load())
-            seconds = (load.prefill_tokens + tokens) / rate
+            seconds = (load.prefill_tokens + tokens) / rate + penalty
             seconds += self._distance(instance)
             options.append((seconds, instance.id, instance, tokens))
         return options
@@ -107,13 +112,12 @@
             + self._distance(instance)
         )
 
-    def plan(self, prompt, instances, loads):
-        """Return a :class:`Plan` for a prompt, or None without an engine.
+    def plan(self, prompt, prefills, decoders, loads):
+        """Return a :class:`Plan` for a prompt, or None without a decode engine.
 
-        :param instances: engines that may take new work, of any stage.
+        :param prefills: engines that may prefill it.
+        :param decoders: engines that may decode it.
         """
-        prefills = [i for i in instances if i.record.stage is Stage.PREFILL]
-        decoders = [i for i in instances if i.record.stage is not Stage.PREFILL]
         if not decoders:
             return None
         in_place = self._in_place(prompt, decoders, loads)
@@ -140,10 +144,10 @@
         wait = seconds + HANDOVER_SECONDS + self._decode_seconds(target, loads)
         return Plan(target, prefill, tokens, wait)
 
-    def decoder(self, instances, loads):
-        """Return the least loaded engine that decodes, None without one."""
+    def decoder(self, decoders, loads):
+        """Return the least loaded of the engines that decode, None without one."""
         return min(
-            (i for i in instances if i.record.stage is not Stage.PREFILL),
+            decoders,
             key=lambda i: (self._decode_seconds(i, loads), i.id),
             default=None,
         )
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -179,8 +179,7 @@
 
     def _next(self, request, route, service, attempts, now):
         """Choose where the next attempt goes, None when there is no other."""
-        runs = len(attempts.tried)
-        if runs >= max(route.max_attempts, 1) and attempts.may_have_run:
+        if attempts.sends >= route.max_attempts and attempts.may_have_run:
             return None
         if attempts.sends > route.max_attempts:
             return None
@@ -223,6 +222,7 @@
         handle, prefill = None, plan.prefill
         if prefill is not None:
             attempts.prefills += 1
+            attempts.tried.add(prefill.id)
             handle = await self._prefill(request, route, service, plan, deadline)
             # The prefill may have waited for seconds: the decode engine that
             # was best before may be leaving or busy now, and one that leaves
@@ -285,9 +285,7 @@
         """False when the answer says that the request did not run there."""
         now = time.monotonic()
         if status == 421:
-            if marks.instance and marks.instance != plan.target.id:
-                # The address belongs to another instance now.
-                self.fleet.instances.left(plan.target.id, "address reused")
+            self._misdirected(plan.target, marks)
             attempts.cause = "421"
             return False
         if marks.not_executed:
@@ -304,6 +302,17 @@
             self.fleet.suspicion.answered(plan.target.id)
         return True
 
+    def _misdirected(self, instance, marks):
+        """An instance refused a request as not meant for it.
+
+        Either another one has its address now, or its stage is not what its
+        record says yet; in both cases it is of no use for the moment.
+        """
+        if marks.instance and marks.instance != instance.id:
+            self.fleet.instances.left(instance.id, "address reused")
+        else:
+            self.fleet.suspicion.failed(instance.id, time.monotonic(), True)
+
     async def _send(
         self,
         request,
@@ -447,6 +456,8 @@
             if answer.status != 200:
                 # A refused prefill call counts as a repeat, the first as well.
                 self.fleet.budget(service).spend(time.monotonic())
+                if answer.status == 421:
+                    self._misdirected(engine, self.wire.read_marks(answer.headers))
                 raise UpstreamError(f"prefill status {answer.status}")
             handle = self.wire.read_handle(engine.address, answer.body)
         except (UpstreamError, asyncio.TimeoutError) as error:
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -67,6 +67,7 @@
     prefills: list = attrs.field(factory=list)
     released: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
+    misdirected: int = 0
     server: object = None
 
     def record(self, state="ready"):
@@ -97,6 +98,7 @@
         """Answer one request read by ``reader``."""
         path = reader.start_line.path
         if reader.headers.get(wire.EXPECT_INSTANCE, self.id) != self.id:
+            self.misdirected += 1
             reader.respond(421, {wire.INSTANCE_ID: self.id}, b"")
         elif path == "/report":
             reader.respond(200, {}, json.dumps(self._report()).encode())
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -283,6 +283,39 @@
     assert old.runs == []
 
 
+def test_prefill_engine_replaced_at_its_address_is_asked_once(fleet):
+    """A prefill engine ends without a word and another engine has its address.
+    A long prompt whose prefill is refused there goes on at a decode engine;
+    the request doesn't ask the same address again and again."""
+    prefill = fleet.add("p1", "llm", "prefill")
+    until(lambda: '"instance":"p1"' in fleet.log())
+    fleet.call(prefill.stop)
+    prefill.id = "stranger"
+    fleet.call(prefill.listen)
+    response = fleet.request(LETTER, "pr1", X_Mulberrydock_Token_Counts="9000,10")
+    assert event_ids(response.text) == [1, 2, 3, 4]
+    assert prefill.misdirected == 1
+
+
+def test_prompt_is_not_prefilled_again_and_again(fleet):
+    """Both decode engines are under suspicion after failures, and the prefill
+    engine refuses what it gets, as another one has its address. The request
+    must not go round between them: each round costs a send of the budget that
+    all VMs share, hundreds a second."""
+    prefill = fleet.add("p1", "llm", "prefill")
+    until(lambda: '"instance":"p1"' in fleet.log())
+    fleet.call(prefill.stop)
+    prefill.id = "stranger"
+    for number in range(4):
+        fleet.fail_next("llm", *[Fault.CRASH_BEFORE_ANSWER] * 2)
+        fleet.request(LETTER, f"pr2-{number}")
+    fleet.fail_next("llm")
+    fleet.call(prefill.listen)
+    response = fleet.request(LETTER, "pr3", X_Mulberrydock_Token_Counts="9000,10")
+    assert response.status == 200
+    assert prefill.misdirected == 1
+
+
 def test_configuration_never_goes_back(fleet):
     """The store forgets its history and then shows an older version. The
     route of the newer version stays in force."""
