A silent instance is left only when another one takes the request; a request's life in its own class

Change: the silence only asks whether another instance takes over, and keeps the budget's grant for it; else the wait goes on. relay.py is split into the request's life (serving), one send (sends) and what all share (relay).

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -49,7 +49,12 @@
 
 
 class Listener(abc.ABC):
-    """Takes the parts of one answer as they arrive."""
+    """Takes the parts of one answer as they arrive.
+
+    ``progress_at`` is when the answer last made progress, None before.
+    """
+
+    progress_at: float | None = None
 
     @abc.abstractmethod
     def on_headers(self, status, headers):
@@ -59,6 +64,9 @@
     def on_data(self, chunk):
         """Body bytes have arrived; an awaitable result slows the reading."""
 
+    def check(self):
+        """The answer has ended; raise :class:`UpstreamError` if it is wrong."""
+
 
 @attrs.define
 class WholeAnswer(Listener):
--- a/src/mulberrydock/ports.py
+++ b/src/mulberrydock/ports.py
@@ -25,6 +25,10 @@
     def read_marks(self, headers):
         """Return the :class:`~mulberrydock.request.ResponseMarks` of an answer."""
 
+    @abc.abstractmethod
+    def answer_headers(self, headers):
+        """Return an answer's headers to pass on, as (name, value) pairs."""
+
     @abc.abstractmethod
     def read_handle(self, address, body):
         """Return the :class:`~mulberrydock.request.KvHandle` of a prefill answer.
--- /dev/null
+++ b/src/mulberrydock/serving.py
@@ -0,0 +1,338 @@
+"""The life of one request: choose, send, relay, resume, final answer.
+
+Status promises: 429 and 503 say that the request has not run and never will;
+after a send that may have run, a non-idempotent request ends with 502 or 504.
+"""
+
+import asyncio
+import time
+
+from loguru import logger
+
+from .connections import WholeAnswer
+from .exceptions import ResultCode, UpstreamError
+from .request import Kind, SendOptions
+from .sends import ClientStream, Patience, StreamListener, watch
+from .sse import EventSplitter
+
+#: Seconds without a sign of an engine, beyond the estimate, before its first
+#: event. Clients give a stream up after 2.4 s of silence, so a second engine
+#: must have answered by then.
+FIRST_EVENT_SECONDS = 0.9
+#: Seconds between two events of a stream after which the engine may be left.
+EVENT_GAP_SECONDS = 0.7
+#: Seconds for a plain service's answer to a repeatable call: ten times its
+#: usual work.
+PLAIN_ANSWER_SECONDS = 0.45
+#: Seconds for a prefill answer beyond the estimate.
+PREFILL_SECONDS = 0.6
+#: Multiple of the estimated wait that an engine may take.
+WAIT_MARGIN = 2.0
+#: Least urgent priority that an engine takes.
+PRIORITY_MAX = 9
+#: Seconds told to a client whose request found no place.
+RETRY_AFTER_SECONDS = 0.5
+
+
+class Serving:
+    """One request on its way; :meth:`run` answers it through ``sink``.
+
+    ``sends`` and ``prefills`` count calls to instances, ``granted`` those
+    that the retry budget allowed ahead of their making, ``tried`` holds the
+    instances asked so far. ``answer`` is an instance's failure that may be
+    passed on if nothing better comes, ``cause`` why the last attempt failed.
+    """
+
+    def __init__(self, relay, request, route, service, sink):
+        self.relay = relay
+        self.fleet = relay.fleet
+        self.wire = relay.wire
+        self.request = request
+        self.route = route
+        self.service = service
+        self.sink = sink
+        self.deadline = min(request.deadline, request.arrived + route.timeout)
+        self.stream = ClientStream(
+            relay.wire, sink, EventSplitter(request.last_event_id)
+        )
+        self.sends = 0
+        self.prefills = 0
+        self.granted = 0
+        self.tried = set()
+        self.may_have_run = False
+        self.answer = None
+        self.cause = "no instance serves the route"
+
+    async def run(self):
+        """Answer the request; return the :class:`ResultCode` of the outcome."""
+        self.fleet.budget(self.service).note_request(self.request.arrived)
+        loop = asyncio.get_running_loop()
+        left = self.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout_at(loop.time() + left):
+                return await self._attempts()
+        except TimeoutError:
+            return self._expire()
+
+    async def _attempts(self):
+        attempt = self._stream if self.route.kind is Kind.STREAMING else self._call
+        while True:
+            plan = self._next(time.monotonic())
+            if plan is None:
+                return self._give_up()
+            if await attempt(plan):
+                return ResultCode.OK
+            if self.may_have_run and not self.route.repeatable:
+                return self._give_up()
+
+    def _next(self, now):
+        """Return the plan of the next attempt, None when there is no other."""
+        if self.sends > self.route.max_attempts:
+            return None
+        if self.may_have_run and self.sends >= self.route.max_attempts:
+            return None
+        plan = self.fleet.plan(self.request, self.service, self.tried, now)
+        if plan is None or not self._grant(plan, now):
+            return None
+        return plan
+
+    def _grant(self, plan, now):
+        """Ask the retry budget for the calls that ``plan`` repeats."""
+        if not self.sends and not self.prefills:
+            # A request's first prefill call and first send are free.
+            return True
+        calls = 2 if plan.prefill is not None and self.prefills else 1
+        calls -= min(calls, self.granted)
+        if calls and not self.fleet.budget(self.service).allow(now, calls):
+            self.cause += "; retry budget spent"
+            return False
+        self.granted = 0
+        return True
+
+    def _may_leave(self):
+        """True when a silent instance may be left: another one takes over.
+
+        The budget's grant is kept for that attempt, so that the answer given
+        up here isn't lost for want of it.
+        """
+        now = time.monotonic()
+        plan = self._next(now)
+        if plan is None:
+            return False
+        self.granted = 2 if plan.prefill is not None else 1
+        return True
+
+    def _patience(self, first, gap):
+        """Return the patience with the next send, None without an end.
+
+        Only a request that may be repeated, and has an attempt left, can go
+        elsewhere at all.
+        """
+        if not self.route.repeatable or self.sends + 1 >= self.route.max_attempts:
+            return None
+        return Patience(first, gap, self._may_leave)
+
+    async def _call(self, plan):
+        """One send of a plain call; True when the client was answered."""
+        answer = WholeAnswer()
+        patience = self._patience(PLAIN_ANSWER_SECONDS, PLAIN_ANSWER_SECONDS)
+        work = self.fleet.loads.begin(plan.target.id, 0)
+        if not await self._send(plan, answer, work, patience):
+            return False
+        return self._take_whole(plan, answer, self.wire.read_marks(answer.headers))
+
+    async def _stream(self, plan):
+        """One run of a streamed request; True when the client was answered."""
+        handle, prefill = None, plan.prefill
+        if prefill is not None:
+            handle = await self._prefill(plan)
+            # The prefill may have waited for seconds: the decode engine that
+            # was best before may be leaving or busy now, and one that leaves
+            # must get nothing new a moment after its notice.
+            now = time.monotonic()
+            plan = self.fleet.decode_plan(self.service, plan, self.tried, now)
+        taken = False
+        try:
+            if plan is None:
+                return False
+            tokens = plan.tokens if handle is None else 0
+            work = self.fleet.loads.begin(plan.target.id, tokens)
+            listener = StreamListener(self.wire, self.stream, work)
+            patience = self._patience(
+                FIRST_EVENT_SECONDS + WAIT_MARGIN * plan.wait, EVENT_GAP_SECONDS
+            )
+            whole = await self._send(plan, listener, work, patience, handle)
+            taken = listener.marks is not None and listener.good
+        finally:
+            # A handle that no run takes fills its engine's memory in vain.
+            if handle is not None and not taken:
+                self.relay.release(prefill, handle)
+        if whole and listener.good:
+            self.sink.finish()
+            return True
+        return whole and self._take_whole(plan, listener, listener.marks)
+
+    def _take_whole(self, plan, answer, marks):
+        """Take an instance's whole answer; True when it went to the client."""
+        if not self._ran(plan.target, marks, answer.status):
+            return False
+        self.answer = answer
+        failed = answer.status >= 500
+        if self.stream.begun or (failed and self.route.repeatable):
+            self.cause = f"status {answer.status}"
+            return False
+        self._respond(answer)
+        return True
+
+    def _ran(self, instance, marks, status):
+        """Note what an answer shows; False when it must not be passed on."""
+        now = time.monotonic()
+        if status == 421:
+            self._misdirected(instance, marks)
+            self.cause = f"{instance.id} is not at its address or in its stage"
+            return False
+        if marks.not_executed:
+            self.fleet.suspicion.full(instance.id, now)
+            self.cause = f"{instance.id} refused"
+            return False
+        self.may_have_run = True
+        if not marks.signed:
+            # Not an answer of the instance's own.
+            self.cause = f"unsigned answer {status}"
+            self.fleet.suspicion.failed(instance.id, now)
+            return False
+        if status < 500:
+            self.fleet.suspicion.answered(instance.id)
+        return True
+
+    def _misdirected(self, instance, marks):
+        """An instance refused a call as not meant for it.
+
+        Either another one has its address now, or its stage is not what its
+        record says yet; in both cases it is of no use for the moment.
+        """
+        if marks.instance and marks.instance != instance.id:
+            self.fleet.instances.left(instance.id, "address reused")
+        else:
+            self.fleet.suspicion.failed(instance.id, time.monotonic(), True)
+
+    async def _send(self, plan, listener, work, patience, handle=None):
+        """Send once; False when no whole answer came."""
+        target = plan.target
+        now = time.monotonic()
+        self.sends += 1
+        self.tried.add(target.id)
+        options = SendOptions(
+            instance=target.id,
+            deadline_ms=int((self.deadline - now) * 1000),
+            priority=min(PRIORITY_MAX, self.route.priority),
+            last_event_id=self.stream.splitter.last_id,
+            kv_source=handle,
+        )
+        logger.info(
+            "send",
+            request=self.request.id,
+            instance=target.id,
+            attempt=self.sends,
+            prefilled=handle is not None,
+            wait=round(plan.wait, 3),
+            config=self.fleet.routes.version,
+        )
+        self.relay.metrics.sends.labels(target.record.service).inc()
+        exchange = self.relay.exchange(target, self.request, options, listener)
+        try:
+            await watch(exchange, listener, patience)
+        except UpstreamError as error:
+            self._failed(target, error)
+            return False
+        finally:
+            work.end()
+        return True
+
+    def _failed(self, instance, error):
+        not_sent = error.code == ResultCode.NOT_RUN
+        if not not_sent:
+            self.may_have_run = True
+        self.cause = f"{instance.id}: {error}"
+        suspected = self.fleet.suspicion.failed(
+            instance.id, time.monotonic(), unreachable=not_sent
+        )
+        logger.warning(
+            "attempt failed",
+            request=self.request.id,
+            instance=instance.id,
+            error=str(error),
+            suspected=suspected,
+        )
+
+    async def _prefill(self, plan):
+        """Prefill apart; return the handle, None when the decode engine must."""
+        engine = plan.prefill
+        self.prefills += 1
+        self.tried.add(engine.id)
+        now = time.monotonic()
+        options = SendOptions(
+            instance=engine.id,
+            deadline_ms=int((self.deadline - now) * 1000),
+            priority=min(PRIORITY_MAX, self.route.priority),
+            prefill_only=True,
+        )
+        answer = WholeAnswer()
+        work = self.fleet.loads.begin(engine.id, plan.tokens)
+        limit = PREFILL_SECONDS + WAIT_MARGIN * plan.wait
+        try:
+            await asyncio.wait_for(
+                self.relay.exchange(engine, self.request, options, answer), limit
+            )
+            handle = self._read_handle(engine, answer)
+        except (UpstreamError, asyncio.TimeoutError) as error:
+            self.fleet.suspicion.failed(engine.id, time.monotonic())
+            logger.warning(
+                "prefill failed",
+                request=self.request.id,
+                instance=engine.id,
+                error=repr(error),
+            )
+            return None
+        finally:
+            work.end()
+        self.fleet.suspicion.answered(engine.id)
+        return handle
+
+    def _read_handle(self, engine, answer):
+        if answer.status == 200:
+            return self.wire.read_handle(engine.address, answer.body)
+        # A refused prefill call counts as a repeat, the first as well.
+        self.fleet.budget(self.service).spend(time.monotonic())
+        if answer.status == 421:
+            self._misdirected(engine, self.wire.read_marks(answer.headers))
+        raise UpstreamError(f"prefill status {answer.status}")
+
+    def _respond(self, answer):
+        headers = self.wire.answer_headers(answer.headers)
+        self.sink.respond(answer.status, headers, answer.body)
+
+    def _give_up(self):
+        """Final answer when no attempt is left."""
+        if self.stream.begun:
+            self.sink.abort()
+            return ResultCode.STREAM_CUT
+        if self.answer is not None:
+            self._respond(self.answer)
+            return ResultCode.UPSTREAM_FAILED
+        if self.may_have_run:
+            self.relay.reject(self.request, self.sink, 502, self.cause)
+            return ResultCode.UPSTREAM_FAILED
+        self.relay.reject(self.request, self.sink, 503, self.cause, RETRY_AFTER_SECONDS)
+        return ResultCode.NO_UPSTREAM
+
+    def _expire(self):
+        """Final answer at the deadline, while an attempt was under way."""
+        if self.stream.begun:
+            self.sink.abort()
+            return ResultCode.STREAM_CUT
+        if self.sends:
+            self.relay.reject(self.request, self.sink, 504, "deadline")
+            return ResultCode.OUTCOME_UNKNOWN
+        self.relay.reject(self.request, self.sink, 503, "deadline", RETRY_AFTER_SECONDS)
+        return ResultCode.SHED
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -30,6 +30,12 @@
     LATE_OTHER = "late-other"
     UNSIGNED = "unsigned"
     STALL = "stall"
+    PAUSE = "pause"
+
+
+#: Seconds of a pause: longer than any silence after which an instance may be
+#: left for another one, shorter than the requests' deadline.
+PAUSE_SECONDS = 1.5
 
 
 @attrs.define
@@ -181,6 +187,9 @@
             reader.respond(200, {wire.ATTEMPT_ID: run.id}, b"not the engine's")
         elif self.stage:
             await self._stream(reader, run, fault)
+        elif fault is Fault.PAUSE:
+            await asyncio.sleep(PAUSE_SECONDS)
+            self._whole(reader, run, fault)
         else:
             self._whole(reader, run, fault)
 
@@ -213,6 +222,8 @@
                 return
             if number - first == 2 and fault is Fault.STALL:
                 await asyncio.sleep(3600)
+            if number - first == 2 and fault is Fault.PAUSE:
+                await asyncio.sleep(PAUSE_SECONDS)
             reader.write(f"id: {number}\ndata: {run.id}\n\n".encode())
             await asyncio.sleep(self.event_seconds)
         reader.finish_stream()
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -110,6 +110,21 @@
     )
 
 
+@pytest.mark.parametrize("prefix", [LETTER, STATUS])
+def test_silent_instance_is_kept_when_there_is_no_other(fleet, prefix):
+    """An instance is silent for longer than usual and then goes on. Every
+    other one is leaving. Ending the answer would lose it for nothing, so the
+    daemon waits and the client gets it whole."""
+    for engine in ("d2", "a2"):
+        fleet.write(f"servers/{engine}", fleet.engines[engine].record("draining"))
+    until(lambda: len(fleet.events("instance draining")) == 2)
+    fleet.fail_next("llm", Fault.PAUSE)
+    fleet.fail_next("app", Fault.PAUSE)
+    response = fleet.request(prefix, "sp1")
+    assert (response.status, response.whole) == (200, True)
+    assert len(runs(fleet, "sp1")) == 1
+
+
 def test_stream_that_may_not_be_repeated_is_cut_not_completed(fleet):
     """An engine dies in the middle of a kiosk query, which may run only once.
     The client sees a stream that ends early, never one that looks complete,
