--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -90,7 +90,18 @@
         if known is None:
             known = Instance(record)
             self.instances[record.id] = known
-            logger.info("instance seen", instance=record.id, service=record.service)
+            logger.info(
+                "instance seen",
+                instance=record.id,
+                service=record.service,
+                stage=record.stage.value,
+            )
+        if record.stage is not known.record.stage:
+            logger.info(
+                "instance stage changed",
+                instance=record.id,
+                stage=record.stage.value,
+            )
         known.record = record
         known.lapsed_at = None
         if record.draining and not known.leaving:
--- a/src/mulberrydock/stage_duty.py
+++ b/src/mulberrydock/stage_duty.py
@@ -72,7 +72,7 @@
             change = planner.decide(engines, self.fleet.loads.total(now), now)
             if change is not None:
                 until = await self.order(change, now)
-                planner.note_order(change.instance.id, now + until)
+                planner.note_order(change, now + until)
 
     async def order(self, change, now):
         """Send one order; return for how many seconds to leave the pool alone."""
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -43,24 +43,44 @@
     return min(count - 1, max(1, round(count * PREFILL_SHARE)))
 
 
+@attrs.define(frozen=True)
+class Ordered:
+    """An order that was sent: the stage it asks for and until when it may
+    still be at work (monotonic seconds)."""
+
+    stage: Stage
+    until: float
+
+
 @attrs.define
 class StagePlanner:
     """Decides stage changes of one pool; remembers since when it is off.
 
-    ``ordered`` maps instance ids to when their last order is over.
+    ``ordered`` maps instance ids to the :class:`Ordered` that may be at work.
     """
 
     off_since: float | None = None
     ordered: dict = attrs.field(factory=dict)
 
-    def note_order(self, instance_id, until):
-        """An order was sent: leave the pool alone until then."""
-        self.ordered[instance_id] = until
+    def note_order(self, change, until):
+        """An order was sent: leave the pool alone until it is over."""
+        self.ordered[change.instance.id] = Ordered(change.stage, until)
+
+    def unsettled(self, engines, now):
+        """True while an order may be at work.
 
-    def unsettled(self, now):
-        """Return the ids of instances whose last order may still be at work."""
-        self.ordered = {i: t for i, t in self.ordered.items() if t > now}
-        return set(self.ordered)
+        It is over when its engine shows the stage it asks for, or has left;
+        the pool may then need the next change at once.
+        """
+        stages = {engine.id: engine.record.stage for engine in engines}
+        self.ordered = {
+            instance_id: order
+            for instance_id, order in self.ordered.items()
+            if order.until > now
+            and instance_id in stages
+            and stages[instance_id] is not order.stage
+        }
+        return bool(self.ordered)
 
     def decide(self, engines, loads, now):
         """Return a :class:`StageChange`, or None.
@@ -78,7 +98,7 @@
             self.off_since = now
         missing = not prefills or not decoders
         patience = MISSING_SECONDS if missing else UNBALANCED_SECONDS
-        if now - self.off_since < patience or self.unsettled(now):
+        if now - self.off_since < patience or self.unsettled(engines, now):
             return None
         if len(prefills) < wanted:
             return self._change(decoders, Stage.PREFILL, loads)
