A stopping VM refuses late requests; directory answers are kept for 1 s

Ruled out: a stuck engine (its stream went on). Change: requests are taken for 0.4 of the grace, three times the new time to live of a directory answer; later ones get 503 and a closed connection; what is in progress may use 0.94 of the grace. The patience with a missing stage is 0.3 s; the table test of the planner begins at time 0, as 100.3 - 100 is less than 0.3 in floating point.

--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -99,6 +99,7 @@
         self.wire = wire
         self.clock = clock
         self.draining = False
+        self.refusing = False
         self.tasks = set()
 
     def closing(self):
@@ -117,6 +118,10 @@
         return task
 
     async def _serve(self, request, sink):
+        if self.refusing:
+            # The client has other addresses and may come back at once.
+            self.relay.reject(request, sink, 503, "stopping", 0.0)
+            return
         try:
             await self.relay.serve(request, sink)
         except asyncio.CancelledError:
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -38,10 +38,16 @@
 #: by its silence, much sooner, unless they are cut off from it as well.
 MEMBER_LEASE_SECONDS = 4.0
 #: Seconds for which clients may keep an answer of the directory. A third of
-#: the clients keeps it three times as long.
-ANSWER_TTL_SECONDS = 2.0
-#: Seconds of the grace period that a stopping process leaves unused.
-GRACE_MARGIN_SECONDS = 1.0
+#: the clients keeps it three times as long, and a stopping VM takes requests
+#: that long, so it has to be well inside the share of the grace below.
+ANSWER_TTL_SECONDS = 1.0
+#: Share of the grace period in which a stopping VM still takes requests (3.2 s
+#: of the users' 8): a request taken later could be cut when the grace ends.
+ACCEPT_SHARE = 0.4
+#: Seconds for which late requests are refused at least before the end.
+REFUSE_SECONDS = 0.5
+#: Share of the grace period that requests in progress may use in all.
+FINISH_SHARE = 0.94
 #: Seconds after which an idle client connection is closed; far above the
 #: configured limit, so that no client's request crosses the close.
 CLIENT_IDLE_SECONDS = 120
@@ -325,20 +331,24 @@
     async def drain(self):
         """Leave: clients move away, requests in progress end, then return.
 
-        Clients keep an old list of addresses for up to three times its time
-        to live, so new connections are served until the grace is nearly over.
+        Clients keep an old list of addresses for a while, so requests are
+        taken at first, on new connections too; later ones are refused.
         """
+        grace = self.settings.timing.grace_seconds
+        started = time.monotonic()
         self.draining = True
         self.front.draining = True
-        started = time.monotonic()
         logger.info("draining", in_flight=len(self.front.tasks))
         self.peers.send()
         leaving = asyncio.ensure_future(self._leave())
-        grace = self.settings.timing.grace_seconds - GRACE_MARGIN_SECONDS
-        stay = min(grace, 3 * ANSWER_TTL_SECONDS)
-        await asyncio.sleep(stay)
+        await asyncio.sleep(grace * ACCEPT_SHARE)
+        self.front.refusing = True
         self.front_server.stop()
-        left = grace - (time.monotonic() - started)
+        logger.info("refusing new requests", in_flight=len(self.front.tasks))
+        # One more look after the last request: kept connections may bring
+        # some, which must get their refusal before the process ends.
+        await asyncio.sleep(REFUSE_SECONDS)
+        left = started + grace * FINISH_SHARE - time.monotonic()
         if self.front.tasks and left > 0:
             await asyncio.wait(set(self.front.tasks), timeout=left)
         leaving.cancel()
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -30,8 +30,10 @@
 WAIT_MARGIN = 2.0
 #: Least urgent priority that an engine takes.
 PRIORITY_MAX = 9
-#: Seconds told to a client whose request found no place.
+#: Seconds told to a client whose request found no place, and to one whose
+#: service has no instance that could take it: a stage change takes 3 s.
 RETRY_AFTER_SECONDS = 0.5
+NO_INSTANCE_RETRY_SECONDS = 3.0
 
 
 class Serving:
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -16,7 +16,7 @@
 PREFILL_SHARE = 0.4
 #: Seconds for which a pool must lack a whole stage before one is changed; a
 #: crashed engine's record takes longer than this to lapse.
-MISSING_SECONDS = 0.5
+MISSING_SECONDS = 0.3
 #: Seconds for which a pool must be out of balance otherwise. A crashed engine
 #: is back, in its old stage, after 2 to 5 s.
 UNBALANCED_SECONDS = 6.0
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -431,6 +431,21 @@
     assert fleet.daemons["entry-1"].wait(10) == 0
 
 
+def test_late_request_of_a_stopping_vm_is_refused_not_cut(fleet):
+    """A VM is told to stop; a client that still keeps a connection sends a
+    request so late that its stream would outlast the process. Taken, it would
+    be cut when the grace ends. It gets a promise instead and goes elsewhere."""
+    kept = fleet.connect()
+    assert fleet.request(STATUS, "l0", kept).status == 200
+    fleet.daemons["entry-1"].send_signal(signal.SIGTERM)
+    until(lambda: fleet.events("refusing new requests"))
+    response = fleet.request(STATUS, "l1", kept)
+    assert response.status == 503
+    assert float(response.getheader("Retry-After")) >= 0
+    assert runs(fleet, "l1") == []
+    assert fleet.daemons["entry-1"].wait(10) == 0
+
+
 def test_pool_without_prefill_engine_gets_one(fleet):
     """Every engine that prefills has left. The holder of the lease orders one
     decode engine to prefill, once, naming the order count it decided on."""
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -52,8 +52,8 @@
     engines = pool(*stages)
     loads = {e.id: Load(running=5) for e in engines if e.id != "e1"}
     planner = StagePlanner()
-    assert planner.decide(engines, loads, 100.0) is None
-    change = planner.decide(engines, loads, 100.0 + seconds)
+    assert planner.decide(engines, loads, 0.0) is None
+    change = planner.decide(engines, loads, seconds)
     assert (change and (change.instance.id, change.stage)) == changed
 
 
