Peers' messages a second are bounded in large fleets; a left send's error is taken

Cause: each VM sent five messages a second to every peer: at 79 VMs 390 a second each, on half a core. Now the interval grows from 16 peers on, and a message says when the next is due, from which its expiry follows. No change at 8 or 9 VMs. A send left for silence in the moment it failed logged an unretrieved exception. Tests: tests/test_peer_loads.py.

--- a/src/mulberrydock/directory.py
+++ b/src/mulberrydock/directory.py
@@ -4,8 +4,6 @@
 
 from .membership import Membership
 
-#: Seconds without a message after which a peer is left out of answers.
-SILENT_SECONDS = 1.2
 #: Addresses in one answer; clients read no more.
 ADDRESSES_MAX = 64
 
@@ -30,7 +28,7 @@
         heard = {
             name
             for name, report in self.book.reports.items()
-            if now - report.received_at <= SILENT_SECONDS and not report.leaving
+            if report.heard(now) and not report.leaving
         }
         known = self.membership.lapsed | registered
         alive = [peer for name, peer in known.items() if name in heard]
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -7,9 +7,13 @@
 
 import attrs
 
-#: Seconds after which a peer's counts say nothing about the present. Peers
-#: send five times a second; three lost datagrams in a row are rare.
-LOAD_EXPIRY_SECONDS = 0.8
+#: Intervals of a peer's messages after which its counts say nothing about the
+#: present: three lost datagrams in a row are rare.
+LOAD_EXPIRY_INTERVALS = 4
+#: Intervals without a message after which a peer is taken to be unreachable.
+SILENT_INTERVALS = 6
+#: Seconds between two messages of a peer that doesn't say.
+DEFAULT_INTERVAL_SECONDS = 0.2
 
 
 @attrs.define(frozen=True)
@@ -22,13 +26,25 @@
 
 @attrs.define(frozen=True)
 class PeerReport:
-    """Loads by instance id as a peer sent them, and when they arrived."""
+    """Loads by instance id as a peer sent them, and when they arrived.
+
+    ``interval`` is the seconds until its next message.
+    """
 
     sequence: int
     received_at: float
     loads: dict
     leaving: bool = False
     held: frozenset = frozenset()
+    interval: float = DEFAULT_INTERVAL_SECONDS
+
+    def fresh(self, now):
+        """True while the counts say something about the present."""
+        return now - self.received_at <= LOAD_EXPIRY_INTERVALS * self.interval
+
+    def heard(self, now):
+        """True while the peer is taken to be reachable."""
+        return now - self.received_at <= SILENT_INTERVALS * self.interval
 
 
 @attrs.define(eq=False)
@@ -98,17 +114,10 @@
         if known is None or report.sequence > known.sequence:
             self.reports[peer] = report
 
-    def heard_at(self, peer):
-        """When the peer was last heard, None if never."""
-        report = self.reports.get(peer)
-        return report.received_at if report else None
-
     def fresh(self, now):
         """Return the peers' reports that still say something."""
         return {
-            peer: report
-            for peer, report in self.reports.items()
-            if now - report.received_at <= LOAD_EXPIRY_SECONDS
+            peer: report for peer, report in self.reports.items() if report.fresh(now)
         }
 
     def total(self, now):
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -14,8 +14,10 @@
 #: a view of 200 ms still tells a busy engine from an idle one; half of it
 #: doubles the traffic between data centres, which is priced.
 SEND_SECONDS = 0.2
-#: Bytes read at once; a message names at most a few dozen instances.
-DATAGRAM_BYTES = 65536
+#: Peers up to which a VM sends that often. With more, it sends less often, so
+#: that its messages a second stay bounded: at 80 VMs a second passes between
+#: two to the same peer, as each of them then has an eightieth of the load.
+PEERS_AT_FULL_RATE = 16
 
 
 class PeerLink(asyncio.DatagramProtocol):
@@ -59,6 +61,7 @@
                     },
                     message.leaving,
                     frozenset(message.held),
+                    message.intervalMs / 1000,
                 )
                 name = message.name
         except Exception as error:  # capnp raises its own unlisted types
@@ -69,6 +72,10 @@
     def error_received(self, exc):
         logger.debug("peer send failed", error=repr(exc))
 
+    def interval(self):
+        """Return the seconds between two messages to each peer."""
+        return SEND_SECONDS * max(1.0, len(self.addresses()) / PEERS_AT_FULL_RATE)
+
     def message(self, now):
         """Return this VM's message at ``now`` as bytes."""
         self.sequence += 1
@@ -86,6 +93,7 @@
             leaving=self.leaving(),
             loads=rows,
             held=sorted(self.book.own_held(now)),
+            intervalMs=int(self.interval() * 1000),
         )
         return message.to_bytes()
 
@@ -99,4 +107,4 @@
         """Send for ever."""
         while True:
             self.send()
-            await asyncio.sleep(SEND_SECONDS)
+            await asyncio.sleep(self.interval())
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -53,4 +53,5 @@
   leaving @2 :Bool;
   loads @3 :List(LoadRecord);
   held @4 :List(Text);     # instances under change: no new work for now
+  intervalMs @5 :UInt32;   # until the sender's next message
 }
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -49,9 +49,8 @@
     finally:
         # Also when this request is cancelled: closing the connection tells
         # the instance to stop its work.
-        if not task.done():
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
 
 
 def _wait(patience, started, listener):
--- /dev/null
+++ b/tests/test_peer_loads.py
@@ -0,0 +1,82 @@
+"""What a VM knows of its peers' work, and for how long."""
+
+import pytest
+
+from mulberrydock.directory import Directory
+from mulberrydock.membership import Membership, Peer
+from mulberrydock.peer_loads import Load, LoadBook, PeerReport
+from mulberrydock.peers import PEERS_AT_FULL_RATE, SEND_SECONDS, PeerLink
+from mulberrydock.serve import EntryVm
+
+
+def report(sequence, received_at, loads=None, **options):
+    """Return a peer's report."""
+    return PeerReport(sequence, received_at, loads or {}, **options)
+
+
+def test_own_and_peers_work_add_up_until_reports_are_stale():
+    """A peer dies with requests in flight. Its last counts are added to our
+    own for a moment and then forgotten, so that its engine isn't avoided for
+    work that no one does any more."""
+    book = LoadBook()
+    work = book.begin("e1", 100)
+    book.receive("entry-2", report(1, 10.0, {"e1": Load(2, 500)}))
+    assert book.total(10.5)["e1"] == Load(3, 600)
+    work.prefilled()
+    assert book.total(10.5)["e1"] == Load(3, 500)
+    assert book.total(11.0)["e1"] == Load(1, 0)
+    work.end()
+    assert book.total(11.0) == {}
+
+
+@pytest.mark.parametrize(("sequence", "kept"), [(1, 5), (2, 5), (3, 7)])
+def test_datagrams_out_of_order(sequence, kept):
+    """Datagrams overtake each other. An older one changes nothing."""
+    book = LoadBook()
+    book.receive("entry-2", report(2, 1.0, {"e1": Load(5, 0)}))
+    book.receive("entry-2", report(sequence, 1.1, {"e1": Load(7, 0)}))
+    assert book.total(1.2)["e1"].running == kept
+
+
+@pytest.mark.parametrize(
+    ("heard", "leaving", "draining", "expected"),
+    [
+        ({"entry-2", "entry-3"}, set(), False, ["a1", "a2", "a3"]),
+        ({"entry-2"}, set(), False, ["a1", "a2"]),
+        ({"entry-2", "entry-3"}, {"entry-3"}, False, ["a1", "a2"]),
+        ({"entry-2", "entry-3"}, set(), True, ["a2", "a3"]),
+        (set(), set(), False, ["a1", "a2", "a3"]),
+        (set(), set(), True, ["a2", "a3"]),
+    ],
+)
+def test_addresses_for_clients(heard, leaving, draining, expected):
+    """Clients ask where to connect while a VM is dead, leaves, or while this
+    VM hears nobody. Dead and leaving VMs are left out; hearing nobody is more
+    likely this VM's own network, so then the store's list counts."""
+    membership = Membership(None, EntryVm("entry-1", "a1", "dc1"))
+    for number in (1, 2, 3):
+        membership.peers[f"entry-{number}"] = Peer(f"a{number}", "dc1")
+    book = LoadBook()
+    for peer in heard:
+        book.receive(peer, report(1, 100.0, leaving=peer in leaving))
+    directory = Directory(membership, book, "a1")
+    assert directory.addresses(draining, 100.5) == expected
+
+
+def test_peer_whose_record_lapsed_but_is_heard_stays_listed():
+    """The store drops every record in an outage while all VMs live. Clients
+    are still sent to the VMs that are heard."""
+    membership = Membership(None, EntryVm("entry-1", "a1", "dc1"))
+    membership.peers["entry-2"] = Peer("a2", "dc1")
+    membership.reset()
+    book = LoadBook()
+    book.receive("entry-2", report(1, 100.0))
+    assert Directory(membership, book, "a1").addresses(False, 100.5) == ["a1", "a2"]
+
+
+@pytest.mark.parametrize("peers", [1, 8, 16, 79, 570])
+def test_messages_a_second_are_bounded(peers):
+    """A fleet grows. What one VM sends a second stays bounded, and a peer
+    still knows from the message itself when the next one is due."""
+    link = PeerLink("entry-1", LoadBook(), lambda: ["10.0.0.1:1"] * peers, bool)
+    assert peers / link.interval() <= PEERS_AT_FULL_RATE / SEND_SECONDS + 1e-9
