Prefill calls of longer prompts are less urgent

Ruled out: more prefill engines, long prompts in place (figures in docs/design/platform.md). Change: a step of priority less at 8,000, 16,000 and 32,000 prompt tokens, for the prefill call alone.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -28,6 +28,9 @@
 PREFILL_SECONDS = 0.6
 #: Multiple of the estimated wait that an engine may take.
 WAIT_MARGIN = 2.0
+#: Prompt tokens from which a prefill call is one step less urgent each: about
+#: the middle of the users' letters, twice it and four times it.
+LONG_PROMPT_TOKENS = (8000, 16000, 32000)
 #: Least urgent priority that an engine takes.
 PRIORITY_MAX = 9
 #: Seconds told to a client whose request found no place, and to one whose
@@ -276,7 +279,7 @@
         options = SendOptions(
             instance=engine.id,
             deadline_ms=int((self.deadline - now) * 1000),
-            priority=min(PRIORITY_MAX, self.route.priority),
+            priority=self._prefill_priority(),
             prefill_only=True,
         )
         answer = WholeAnswer()
@@ -301,6 +304,14 @@
         self.fleet.suspicion.answered(engine.id)
         return handle
 
+    def _prefill_priority(self):
+        """Return the priority of the prefill call: shorter prompts go first.
+
+        A long prompt holds up several short ones that could still be on time.
+        """
+        size = sum(self.request.prompt.tokens > step for step in LONG_PROMPT_TOKENS)
+        return min(PRIORITY_MAX, self.route.priority + size)
+
     def _read_handle(self, engine, answer):
         if answer.status == 200:
             return self.wire.read_handle(engine.address, answer.body)
