--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -18,8 +18,12 @@
 #: crashed engine's record takes longer than this to lapse.
 MISSING_SECONDS = 0.3
 #: Seconds for which a pool must be out of balance otherwise. A crashed engine
-#: is back, in its old stage, after 2 to 5 s.
+#: is back, in its old stage, after 2 to 5 s; with fewer
+#: decode engines than prefill engines there is no time to wait for that: a pool
+#: short of decode engines fails requests, one short of prefill engines only
+#: answers long prompts late.
 UNBALANCED_SECONDS = 6.0
+FEW_DECODERS_SECONDS = 1.5
 #: Seconds after an order for which the pool isn't changed again: the users'
 #: engines are dark for 3 s, and one without an answer may be carried out 12 s
 #: late. A refused order did nothing; its engine's report lags a little.
@@ -96,8 +100,11 @@
             return None
         if self.off_since is None:
             self.off_since = now
-        missing = not prefills or not decoders
-        patience = MISSING_SECONDS if missing else UNBALANCED_SECONDS
+        patience = UNBALANCED_SECONDS
+        if len(prefills) > wanted and len(decoders) < len(prefills):
+            patience = FEW_DECODERS_SECONDS
+        if not prefills or not decoders:
+            patience = MISSING_SECONDS
         if now - self.off_since < patience or self.unsettled(engines, now):
             return None
         if len(prefills) < wanted:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -5,6 +5,7 @@
 from mulberrydock.instances import Instance, InstanceRecord, Stage
 from mulberrydock.peer_loads import Load
 from mulberrydock.stages import (
+    FEW_DECODERS_SECONDS,
     MISSING_SECONDS,
     ORDER_SETTLE_SECONDS,
     UNBALANCED_SECONDS,
@@ -41,7 +42,10 @@
         ((P, P, P), MISSING_SECONDS, ("e1", D)),
         ((P, D, D, D, D), UNBALANCED_SECONDS / 2, None),
         ((P, D, D, D, D), UNBALANCED_SECONDS, ("e1", P)),
-        ((P, P, D), UNBALANCED_SECONDS, ("e1", D)),
+        ((P, P, D), FEW_DECODERS_SECONDS / 2, None),
+        ((P, P, D), FEW_DECODERS_SECONDS, ("e1", D)),
+        ((P, P, P, P, D, D, D, D), FEW_DECODERS_SECONDS, None),
+        ((P, P, P, P, D, D, D, D), UNBALANCED_SECONDS, ("e1", D)),
         ((D,), 60.0, None),
     ],
 )
