--- a/src/mulberrydock/standin/store.py
+++ b/src/mulberrydock/standin/store.py
@@ -384,7 +384,7 @@
 
 async def serve(address):
     """Serve the fake store on ``address`` until cancelled."""
-    from ._http import split_address
+    from .._http import split_address
 
     app = make_app()
     host, port = split_address(address)
