--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -16,16 +16,22 @@
 #: Prompt tokens a prefill engine reads in a second (the users' sheet: 92.1 a
 #: millisecond, less the cost of attention over long prompts).
 PREFILL_TOKENS_PER_SECOND = 85_000.0
-#: A decode engine prefills at half the speed, between other requests' tokens.
+#: What a decode engine reads in a second: half the speed, and each piece waits
+#: for a step of the streams beside it. Judged from the step time; not measured
+#: apart from the choice by wait that uses it.
 IN_PLACE_TOKENS_PER_SECOND = 30_000.0
 #: Seconds that a hand-over costs beside the prefill: two more hops, the
 #: transfer's set-up and the KV cache itself.
 HANDOVER_SECONDS = 0.01
 #: Prompt tokens above which a decode engine's own prefill would stall the
-#: streams it carries: such prompts always go to a prefill engine, if any.
+#: streams it carries: such prompts always go to a prefill engine, if any. With
+#: no limit but the wait, a heavy day loses 0.2 of its worth; from 2,000 to 4,000
+#: days are level (one run each).
 IN_PLACE_LIMIT_TOKENS = 2800
 #: Weight of reading shared parts again at an engine that doesn't own them,
 #: beside the time it takes: it fills the engine's memory with a second copy.
+#: Against no weight a calm day is worth 0.03 to 0.04 more, a heavy one 0.02 to
+#: 0.05 (one run each); from 6 to 50 the days are level.
 REREAD_WEIGHT = 15.0
 #: Weight of one running request at a decode engine, in seconds of wait: a
 #: step takes 0.12 ms longer for each, over some 30 steps.
