Remove code that nothing uses: the registry's replace, an error that was kept and never read

Cause: both were left from earlier forms of the change; the full read is applied key by key, and a reader's error ends the exchange through its delegate. Behaviour is unchanged. Run: formatter, linter, the daemon's tests and the tables of beliefs, budget, loads, placement and stages, and test_entry: all passed.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -112,7 +112,6 @@
         self.done = asyncio.get_running_loop().create_future()
         self.skipped = False
         self.headers = None
-        self.error = None
 
     def headers_received(self, start_line, headers):
         if start_line.code < 200:
@@ -323,7 +322,7 @@
     if reading.cancelled():
         delegate.on_connection_close()
         return
-    error = reading.exception()
-    if error is not None:
-        delegate.error = error
+    # Taken here so that the loop doesn't report it as never retrieved; the
+    # delegate's end is what the sender acts on.
+    reading.exception()
     delegate.on_connection_close()
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -124,14 +124,6 @@
             return
         self._drop(instance_id, "record removed")
 
-    def replace(self, records, now):
-        """Take a full read: what is missing from it is removed."""
-        present = {record.id for record in records}
-        for record in records:
-            self.put(record, now)
-        for instance_id in [i for i in self.instances if i not in present]:
-            self.remove(instance_id, now)
-
     def store_lost(self, now):
         """The store stopped answering this VM."""
         if self.store_lost_at is None:
