Prompts are placed by what is read before them, in engine time

The waits that placement expected were too short behind long prompts (a token costs more the more stand before it: 25,000 tokens take 1.4 times as long) and too long behind less urgent ones, which a short prompt overtakes unless they are being read. Found from the times of 624 prefills (new log line 'prefilled' with estimate and time). Change: the load book counts unread work by urgency and its longest prompt, weighted by attention; a new prompt's wait is what is as urgent, and half of a less urgent one that was begun.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -5,7 +5,7 @@
 from .admission import RetryBudget
 from .instances import InstanceRegistry, Stage
 from .peer_loads import LoadBook
-from .placement import Placement, Plan
+from .placement import Placement, Plan, prefill_urgency
 from .route_table import RouteTable
 from .suspicion import Suspicion
 
@@ -72,7 +72,7 @@
         target = self.placement.decoder(decoders, self.loads.total(now))
         return target and attrs.evolve(plan, target=target)
 
-    def plan(self, request, service, tried, now):
+    def plan(self, request, route, service, tried, now):
         """Return the :class:`Plan` of one attempt, or None.
 
         :param tried: ids of instances that this request was sent to before.
@@ -85,4 +85,5 @@
             sound = self.suspicion.sound(fresh, now)
             return Plan(self.placement.least_loaded(sound, loads))
         prefills, decoders = self._split(fresh, now)
-        return self.placement.plan(request.prompt, prefills, decoders, loads)
+        urgency = prefill_urgency(request.prompt, route.priority)
+        return self.placement.plan(request.prompt, urgency, prefills, decoders, loads)
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -5,6 +5,8 @@
 little about how busy an engine is.
 """
 
+import itertools
+
 import attrs
 
 #: Intervals of a peer's messages after which its counts say nothing about the
@@ -16,12 +18,48 @@
 DEFAULT_INTERVAL_SECONDS = 0.2
 
 
+#: Share of the longest prompt that is still unread, on average, when a more
+#: urgent one arrives while it is being prefilled.
+STARTED_SHARE = 0.5
+
+
 @attrs.define(frozen=True)
 class Load:
-    """Unfinished work: requests, and prompt tokens not yet prefilled."""
+    """Unfinished work at an instance.
+
+    ``running`` counts requests; ``prefill`` holds the prompt tokens not yet
+    read, by urgency: at index 0 the most urgent ones, nothing less urgent than
+    its length. ``longest`` are the tokens of the longest of these prompts.
+    """
 
     running: int = 0
-    prefill_tokens: int = 0
+    prefill: tuple = ()
+    longest: int = 0
+
+    @property
+    def prefill_tokens(self):
+        """All prompt tokens not yet read."""
+        return sum(self.prefill)
+
+    def ahead(self, urgency):
+        """Return the tokens that are read before a new prompt of ``urgency``.
+
+        Engines read the most urgent prompt first but finish the one that they
+        have begun: a short urgent prompt behind a long one waits for it.
+        """
+        later = sum(self.prefill[urgency + 1 :])
+        begun = min(self.longest, later) * STARTED_SHARE
+        return sum(self.prefill[: urgency + 1]) + begun
+
+
+def combined(loads):
+    """Return the sum of several VMs' :class:`Load` at one instance."""
+    levels = itertools.zip_longest(*(load.prefill for load in loads), fillvalue=0)
+    return Load(
+        sum(load.running for load in loads),
+        tuple(map(sum, levels)),
+        max(load.longest for load in loads),
+    )
 
 
 @attrs.define(frozen=True)
@@ -49,27 +87,38 @@
 
 @attrs.define(eq=False)
 class Work:
-    """One send counted in a :class:`LoadBook` until it ends."""
+    """One send counted in a :class:`LoadBook` until it ends.
+
+    ``tokens`` are those still to be read, 0 once the prompt is prefilled.
+    """
 
     book: object
     instance_id: str
     tokens: int
+    urgency: int = 0
 
     def prefilled(self):
         """The prompt is read: only the running request still counts."""
-        self.book.add(self.instance_id, 0, -self.tokens)
         self.tokens = 0
 
     def end(self):
         """The send is over."""
-        self.book.add(self.instance_id, -1, -self.tokens)
+        self.book.drop(self)
+
+
+def _load_of(works):
+    """Return the :class:`Load` that this VM's sends to one instance make."""
+    prefill = [0] * (1 + max(work.urgency for work in works))
+    for work in works:
+        prefill[work.urgency] += work.tokens
+    return Load(len(works), tuple(prefill), max(work.tokens for work in works))
 
 
 class LoadBook:
     """This VM's own loads and those its peers reported."""
 
     def __init__(self):
-        self.own = {}
+        self.works = {}
         self.held_until = {}
         self.reports = {}
 
@@ -90,19 +139,23 @@
             held |= report.held
         return held
 
-    def begin(self, instance_id, prefill_tokens):
-        """Count a send of ``prefill_tokens`` in; return its :class:`Work`."""
-        self.add(instance_id, 1, prefill_tokens)
-        return Work(self, instance_id, prefill_tokens)
+    def begin(self, instance_id, tokens, urgency=0):
+        """Count a send in whose prompt has ``tokens`` to read; return its
+        :class:`Work`."""
+        work = Work(self, instance_id, tokens, urgency)
+        self.works.setdefault(instance_id, set()).add(work)
+        return work
+
+    def drop(self, work):
+        """Count a send out; a second time changes nothing."""
+        works = self.works.get(work.instance_id, set())
+        works.discard(work)
+        if not works:
+            self.works.pop(work.instance_id, None)
 
-    def add(self, instance_id, running=0, prefill_tokens=0):
-        """Count work in (positive) or out (negative) at an instance."""
-        load = self.own.get(instance_id, Load())
-        load = Load(load.running + running, load.prefill_tokens + prefill_tokens)
-        if load.running <= 0 and load.prefill_tokens <= 0:
-            self.own.pop(instance_id, None)
-        else:
-            self.own[instance_id] = load
+    def own(self):
+        """Return this VM's own loads by instance id."""
+        return {i: _load_of(works) for i, works in self.works.items()}
 
     def receive(self, peer, report):
         """Take a peer's report unless a newer one was seen.
@@ -122,10 +175,9 @@
 
     def total(self, now):
         """Return all VMs' loads by instance id."""
-        running, tokens = {}, {}
+        by_instance = {}
         books = [report.loads for report in self.fresh(now).values()]
-        for loads in [self.own, *books]:
+        for loads in [self.own(), *books]:
             for instance_id, load in loads.items():
-                running[instance_id] = running.get(instance_id, 0) + load.running
-                tokens[instance_id] = tokens.get(instance_id, 0) + load.prefill_tokens
-        return {i: Load(running[i], tokens[i]) for i in running}
+                by_instance.setdefault(instance_id, []).append(load)
+        return {i: combined(loads) for i, loads in by_instance.items()}
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -56,7 +56,7 @@
                     message.sequence,
                     time.monotonic(),
                     {
-                        row.instance: Load(row.running, row.prefillTokens)
+                        row.instance: Load(row.running, tuple(row.prefill), row.longest)
                         for row in message.loads
                     },
                     message.leaving,
@@ -82,10 +82,11 @@
         rows = [
             {
                 "instance": instance,
-                "running": max(0, load.running),
-                "prefillTokens": max(0, load.prefill_tokens),
+                "running": load.running,
+                "prefill": [int(tokens) for tokens in load.prefill],
+                "longest": int(load.longest),
             }
-            for instance, load in self.book.own.items()
+            for instance, load in self.book.own().items()
         ]
         message = records.PeerMessage.new_message(
             name=self.name,
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -13,13 +13,17 @@
 
 from .peer_loads import Load
 
-#: Prompt tokens a prefill engine reads in a second (the users' sheet: 92.1 a
-#: millisecond, less the cost of attention over long prompts).
-PREFILL_TOKENS_PER_SECOND = 85_000.0
-#: What a decode engine reads in a second: half the speed, and each piece waits
-#: for a step of the streams beside it. Judged from the step time; not measured
-#: apart from the choice by wait that uses it.
-IN_PLACE_TOKENS_PER_SECOND = 30_000.0
+#: Prompt tokens a prefill engine reads in a second, at the start of a prompt
+#: (the users' sheet: 92.1 a millisecond).
+PREFILL_TOKENS_PER_SECOND = 92_100.0
+#: Part by which each token before it slows the reading of a token: attention
+#: takes 0.31 to 0.35 ms for a million pairs of tokens (fitted to the times of
+#: 600 prefills of a calm day), a token without context 0.011 ms.
+ATTENTION_PER_TOKEN = 3.2e-5
+#: What a decode engine reads in a second: half the speed, in pieces of 512
+#: tokens that each wait 3 ms for a step of the streams beside it. Judged from
+#: the sheet's step time; not measured apart from the choice by wait.
+IN_PLACE_TOKENS_PER_SECOND = 36_000.0
 #: Seconds that a hand-over costs beside the prefill: two more hops, the
 #: transfer's set-up and the KV cache itself.
 HANDOVER_SECONDS = 0.01
@@ -36,6 +40,11 @@
 #: Weight of one running request at a decode engine, in seconds of wait: a
 #: step takes 0.12 ms longer for each, over some 30 steps.
 RUNNING_SECONDS = 0.004
+#: Prompt tokens from which a prefill call is one step less urgent each: about
+#: the middle of the users' letters, twice it and four times it.
+LONG_PROMPT_TOKENS = (8000, 16000, 32000)
+#: Least urgent priority that an engine takes.
+PRIORITY_MAX = 9
 #: Seconds that a hop to another data centre costs, and bytes are priced.
 FAR_SECONDS = 0.002
 
@@ -44,8 +53,8 @@
 class Plan:
     """Where one attempt runs; ``prefill`` is None when done in place.
 
-    ``tokens`` are the prompt tokens that have to be read, those expected in
-    the cache left out; ``wait`` estimates the seconds to the first token.
+    ``tokens`` is the work of reading the prompt, see :func:`reading_work`;
+    ``wait`` estimates the seconds to the first token.
     """
 
     target: object
@@ -54,10 +63,33 @@
     wait: float = 0.0
 
 
+def reading_work(prompt, cached):
+    """Return the work of prefilling ``prompt``, in tokens without context.
+
+    A token costs more the more tokens stand before it, cached ones included:
+    25,000 tokens take 1.4 times as long as their number says.
+
+    :param cached: tokens of its shared parts that need not be read.
+    """
+    tokens = prompt.tokens - cached
+    return int(tokens * (1 + ATTENTION_PER_TOKEN * (cached + tokens / 2)))
+
+
 def _rank(key, instance_id):
     return hashlib.blake2b(f"{key}/{instance_id}".encode(), digest_size=8).digest()
 
 
+def prefill_urgency(prompt, priority):
+    """Return the priority of a prefill: longer prompts are less urgent.
+
+    A long prompt holds up several short ones that could still be on time.
+
+    :param priority: that of the request's route, 0 first.
+    """
+    size = sum(prompt.tokens > step for step in LONG_PROMPT_TOKENS)
+    return min(PRIORITY_MAX, priority + size)
+
+
 def owner(key, instances):
     """Return the instance that owns ``key`` by rendezvous hashing.
 
@@ -89,8 +121,8 @@
             ),
         )
 
-    def _options(self, prompt, instances, loads, rate):
-        """Return (seconds, id, instance, tokens to read) for each instance.
+    def _options(self, prompt, urgency, instances, loads, rate):
+        """Return (seconds, id, instance, work) for each instance.
 
         :param rate: prompt tokens a second that these instances read.
         """
@@ -98,14 +130,15 @@
         holder = owner(key, instances) if key else None
         options = []
         for instance in instances:
-            tokens = prompt.tokens
+            cached = 0
             penalty = 0.0
             if instance is holder:
-                tokens -= prompt.shared_tokens
+                cached = prompt.shared_tokens
             elif holder is not None:
                 penalty = prompt.shared_tokens / rate * REREAD_WEIGHT
-            load = loads.get(instance.id, Load())
-            seconds = (load.prefill_tokens + tokens) / rate + penalty
+            tokens = reading_work(prompt, cached)
+            ahead = loads.get(instance.id, Load()).ahead(urgency)
+            seconds = (ahead + tokens) / rate + penalty
             seconds += self._distance(instance)
             options.append((seconds, instance.id, instance, tokens))
         return options
@@ -118,24 +151,26 @@
             + self._distance(instance)
         )
 
-    def plan(self, prompt, prefills, decoders, loads):
+    def plan(self, prompt, urgency, prefills, decoders, loads):
         """Return a :class:`Plan` for a prompt, or None without a decode engine.
 
+        :param urgency: its priority at the engine that reads it, 0 first.
         :param prefills: engines that may prefill it.
         :param decoders: engines that may decode it.
         """
         if not decoders:
             return None
-        in_place = self._in_place(prompt, decoders, loads)
+        in_place = self._in_place(prompt, urgency, decoders, loads)
         if not prefills:
             return in_place
-        handed_over = self._handed_over(prompt, prefills, decoders, loads)
+        handed_over = self._handed_over(prompt, urgency, prefills, decoders, loads)
         if prompt.tokens > IN_PLACE_LIMIT_TOKENS:
             return handed_over
         return min(in_place, handed_over, key=lambda plan: plan.wait)
 
-    def _in_place(self, prompt, decoders, loads):
-        rows = self._options(prompt, decoders, loads, IN_PLACE_TOKENS_PER_SECOND)
+    def _in_place(self, prompt, urgency, decoders, loads):
+        rate = IN_PLACE_TOKENS_PER_SECOND
+        rows = self._options(prompt, urgency, decoders, loads, rate)
         rows = [
             (seconds + loads.get(key, Load()).running * RUNNING_SECONDS, key, *rest)
             for seconds, key, *rest in rows
@@ -143,8 +178,9 @@
         seconds, _, target, tokens = min(rows)
         return Plan(target, None, tokens, seconds)
 
-    def _handed_over(self, prompt, prefills, decoders, loads):
-        rows = self._options(prompt, prefills, loads, PREFILL_TOKENS_PER_SECOND)
+    def _handed_over(self, prompt, urgency, prefills, decoders, loads):
+        rate = PREFILL_TOKENS_PER_SECOND
+        rows = self._options(prompt, urgency, prefills, loads, rate)
         seconds, _, prefill, tokens = min(rows)
         target = self.decoder(decoders, loads)
         wait = seconds + HANDOVER_SECONDS + self._decode_seconds(target, loads)
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -43,7 +43,8 @@
   # Unfinished work of one entry VM at one upstream instance.
   instance @0 :Text;
   running @1 :UInt32;
-  prefillTokens @2 :UInt32;
+  prefill @2 :List(UInt32);  # tokens not yet read, the most urgent first
+  longest @3 :UInt32;        # tokens of the longest unread prompt
 }
 
 struct PeerMessage {
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -11,6 +11,7 @@
 
 from .connections import WholeAnswer
 from .exceptions import ResultCode, UpstreamError
+from .placement import PRIORITY_MAX, prefill_urgency
 from .request import Kind, SendOptions
 from .sends import ClientStream, Patience, StreamListener, watch
 from .sse import EventSplitter
@@ -28,11 +29,6 @@
 PREFILL_SECONDS = 0.6
 #: Multiple of the estimated wait that an engine may take.
 WAIT_MARGIN = 2.0
-#: Prompt tokens from which a prefill call is one step less urgent each: about
-#: the middle of the users' letters, twice it and four times it.
-LONG_PROMPT_TOKENS = (8000, 16000, 32000)
-#: Least urgent priority that an engine takes.
-PRIORITY_MAX = 9
 #: Seconds told to a client whose request found no place, and to one whose
 #: service has no instance that could take it: a stage change takes 3 s.
 RETRY_AFTER_SECONDS = 0.5
@@ -96,7 +92,7 @@
             return None
         if self.may_have_run and self.sends >= self.route.max_attempts:
             return None
-        plan = self.fleet.plan(self.request, self.service, self.tried, now)
+        plan = self.fleet.plan(self.request, self.route, self.service, self.tried, now)
         if plan is None or not self._grant(plan, now):
             return None
         return plan
@@ -161,7 +157,8 @@
             if plan is None:
                 return False
             tokens = plan.tokens if handle is None else 0
-            work = self.fleet.loads.begin(plan.target.id, tokens)
+            urgency = min(PRIORITY_MAX, self.route.priority)
+            work = self.fleet.loads.begin(plan.target.id, tokens, urgency)
             listener = StreamListener(self.wire, self.stream, work)
             patience = self._patience(
                 FIRST_EVENT_SECONDS + WAIT_MARGIN * plan.wait, EVENT_GAP_SECONDS
@@ -273,17 +270,18 @@
     async def _prefill(self, plan):
         """Prefill apart; return the handle, None when the decode engine must."""
         engine = plan.prefill
+        urgency = prefill_urgency(self.request.prompt, self.route.priority)
         self.prefills += 1
         self.tried.add(engine.id)
         now = time.monotonic()
         options = SendOptions(
             instance=engine.id,
             deadline_ms=int((self.deadline - now) * 1000),
-            priority=self._prefill_priority(),
+            priority=urgency,
             prefill_only=True,
         )
         answer = WholeAnswer()
-        work = self.fleet.loads.begin(engine.id, plan.tokens)
+        work = self.fleet.loads.begin(engine.id, plan.tokens, urgency)
         limit = PREFILL_SECONDS + WAIT_MARGIN * plan.wait
         try:
             await asyncio.wait_for(
@@ -302,16 +300,16 @@
         finally:
             work.end()
         self.fleet.suspicion.answered(engine.id)
+        logger.info(
+            "prefilled",
+            request=self.request.id,
+            instance=engine.id,
+            tokens=plan.tokens,
+            wait=round(plan.wait, 3),
+            seconds=round(time.monotonic() - now, 3),
+        )
         return handle
 
-    def _prefill_priority(self):
-        """Return the priority of the prefill call: shorter prompts go first.
-
-        A long prompt holds up several short ones that could still be on time.
-        """
-        size = sum(self.request.prompt.tokens > step for step in LONG_PROMPT_TOKENS)
-        return min(PRIORITY_MAX, self.route.priority + size)
-
     def _read_handle(self, engine, answer):
         if answer.status == 200:
             return self.wire.read_handle(engine.address, answer.body)
