mulberrydock trace: one request's log lines in order, and its cause

Cause: which of a request's waits made it late could not be told from the log: no line when a prompt was sent to be read, none at its first event, and 'client left' said nothing of how far the request was. Change: lines 'prefill' and 'prefilled'; 'answered' and 'client left' carry prefills, sends, first_event, seconds; the command puts the lines of several VMs in order with what the VM believed of the instances meanwhile, and names the cause.

--- a/src/mulberrydock/cli.py
+++ b/src/mulberrydock/cli.py
@@ -259,6 +259,24 @@
     sys.exit(0 if report.rows else 1)
 
 
+def trace(request: str, *files: str):
+    """Show the log lines of one request, from any number of VMs, and its cause.
+
+    :param request: the request's id.
+    :param files: log files; without any, standard input.
+    """
+    import contextlib
+
+    from .trace import read_lines
+    from .trace import trace as find
+
+    with contextlib.ExitStack() as stack:
+        opened = [stack.enter_context(open(name, encoding="utf-8")) for name in files]
+        found = find(read_lines(opened or [sys.stdin]), request)
+    print(found.render())
+    sys.exit(0 if found.lines else 1)
+
+
 config_show.__name__ = "show"
 config_patch.__name__ = "patch"
 vm_drain.__name__ = "drain"
@@ -278,6 +296,7 @@
         "standin": [store, engine, service, vmlist, proxy],
         "load": load,
         "demo": demo,
+        "trace": trace,
     }
     try:
         defopt.run(commands, argv=argv, short={})
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -125,7 +125,7 @@
         try:
             await self.relay.serve(request, sink)
         except asyncio.CancelledError:
-            logger.info("client left", request=request.id)
+            # The relay has logged that the client left.
             sink.abort()
         except Exception:
             # A fault of this process: the client must not wait for nothing,
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -60,7 +60,11 @@
             return
         service = routes.service_for(route)
         serving = Serving(self, request, route, service, sink)
-        code = await serving.run()
+        try:
+            code = await serving.run()
+        except asyncio.CancelledError:
+            logger.info("client left", **self._summary(serving))
+            raise
         self._log_end(serving, code)
 
     def exchange(self, instance, request, options, listener):
@@ -115,15 +119,24 @@
 
     def _log_end(self, serving, code):
         seconds = time.monotonic() - serving.request.arrived
-        route = serving.route.name
-        self.metrics.latency.labels(route, code.name).observe(seconds)
+        self.metrics.latency.labels(serving.route.name, code.name).observe(seconds)
         logger.info(
             "answered",
-            request=serving.request.id,
-            route=route,
-            service=serving.service,
+            **self._summary(serving),
             code=code.name,
-            sends=serving.sends,
-            seconds=round(seconds, 4),
             cause="" if code is ResultCode.OK else serving.cause,
         )
+
+    def _summary(self, serving):
+        """Return what the log says of a request that is over."""
+        arrived = serving.request.arrived
+        first = serving.stream.begun_at
+        return {
+            "request": serving.request.id,
+            "route": serving.route.name,
+            "service": serving.service,
+            "prefills": serving.prefills,
+            "sends": serving.sends,
+            "first_event": None if first is None else round(first - arrived, 4),
+            "seconds": round(time.monotonic() - arrived, 4),
+        }
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -132,16 +132,22 @@
     """The client's side of a streamed answer, over all engines' runs.
 
     The headers are those of the first engine that made an event.
+    ``begun_at`` is when the first event was passed on, monotonic seconds.
     """
 
     wire: object
     sink: object
     splitter: object
-    begun: bool = False
+    begun_at: float | None = None
+
+    @property
+    def begun(self):
+        """True once the client has got an event."""
+        return self.begun_at is not None
 
     def write(self, status, headers, events):
         """Pass whole events on, with the headers before the first."""
         if not self.begun:
-            self.begun = True
+            self.begun_at = time.monotonic()
             self.sink.begin(status, self.wire.answer_headers(headers))
         return self.sink.write(events)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -283,6 +283,14 @@
         answer = WholeAnswer()
         work = self.fleet.loads.begin(engine.id, plan.tokens, urgency)
         limit = PREFILL_SECONDS + WAIT_MARGIN * plan.wait
+        logger.info(
+            "prefill",
+            request=self.request.id,
+            instance=engine.id,
+            tokens=plan.tokens,
+            wait=round(plan.wait, 3),
+            urgency=urgency,
+        )
         try:
             await asyncio.wait_for(
                 self.relay.exchange(engine, self.request, options, answer), limit
@@ -304,8 +312,6 @@
             "prefilled",
             request=self.request.id,
             instance=engine.id,
-            tokens=plan.tokens,
-            wait=round(plan.wait, 3),
             seconds=round(time.monotonic() - now, 3),
         )
         return handle
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,100 @@
+"""From a request's id to its cause, by the log lines of several VMs."""
+
+import pathlib
+import re
+
+import pytest
+
+from mulberrydock.trace import LogLine, read_lines, trace
+
+ROOT = pathlib.Path(__file__).parents[1]
+START = "2026-01-01T10:00:00.%03dZ"
+
+
+def line(milliseconds, event, process="entry-1", **fields):
+    """Return a log line as a VM writes it."""
+    import json
+
+    at = START % milliseconds
+    return json.dumps({"at": at, "event": event, "process": process, **fields})
+
+
+SENT = line(100, "send", request="r1", instance="e1")
+ENDED = {"request": "r1", "seconds": 2.4, "prefills": 1, "sends": 0}
+
+CASES = {
+    "unknown": ([], "no line names this request"),
+    "whole": (
+        [line(9, "answered", code="OK", first_event=0.1, cause="", **ENDED)],
+        "answered whole: first event after 0.1 s",
+    ),
+    "refused": (
+        [
+            line(5, "rejected", request="r1", status=503, reason="no instance"),
+        ],
+        "answered 503 by the VM itself: no instance",
+    ),
+    "cut": (
+        [
+            SENT,
+            line(300, "attempt failed", request="r1", instance="e1", error="cut"),
+            line(301, "answered", code="STREAM_CUT", cause="e1: cut", **ENDED),
+        ],
+        "STREAM_CUT after 2.4 s: e1: cut",
+    ),
+    "left while prefilling": (
+        [line(400, "client left", first_event=None, **ENDED)],
+        "while its prompt waited to be prefilled",
+    ),
+    "left before the first event": (
+        [SENT, line(400, "client left", first_event=None, **ENDED)],
+        "before e1 gave a first event",
+    ),
+    "power lost": ([SENT], "entry-1 ended or lost power"),
+}
+
+
+@pytest.mark.parametrize(("rows", "cause"), CASES.values(), ids=CASES)
+def test_cause_of_a_request(rows, cause):
+    """A user complains about one request and knows its id. Whatever became of
+    it, its lines alone say how it ended, or that its VM ended with it."""
+    lines = read_lines([[*rows, line(1, "answered", request="r2", code="OK")]])
+    assert cause in trace(lines, "r1").cause
+
+
+def test_lines_of_several_vms_come_in_order_with_what_explains_them():
+    """An engine dies under a request. Its VM's lines about that engine are
+    shown between the request's own; other engines' and other VMs' are not, and
+    text that is no log line, or stands before one, does no harm."""
+    first = [
+        "not a log line",
+        "collector-7 " + line(200, "instance gone", instance="e1", reason="lapsed"),
+        line(150, "instance gone", instance="e9", reason="lapsed"),
+        SENT,
+    ]
+    second = [line(210, "instance gone", process="entry-2", instance="e1")]
+    found = trace(read_lines([first, second]), "r1")
+    assert [row.event for row in found.lines + found.related] == [
+        "send",
+        "instance gone",
+    ]
+    assert found.render().splitlines()[1].startswith("10:00:00.200000 entry-1")
+
+
+def test_no_log_line_is_none():
+    """Tracebacks and half a line at a file's end stand among the lines."""
+    for text in ("", "{", "[1]", '{"at":"x"}', '{"at":"2026-01-01T00:00:00Z"}'):
+        assert LogLine.from_text(text) is None
+
+
+def test_every_log_event_is_listed_for_operators():
+    """On-call engineers look an event up in the operators' page. An event that
+    the code writes and the page lacks leaves them guessing."""
+    modules = "serve serving relay front sends peers membership instances"
+    modules += " stage_duty lease route_table watch"
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    for name in modules.split():
+        code = (ROOT / "src" / "mulberrydock" / f"{name}.py").read_text("utf-8")
+        found = re.findall(r"logger\.(?!debug)\w+\(\s*\"([^\"]+)\"", code)
+        missing = [event for event in found if f"`{event}`" not in page]
+        assert not missing, (name, missing)
