Stage orders: at once after a notice, and again when they got no answer

Change: an engine that gave notice won't be back, so 0.5 s are enough; a pool that lacks a prefill engine otherwise waits 2.5 s, not 6. An order without an answer is given again to the same engine with the same order count, so that it is carried out once; 409 counts as at work. All VMs follow for how long a pool is off. One bounded call for orders, reports and freed handles; the full read of instance records is the registry's own matter. Ruled out in trials: the same haste with too many prefill engines (an engine was ordered away a second before it drained); 3 s for everything; no change while 1 of 4 engines prefills.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -76,12 +76,15 @@
     def __init__(self, on_gone=lambda instance_id: None):
         self.instances = {}
         self.ended = set()
+        # Ids that the full read in progress has brought so far.
+        self.read = set()
         self.on_gone = on_gone
         self.store_lost_at = None
         self.store_back_at = -LAPSE_GRACE_SECONDS
 
     def put(self, record, now):
         """Take a record from the store."""
+        self.read.add(record.id)
         if record.id in self.ended:
             # An instance that is over never returns under its id: a record
             # read late must not bring it back.
@@ -124,6 +127,16 @@
             return
         self._drop(instance_id, "record removed")
 
+    def reset(self):
+        """A full read of the records follows."""
+        self.read.clear()
+
+    def loaded(self, now):
+        """A full read is applied: records that it lacked are removed ones."""
+        for instance_id in list(self.instances):
+            if instance_id not in self.read:
+                self.remove(instance_id, now)
+
     def store_lost(self, now):
         """The store stopped answering this VM."""
         if self.store_lost_at is None:
@@ -169,3 +182,9 @@
             and not i.leaving
             and (stage is None or i.record.stage is stage)
         ]
+
+    def any_leaving(self, service):
+        """True while an instance of ``service`` is known to be leaving."""
+        return any(
+            i.leaving and i.record.service == service for i in self.instances.values()
+        )
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -94,19 +94,35 @@
         task.add_done_callback(self.background.discard)
 
     async def _release(self, engine, handle):
-        call = self.wire.release(handle)
-        exchange = self.pool(engine).exchange(
+        await self.call(engine, self.wire.release(handle), RELEASE_SECONDS)
+
+    async def call(self, instance, call, seconds):
+        """Make one :class:`~mulberrydock.request.UpstreamCall` at an instance.
+
+        :param seconds: how long its answer may take.
+        :returns: the :class:`WholeAnswer`, None when none came.
+        """
+        answer = WholeAnswer()
+        exchange = self.pool(instance).exchange(
             call.method,
             call.target,
             call.headers,
             call.body,
-            WholeAnswer(),
+            answer,
             keep_alive=self._keep_alive,
         )
         try:
-            await asyncio.wait_for(exchange, RELEASE_SECONDS)
+            await asyncio.wait_for(exchange, seconds)
         except (UpstreamError, asyncio.TimeoutError) as error:
-            logger.info("handle not freed", instance=engine.id, error=repr(error))
+            logger.warning(
+                "instance call failed",
+                instance=instance.id,
+                method=call.method,
+                target=call.target,
+                error=repr(error),
+            )
+            return None
+        return answer
 
     def reject(self, request, sink, status, reason, retry_after=None):
         """Give an answer of this process's own; ``retry_after`` in seconds."""
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -106,7 +106,6 @@
         self.draining = False
         self.store_answers = None
         self.stop = asyncio.Event()
-        self.instance_keys = set()
         self.leader_known = False
         peer_port = settings.listen.peer_ports[0]
         self.membership = Membership(
@@ -205,7 +204,6 @@
         except SettingsError as error:
             logger.error("instance refused", revision=revision, error=str(error))
             return
-        self.instance_keys.add(record.id)
         self.fleet.instances.put(record, now)
 
     def _on_store_answer(self, answered):
@@ -228,15 +226,12 @@
                 handler(key, value, revision)
 
     def _on_reset(self):
-        self.instance_keys.clear()
+        self.fleet.instances.reset()
         self.leader_known = False
         self.membership.reset()
 
     def _on_loaded(self):
-        now = time.monotonic()
-        for instance_id in list(self.fleet.instances.instances):
-            if instance_id not in self.instance_keys:
-                self.fleet.instances.remove(instance_id, now)
+        self.fleet.instances.loaded(time.monotonic())
         self.membership.loaded()
 
     def _watch(self):
--- a/src/mulberrydock/stage_duty.py
+++ b/src/mulberrydock/stage_duty.py
@@ -13,7 +13,6 @@
 
 from . import stages
 from .clock import boot_seconds
-from .connections import WholeAnswer
 from .exceptions import UpstreamError
 from .stages import StagePlanner
 
@@ -55,11 +54,14 @@
         """Look at the pools for ever."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
-            if self.may_order(boot_seconds()):
-                await self.look(time.monotonic())
+            await self.look(time.monotonic())
 
     async def look(self, now):
-        """Order at most one change in each pool."""
+        """Order at most one change in each pool, if this VM is the holder.
+
+        Every VM follows for how long a pool has been out of balance, so that a
+        new holder need not wait anew.
+        """
         config = self.fleet.routes.config
         if config is None or self.fleet.instances.unsettled(now):
             # Records that lapsed with the store may be back in a moment.
@@ -69,15 +71,20 @@
                 continue
             planner = self.planners.setdefault(service.name, StagePlanner())
             engines = self.fleet.instances.serving(service.name)
-            change = planner.decide(engines, self.fleet.loads.total(now), now)
-            if change is not None:
-                until = await self.order(change, now)
-                planner.note_order(change, now + until)
+            leaving = self.fleet.instances.any_leaving(service.name)
+            loads = self.fleet.loads.total(now)
+            change = planner.decide(engines, leaving, loads, now)
+            if change is None or not self.may_order(boot_seconds()):
+                continue
+            settle = await self.order(change, now)
+            if settle:
+                planner.note_order(change, settle, time.monotonic())
 
     async def order(self, change, now):
         """Send one order; return for how many seconds to leave the pool alone."""
         instance = change.instance
-        report = await self._call(instance, self.wire.report(instance.record))
+        call = self.wire.report(instance.record)
+        report = await self.relay.call(instance, call, ORDER_SECONDS)
         if report is None or report.status != 200:
             return stages.REFUSED_SETTLE_SECONDS
         try:
@@ -92,12 +99,10 @@
             return 0.0
         token = self.lease.authority.token
         self.fleet.loads.hold(instance.id, now + CHANGE_SECONDS)
-        answer = await self._call(
-            instance,
-            self.wire.stage_order(
-                instance.record, change.stage.value, report.orders, self.name, token
-            ),
+        call = self.wire.stage_order(
+            instance.record, change.stage.value, report.orders, self.name, token
         )
+        answer = await self.relay.call(instance, call, ORDER_SECONDS)
         status = answer.status if answer else None
         logger.info(
             "order",
@@ -112,7 +117,9 @@
     async def _settle(self, instance, token, status, now):
         if status is None:
             return stages.UNANSWERED_SETTLE_SECONDS
-        if status in (200, 202):
+        if status in (200, 202, 409):
+            # With 409 an earlier order, ours without an answer perhaps, is
+            # being carried out or has been.
             return stages.ORDER_SETTLE_SECONDS
         self.fleet.loads.hold(instance.id, now)
         if status == 412:
@@ -121,23 +128,3 @@
             logger.warning("order refused as stale", token=token)
             await self.lease.release()
         return stages.REFUSED_SETTLE_SECONDS
-
-    async def _call(self, instance, call):
-        """Return the :class:`WholeAnswer`, None when none came."""
-        answer = WholeAnswer()
-        try:
-            await asyncio.wait_for(
-                self.relay.pool(instance).exchange(
-                    call.method, call.target, call.headers, call.body, answer
-                ),
-                ORDER_SECONDS,
-            )
-        except (UpstreamError, asyncio.TimeoutError) as error:
-            logger.warning(
-                "engine call failed",
-                instance=instance.id,
-                target=call.target,
-                error=repr(error),
-            )
-            return None
-        return answer
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -17,19 +17,30 @@
 #: Seconds for which a pool must lack a whole stage before one is changed; a
 #: crashed engine's record takes longer than this to lapse.
 MISSING_SECONDS = 0.3
-#: Seconds for which a pool must be out of balance otherwise. A crashed engine
-#: is back, in its old stage, after 2 to 5 s; with fewer
-#: decode engines than prefill engines there is no time to wait for that: a pool
-#: short of decode engines fails requests, one short of prefill engines only
-#: answers long prompts late.
+#: Seconds for which a pool must have too many prefill engines. One of them may
+#: be the successor of another that leaves a second later. With fewer decode
+#: engines than prefill engines there is no time to wait for that: such a pool
+#: fails requests.
 UNBALANCED_SECONDS = 6.0
 FEW_DECODERS_SECONDS = 1.5
+#: Seconds for which a pool must lack prefill engines: long prompts are answered
+#: late. A crashed engine is back, in its old stage, after 2 to 5 s, and its
+#: record lapses after 3.6 s.
+FEW_PREFILLS_SECONDS = 2.5
+#: Seconds for which a pool must lack prefill engines after an engine's notice
+#: that it leaves: that engine won't be back. Its successor, where it is
+#: replaced, has registered before the notice.
+NOTICED_SECONDS = 0.5
 #: Seconds after an order for which the pool isn't changed again: the users'
 #: engines are dark for 3 s, and one without an answer may be carried out 12 s
 #: late. A refused order did nothing; its engine's report lags a little.
 ORDER_SETTLE_SECONDS = 5.0
 UNANSWERED_SETTLE_SECONDS = 13.0
 REFUSED_SETTLE_SECONDS = 0.6
+#: Seconds after which an order without an answer is given again, to the same
+#: engine: the two carry the same order count, so only one is carried out. The
+#: engine's report lags by some hundred milliseconds.
+REPEAT_SECONDS = 0.6
 
 
 @attrs.define(frozen=True)
@@ -47,28 +58,54 @@
     return min(count - 1, max(1, round(count * PREFILL_SHARE)))
 
 
-@attrs.define(frozen=True)
+@attrs.define
 class Ordered:
-    """An order that was sent: the stage it asks for and until when it may
-    still be at work (monotonic seconds)."""
+    """An order that was sent: the stage it asks for, until when it may still
+    be at work and, if it wasn't answered, from when on it may be given again
+    (monotonic seconds)."""
 
     stage: Stage
     until: float
+    repeat_at: float | None = None
 
 
 @attrs.define
 class StagePlanner:
     """Decides stage changes of one pool; remembers since when it is off.
 
-    ``ordered`` maps instance ids to the :class:`Ordered` that may be at work.
+    ``ordered`` maps instance ids to the :class:`Ordered` that may be at work;
+    ``noticed_at`` is when an engine of the pool was last known to be leaving.
     """
 
     off_since: float | None = None
+    noticed_at: float | None = None
     ordered: dict = attrs.field(factory=dict)
 
-    def note_order(self, change, until):
-        """An order was sent: leave the pool alone until it is over."""
-        self.ordered[change.instance.id] = Ordered(change.stage, until)
+    def note_order(self, change, settle, now):
+        """An order was sent: leave the pool alone until it is over.
+
+        An earlier order to that engine which wasn't answered stays unsettled
+        when this one was refused: it may yet be carried out.
+
+        :param settle: seconds until it is over, one of the constants above.
+        """
+        known = self.ordered.get(change.instance.id)
+        if settle == REFUSED_SETTLE_SECONDS and known and now < known.until:
+            known.repeat_at = now + REPEAT_SECONDS
+            return
+        repeats = settle == UNANSWERED_SETTLE_SECONDS
+        repeat_at = now + REPEAT_SECONDS if repeats else None
+        order = Ordered(change.stage, now + settle, repeat_at)
+        self.ordered[change.instance.id] = order
+
+    def _repeated(self, engines, now):
+        """Return the change whose order wasn't answered and is due again."""
+        for engine in engines:
+            order = self.ordered.get(engine.id)
+            due = order and order.repeat_at is not None and now >= order.repeat_at
+            if due:
+                return StageChange(engine, order.stage)
+        return None
 
     def unsettled(self, engines, now):
         """True while an order may be at work.
@@ -86,12 +123,26 @@
         }
         return bool(self.ordered)
 
-    def decide(self, engines, loads, now):
+    def _patience(self, prefills, decoders, wanted):
+        """Return for how many seconds the pool may stay as it is."""
+        if not prefills or not decoders:
+            return MISSING_SECONDS
+        if len(prefills) < wanted:
+            noticed = self.noticed_at is not None and self.noticed_at >= self.off_since
+            return NOTICED_SECONDS if noticed else FEW_PREFILLS_SECONDS
+        if len(decoders) < len(prefills):
+            return FEW_DECODERS_SECONDS
+        return UNBALANCED_SECONDS
+
+    def decide(self, engines, leaving, loads, now):
         """Return a :class:`StageChange`, or None.
 
         :param engines: instances of the pool that may take new work.
+        :param leaving: True while others of the pool are leaving.
         :param loads: work at each, by instance id.
         """
+        if leaving:
+            self.noticed_at = now
         prefills = [e for e in engines if e.record.stage is Stage.PREFILL]
         decoders = [e for e in engines if e.record.stage is Stage.DECODE]
         wanted = prefill_target(len(prefills) + len(decoders))
@@ -100,13 +151,11 @@
             return None
         if self.off_since is None:
             self.off_since = now
-        patience = UNBALANCED_SECONDS
-        if len(prefills) > wanted and len(decoders) < len(prefills):
-            patience = FEW_DECODERS_SECONDS
-        if not prefills or not decoders:
-            patience = MISSING_SECONDS
-        if now - self.off_since < patience or self.unsettled(engines, now):
+        patience = self._patience(prefills, decoders, wanted)
+        if now - self.off_since < patience:
             return None
+        if self.unsettled(engines, now):
+            return self._repeated(engines, now)
         if len(prefills) < wanted:
             return self._change(decoders, Stage.PREFILL, loads)
         return self._change(prefills, Stage.DECODE, loads)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -6,8 +6,13 @@
 from mulberrydock.peer_loads import Load
 from mulberrydock.stages import (
     FEW_DECODERS_SECONDS,
+    FEW_PREFILLS_SECONDS,
     MISSING_SECONDS,
+    NOTICED_SECONDS,
     ORDER_SETTLE_SECONDS,
+    REFUSED_SETTLE_SECONDS,
+    REPEAT_SECONDS,
+    UNANSWERED_SETTLE_SECONDS,
     UNBALANCED_SECONDS,
     StagePlanner,
     prefill_target,
@@ -40,8 +45,8 @@
         ((D, D, D), MISSING_SECONDS / 2, None),
         ((D, D, D), MISSING_SECONDS, ("e1", P)),
         ((P, P, P), MISSING_SECONDS, ("e1", D)),
-        ((P, D, D, D, D), UNBALANCED_SECONDS / 2, None),
-        ((P, D, D, D, D), UNBALANCED_SECONDS, ("e1", P)),
+        ((P, D, D, D, D), FEW_PREFILLS_SECONDS / 2, None),
+        ((P, D, D, D, D), FEW_PREFILLS_SECONDS, ("e1", P)),
         ((P, P, D), FEW_DECODERS_SECONDS / 2, None),
         ((P, P, D), FEW_DECODERS_SECONDS, ("e1", D)),
         ((P, P, P, P, D, D, D, D), FEW_DECODERS_SECONDS, None),
@@ -56,22 +61,77 @@
     engines = pool(*stages)
     loads = {e.id: Load(running=5) for e in engines if e.id != "e1"}
     planner = StagePlanner()
-    assert planner.decide(engines, loads, 0.0) is None
-    change = planner.decide(engines, loads, seconds)
+    assert planner.decide(engines, False, loads, 0.0) is None
+    change = planner.decide(engines, False, loads, seconds)
     assert (change and (change.instance.id, change.stage)) == changed
 
 
+@pytest.mark.parametrize(
+    ("left_at", "seconds", "changed"),
+    [
+        (5.0, NOTICED_SECONDS / 2, False),
+        (5.0, NOTICED_SECONDS, True),
+        # The notice was about an engine that left long ago.
+        (1.0, NOTICED_SECONDS, False),
+        (1.0, FEW_PREFILLS_SECONDS, True),
+    ],
+)
+def test_pool_whose_engine_gave_notice_is_mended_at_once(left_at, seconds, changed):
+    """One of two prefill engines drains for good. The letters wait at the
+    other one for as long as nothing is ordered; clients leave after 2.4 s. An
+    engine that said that it leaves won't be back, so there is nothing to wait
+    for, unlike after a crash."""
+    planner = StagePlanner()
+    whole, short = pool(P, P, D, D, D), pool(P, D, D, D)
+    assert planner.decide(whole, True, {}, left_at) is None
+    assert planner.decide(short, left_at == 5.0, {}, 5.0) is None
+    change = planner.decide(short, False, {}, 5.0 + seconds)
+    assert (change is not None) is changed
+    assert change is None or change.stage is P
+
+
 def test_one_change_at_a_time_and_the_next_at_once():
     """A pool without prefill engines gets one; while that order is at work
     nothing else is ordered. As soon as the engine shows its stage and the
     last decode engines leave, the next order doesn't wait."""
     planner = StagePlanner()
     engines = pool(D, D, D, D)
-    planner.decide(engines, {}, 0.0)
-    change = planner.decide(engines, {}, MISSING_SECONDS)
-    planner.note_order(change, MISSING_SECONDS + ORDER_SETTLE_SECONDS)
-    assert planner.decide(engines, {}, MISSING_SECONDS + 1) is None
+    planner.decide(engines, False, {}, 0.0)
+    change = planner.decide(engines, False, {}, MISSING_SECONDS)
+    planner.note_order(change, ORDER_SETTLE_SECONDS, MISSING_SECONDS)
+    assert planner.decide(engines, False, {}, MISSING_SECONDS + 1) is None
     engines = pool(P, P)
     now = MISSING_SECONDS + 2
-    planner.decide(engines, {}, now)
-    assert planner.decide(engines, {}, now + MISSING_SECONDS).stage is D
+    planner.decide(engines, False, {}, now)
+    assert planner.decide(engines, False, {}, now + MISSING_SECONDS).stage is D
+
+
+@pytest.mark.parametrize(
+    ("second", "third"),
+    [
+        # Answered now: it is at work, nothing else is ordered.
+        (ORDER_SETTLE_SECONDS, None),
+        # Refused or lost again: the first may still be carried out, so it is
+        # this engine's turn again and no other's.
+        (REFUSED_SETTLE_SECONDS, "e0"),
+        (UNANSWERED_SETTLE_SECONDS, "e0"),
+    ],
+)
+def test_order_without_an_answer_is_given_again_to_the_same_engine(second, third):
+    """A pool lost its prefill engines and the order to mend it gets no answer:
+    it may be carried out 12 s later. Until then all long prompts are late.
+    Given again with the same order count, it is carried out once; given to
+    another engine, two would change."""
+    planner = StagePlanner()
+    engines = pool(D, D, D, D)
+    now = MISSING_SECONDS
+    planner.decide(engines, False, {}, 0.0)
+    first = planner.decide(engines, False, {}, now)
+    planner.note_order(first, UNANSWERED_SETTLE_SECONDS, now)
+    assert planner.decide(engines, False, {}, now + REPEAT_SECONDS / 2) is None
+    now += REPEAT_SECONDS
+    again = planner.decide(engines, False, {}, now)
+    assert again == first
+    planner.note_order(again, second, now)
+    change = planner.decide(engines, False, {}, now + REPEAT_SECONDS)
+    assert (change and change.instance.id) == third
