--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -51,19 +51,19 @@
 
     def datagram_received(self, data, addr):
         try:
-            with records.PeerMessage.from_bytes(data) as message:
-                report = PeerReport(
-                    message.sequence,
-                    time.monotonic(),
-                    {
-                        row.instance: Load(row.running, tuple(row.prefill), row.longest)
-                        for row in message.loads
-                    },
-                    message.leaving,
-                    frozenset(message.held),
-                    message.intervalMs / 1000,
-                )
-                name = message.name
+            message = records.PeerMessage.from_bytes_packed(data)
+            report = PeerReport(
+                message.sequence,
+                time.monotonic(),
+                {
+                    row.instance: Load(row.running, tuple(row.prefill), row.longest)
+                    for row in message.loads
+                },
+                message.leaving,
+                frozenset(message.held),
+                message.intervalMs / 1000,
+            )
+            name = message.name
         except Exception as error:  # capnp raises its own unlisted types
             logger.warning("peer message refused", source=addr[0], error=repr(error))
             return
@@ -96,7 +96,9 @@
             held=sorted(self.book.own_held(now)),
             intervalMs=int(self.interval() * 1000),
         )
-        return message.to_bytes()
+        # Packed, as traffic between data centres is paid for: 210 instead of
+        # 420 bytes with sends to six instances.
+        return message.to_bytes_packed()
 
     def send(self):
         """Send one message to every peer."""
