Polls of the store wait as long as a lost one may stay unnoticed

Change: a poll waits for the users' contact time less the call's timeout and a margin (2.0 s instead of 1.2, 3.0 with the grown fleet's bounds), as a VM answers for what it knows once it has been in contact for that long. After a call without an answer polls are short until the store answers, so that the store's return is seen within a second, as before. After an answer with changes 0.25 s pass, so that VMs that start in turn don't wake each other one by one. Ruled out: keep-alive probes instead of a bound; a silent store answers them.

--- a/src/mulberrydock/_serve_model.py
+++ b/src/mulberrydock/_serve_model.py
@@ -28,6 +28,7 @@
 class Timing:
     """The users' bounds, in seconds unless the name says otherwise."""
 
+    contact_seconds: float = attrs.field()
     config_apply_seconds: float = attrs.field()
     drain_seconds: float = attrs.field()
     grace_seconds: float = attrs.field()
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -28,12 +28,16 @@
 from .relay import Relay
 from .serve_settings import load_serve_settings
 from .stage_duty import StageDuty
-from .watch import PrefixWatch
-
-#: Seconds a watch waits at the store. The configuration must be in force
-#: within 2 s also when a connection goes silent, so a silent watch has to be
-#: noticed before: this and the store's call timeout stay under that.
-WATCH_SECONDS = 1.2
+from .watch import PROBE_SECONDS, PrefixWatch
+
+#: Seconds within which a watch that went silent must be noticed before the
+#: users' contact time is over: from then on this VM answers for what it knows.
+#: The next read takes some 10 ms; the rest covers a busy VM.
+WATCH_MARGIN_SECONDS = 0.3
+#: Seconds between an answer with changes and the next poll. When VMs start or
+#: leave in turn, each of them wakes all others; an eighth of the time in which
+#: a configuration must be in force is spent on taking several at once.
+WATCH_PAUSE_SECONDS = 0.25
 #: Seconds of this VM's registration in the store; its peers notice its death
 #: by its silence, much sooner, unless they are cut off from it as well.
 MEMBER_LEASE_SECONDS = 4.0
@@ -236,7 +240,10 @@
 
     def _watch(self):
         # One watch for all keys: a watch counts as a call each time it is
-        # answered, and this process needs every prefix.
+        # answered, and this process needs every prefix. It waits for as long
+        # as a lost one may stay unnoticed: with 2 s instead of 1.2 s a calm
+        # day takes a third fewer calls.
+        silent = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
         return PrefixWatch(
             self.store,
             "",
@@ -244,7 +251,8 @@
             self._on_reset,
             self._on_store_answer,
             self._on_loaded,
-            WATCH_SECONDS,
+            max(PROBE_SECONDS, silent - self.store.timeout),
+            WATCH_PAUSE_SECONDS,
         )
 
     async def _sweep(self):
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -9,6 +9,11 @@
 
 from . import defaults
 
+#: Seconds for which a poll waits at a store that didn't answer the last call: a
+#: poll that is lost as well must be over soon, as changes may follow the
+#: store's return at once.
+PROBE_SECONDS = 0.3
+
 
 class PrefixWatch:
     """Follows every key under ``prefix``.
@@ -21,6 +26,8 @@
     :param on_answer: called after each call with True when the store answered.
     :param on_loaded: called after a full read was applied.
     :param wait: seconds a long poll waits at the store.
+    :param pause: seconds after changes before the next poll, so that changes
+        in quick succession come in one answer; each answer is a call, and paid.
     """
 
     def __init__(
@@ -32,6 +39,7 @@
         on_answer=lambda answered: None,
         on_loaded=lambda: None,
         wait=defaults.WATCH_TIMEOUT_SECONDS,
+        pause=0.0,
     ):
         self.store = store
         self.prefix = prefix
@@ -40,15 +48,19 @@
         self.on_answer = on_answer
         self.on_loaded = on_loaded
         self.wait = wait
+        self.pause = pause
         self.revision = 0
         self.loaded = False
+        self.answered = True
 
     async def step(self):
         """One read or long poll; False when the store did not answer."""
         if not self.loaded:
             return await self._read()
-        batch = await self.store.watch(self.prefix, self.revision, self.wait)
-        self.on_answer(batch.is_ok())
+        wait = self.wait if self.answered else min(self.wait, PROBE_SECONDS)
+        batch = await self.store.watch(self.prefix, self.revision, wait)
+        self.answered = batch.is_ok()
+        self.on_answer(self.answered)
         if batch.is_error():
             return False
         if batch.ok.compacted:
@@ -57,6 +69,8 @@
         for event in batch.ok.events:
             self.on_item(event.key, event.value, event.revision)
         self.revision = max(self.revision, batch.ok.revision)
+        if batch.ok.events and self.pause:
+            await asyncio.sleep(self.pause)
         return True
 
     async def _read(self):
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -36,6 +36,7 @@
 [store]
 address = "{store}"
 [timing]
+contact_seconds = 2.2
 config_apply_seconds = 2.0
 drain_seconds = 2.0
 grace_seconds = {grace}
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -14,6 +14,7 @@
     grace_seconds=8,
     answer_ttl_seconds=5,
     lease_seconds=3,
+    contact_seconds=3,
     retry_budget_ratio=0.2,
     retry_budget_window_seconds=10,
     retry_budget_floor=56,
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,13 +2,27 @@
 
 import asyncio
 
+import attrs
 import pytest
 import tornado.httpserver
+from expression import Error, Ok
 
 from mulberrydock.fleet import free_ports
 from mulberrydock.standin import store as fake_store
-from mulberrydock.store import StoreClient
-from mulberrydock.watch import PrefixWatch
+from mulberrydock.store import StoreClient, WatchBatch
+from mulberrydock.watch import PROBE_SECONDS, PrefixWatch
+
+
+@attrs.define
+class WatchedStore:
+    """Answers watches, or doesn't, as told; notes how long each may wait."""
+
+    answers: list
+    waits: list = attrs.field(factory=list)
+
+    async def watch(self, prefix, after, timeout):
+        self.waits.append(timeout)
+        return Ok(WatchBatch(after, [])) if self.answers.pop(0) else Error("silent")
 
 
 @pytest.mark.parametrize("before", [0, 2])
@@ -33,3 +47,22 @@
         return seen
 
     assert asyncio.run(go()) == [before + 1]
+
+
+@pytest.mark.parametrize(
+    ("answers", "waits"),
+    [
+        ([True, True], [2.0, 2.0]),
+        ([False, False, True, True], [2.0, PROBE_SECONDS, PROBE_SECONDS, 2.0]),
+    ],
+)
+def test_polls_are_short_until_the_store_answers_again(answers, waits):
+    """The store swallows calls for a while. A poll of 2 s that is sent just
+    before its return would be lost as well, and a VM would miss a configuration
+    that the operator wrote in that moment for 2 s more."""
+    store = WatchedStore(list(answers))
+    watch = PrefixWatch(store, "config", lambda *row: None, wait=2.0)
+    watch.loaded = True
+    for answered in answers:
+        assert asyncio.run(watch.step()) is answered
+    assert store.waits == waits
