A stream that would wait longer than its client stays is refused at once

Change: before its first call, a stream whose expected wait is over twice the time for which its client stays (derived in the adapter from the route's objectives) gets 503 with the time until the queue is short enough, at most 0.3 of its time left. A prompt that is late by its own length is tried.

--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -54,13 +54,15 @@
     """Where one attempt runs; ``prefill`` is None when done in place.
 
     ``tokens`` is the work of reading the prompt, see :func:`reading_work`;
-    ``wait`` estimates the seconds to the first token.
+    ``wait`` estimates the seconds to the first token, ``reading`` those of
+    them that the prompt itself takes.
     """
 
     target: object
     prefill: object = None
     tokens: int = 0
     wait: float = 0.0
+    reading: float = 0.0
 
 
 def reading_work(prompt, cached):
@@ -176,7 +178,7 @@
             for seconds, key, *rest in rows
         ]
         seconds, _, target, tokens = min(rows)
-        return Plan(target, None, tokens, seconds)
+        return Plan(target, None, tokens, seconds, tokens / rate)
 
     def _handed_over(self, prompt, urgency, prefills, decoders, loads):
         rate = PREFILL_TOKENS_PER_SECOND
@@ -184,7 +186,7 @@
         seconds, _, prefill, tokens = min(rows)
         target = self.decoder(decoders, loads)
         wait = seconds + HANDOVER_SECONDS + self._decode_seconds(target, loads)
-        return Plan(target, prefill, tokens, wait)
+        return Plan(target, prefill, tokens, wait, tokens / rate)
 
     def decoder(self, decoders, loads):
         """Return the least loaded of the engines that decode, None without one."""
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -12,6 +12,8 @@
 #: Prefix of the records that engines and services keep of themselves.
 INSTANCE_PREFIX = "servers/"
 
+#: Seconds without an event for which a client keeps a stream at least.
+LEAST_PATIENCE_SECONDS = 2.0
 #: The platform's word for an instance that leaves after a planned notice.
 DRAINING = "draining"
 
@@ -37,6 +39,8 @@
 
 
 def _route(row):
+    objective = row.get("target_latency_ms", row["timeout_ms"]) / 1000
+    gap = row.get("target_gap_ms", row["timeout_ms"]) / 1000
     return Route(
         name=row["name"],
         host=row["host"],
@@ -44,8 +48,10 @@
         kind=Kind(row["kind"]),
         splits=_splits(row),
         timeout=row["timeout_ms"] / 1000,
-        latency_objective=row.get("target_latency_ms", row["timeout_ms"]) / 1000,
-        gap_objective=row.get("target_gap_ms", row["timeout_ms"]) / 1000,
+        latency_objective=objective,
+        gap_objective=gap,
+        # No field of its own: clients derive it from the two objectives.
+        patience=max(LEAST_PATIENCE_SECONDS, 4 * objective, 8 * gap),
         priority=int(row.get("priority", 0)),
         max_attempts=int(row.get("max_attempts", 1)),
         resumable=bool(row.get("resumable", False)),
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -30,8 +31,9 @@
     """A declared route: which requests it takes and how they are served.
 
     ``timeout``, ``latency_objective`` and ``gap_objective`` are seconds;
-    ``priority`` is 0 for the most urgent; ``max_attempts`` counts upstreams
-    that one request may be sent to.
+    ``patience`` are the seconds without an event after which clients give a
+    stream up; ``priority`` is 0 for the most urgent; ``max_attempts`` counts
+    upstreams that one request may be sent to.
     """
 
     name: str
@@ -45,6 +47,7 @@
     priority: int
     max_attempts: int
     resumable: bool
+    patience: float = math.inf
 
     @property
     def repeatable(self):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -29,10 +29,15 @@
 PREFILL_SECONDS = 0.6
 #: Multiple of the estimated wait that an engine may take.
 WAIT_MARGIN = 2.0
-#: Seconds told to a client whose request found no place, and to one whose
-#: service has no instance that could take it: a stage change takes 3 s.
+#: Seconds told to a client whose request found no place.
 RETRY_AFTER_SECONDS = 0.5
-NO_INSTANCE_RETRY_SECONDS = 3.0
+#: Multiple of a client's patience that the wait must exceed before a stream is
+#: refused: nine of ten waits are over in twice the estimate, and with 1 the
+#: heaviest days lost 0.01 to 0.03 of their worth.
+HOPELESS_FACTOR = 2.0
+#: Share of its time left after which a client still comes back (a third), less
+#: a little, as it has been on its way.
+COME_BACK_SHARE = 0.3
 
 
 class Serving:
@@ -75,12 +80,30 @@
         except TimeoutError:
             return self._expire()
 
+    def _hopeless(self, plan, now):
+        """Return seconds to come back after, None when the request may be served.
+
+        A stream whose first event is expected after its client has left would
+        only hold up others: the client learns at once when to come back. One
+        that is late by its own length finds no better time.
+        """
+        left = self.deadline - now
+        patience = min(self.route.patience, left)
+        if self.sends or self.prefills or plan.wait <= patience * HOPELESS_FACTOR:
+            return None
+        if plan.reading > plan.wait / 2:
+            return None
+        return min(plan.wait - patience / 2, left * COME_BACK_SHARE)
+
     async def _attempts(self):
         attempt = self._stream if self.route.kind is Kind.STREAMING else self._call
         while True:
             plan = self._next(time.monotonic())
             if plan is None:
                 return self._give_up()
+            come_back = self._hopeless(plan, time.monotonic())
+            if come_back is not None:
+                return self._shed(plan, come_back)
             if await attempt(plan):
                 return ResultCode.OK
             if self.may_have_run and not self.route.repeatable:
@@ -343,6 +366,13 @@
         self.relay.reject(self.request, self.sink, 503, self.cause, RETRY_AFTER_SECONDS)
         return ResultCode.NO_UPSTREAM
 
+    def _shed(self, plan, come_back):
+        """Final answer to a request that would wait longer than its client."""
+        reason = f"expected to wait {plan.wait:.1f} s"
+        self.cause = reason
+        self.relay.reject(self.request, self.sink, 503, reason, come_back)
+        return ResultCode.SHED
+
     def _expire(self):
         """Final answer at the deadline, while an attempt was under way."""
         if self.stream.begun:
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -478,3 +478,22 @@
         assert "timing.grace_seconds" in line
     finally:
         fleet.stop()
+
+
+def test_stream_that_would_wait_longer_than_its_client_is_refused_at_once(fleet):
+    """A prompt of two million tokens is being read by the only prefill engine.
+    The next letter would get its first event long after its client has left;
+    held, it would only hold up others. It is refused at once, with a time to
+    come back that the client honours, and runs nowhere."""
+    gate = asyncio.Event()
+    prefill = fleet.add("p1", "llm", "prefill", prefill_gate=gate)
+    until(lambda: '"instance":"p1"' in fleet.log())
+    connection = fleet.connect()
+    send(connection, LETTER, "u1", X_Mulberrydock_Token_Counts="2000000,10")
+    until(lambda: prefill.prefills)
+    response = fleet.request(LETTER, "u2", X_Mulberrydock_Token_Counts="12000,10")
+    assert response.status == 503
+    assert 0 < float(response.headers["Retry-After"]) <= 1.0
+    assert runs(fleet, "u2") == []
+    fleet.call(gate.set)
+    assert event_ids(connection.getresponse().read()) == [1, 2, 3, 4]
