A long prompt whose prefill failed goes to another prefill engine

Change: such a prompt is planned anew; a decode engine reads it only when no other prefill engine is left. The first send stays free in the retry budget. 1.0 s instead of 0.6 s beyond the estimate.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -11,7 +11,7 @@
 
 from .connections import WholeAnswer
 from .exceptions import ResultCode, UpstreamError
-from .placement import PRIORITY_MAX, prefill_urgency
+from .placement import IN_PLACE_LIMIT_TOKENS, PRIORITY_MAX, prefill_urgency
 from .request import Kind, SendOptions
 from .sends import ClientStream, Patience, StreamListener, watch
 from .sse import EventSplitter
@@ -25,8 +25,10 @@
 #: Seconds for a plain service's answer to a repeatable call: ten times its
 #: usual work.
 PLAIN_ANSWER_SECONDS = 0.45
-#: Seconds for a prefill answer beyond the estimate.
-PREFILL_SECONDS = 0.6
+#: Seconds for a prefill answer beyond the estimate. A prompt that is given up
+#: while it waits has to wait again elsewhere; an engine that is gone is noticed
+#: by its connection first.
+PREFILL_SECONDS = 1.0
 #: Multiple of the estimated wait that an engine may take.
 WAIT_MARGIN = 2.0
 #: Seconds told to a client whose request found no place.
@@ -122,10 +124,9 @@
 
     def _grant(self, plan, now):
         """Ask the retry budget for the calls that ``plan`` repeats."""
-        if not self.sends and not self.prefills:
-            # A request's first prefill call and first send are free.
-            return True
-        calls = 2 if plan.prefill is not None and self.prefills else 1
+        # A request's first prefill call and its first send are free.
+        calls = int(self.sends > 0)
+        calls += int(plan.prefill is not None and self.prefills > 0)
         calls -= min(calls, self.granted)
         if calls and not self.fleet.budget(self.service).allow(now, calls):
             self.cause += "; retry budget spent"
@@ -170,6 +171,10 @@
         handle, prefill = None, plan.prefill
         if prefill is not None:
             handle = await self._prefill(plan)
+            if handle is None and self.request.prompt.tokens > IN_PLACE_LIMIT_TOKENS:
+                # Read by a decode engine, it would stall the streams there
+                # while another prefill engine may be free.
+                return False
             # The prefill may have waited for seconds: the decode engine that
             # was best before may be leaving or busy now, and one that leaves
             # must get nothing new a moment after its notice.
@@ -321,6 +326,7 @@
             handle = self._read_handle(engine, answer)
         except (UpstreamError, asyncio.TimeoutError) as error:
             self.fleet.suspicion.failed(engine.id, time.monotonic())
+            self.cause = f"prefill at {engine.id}: {error!r}"
             logger.warning(
                 "prefill failed",
                 request=self.request.id,
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -58,6 +58,8 @@
     :param faults: what to do with the next requests, in order.
     :param events: events of a whole stream; ids begin at 1.
     :param prefill_gate: prefill calls are answered once this is set.
+    :param prefill_refusals: each entry refuses one prefill call; several
+        engines may share the list, so that whichever is asked first refuses.
     """
 
     id: str
@@ -68,6 +70,7 @@
     events: int = 4
     event_seconds: float = 0.0
     prefill_gate: asyncio.Event | None = None
+    prefill_refusals: list = attrs.field(factory=list)
     faults: list = attrs.field(factory=list)
     runs: list = attrs.field(factory=list)
     prefills: list = attrs.field(factory=list)
@@ -163,6 +166,10 @@
             raise
 
     async def _prefill(self, reader):
+        if self.prefill_refusals:
+            self.prefill_refusals.pop()
+            reader.respond(503, {wire.NOT_EXECUTED: "1"}, b"")
+            return
         handle = f"h{len(self.prefills)}"
         self.prefills.append(reader.headers.get(wire.ATTEMPT_ID))
         if self.prefill_gate is not None:
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -312,6 +312,23 @@
     assert prefill.misdirected == 1
 
 
+def test_long_prompt_goes_to_the_other_prefill_engine(fleet):
+    """One of two prefill engines refuses a letter. Read by a decode engine in
+    its streams' way, it would hold up those; the other prefill engine is free
+    and reads it."""
+    refusals = [True]
+    engines = [
+        fleet.add(name, "llm", "prefill", prefill_refusals=refusals)
+        for name in ("p1", "p2")
+    ]
+    until(lambda: all(f'"instance":"p{n}"' in fleet.log() for n in (1, 2)))
+    response = fleet.request(LETTER, "po1", X_Mulberrydock_Token_Counts="9000,10")
+    assert response.status == 200 and not refusals
+    assert sorted(len(engine.prefills) for engine in engines) == [0, 1]
+    (run,) = runs(fleet, "po1")
+    assert wire.KV_SOURCE in run.headers
+
+
 def test_prompt_is_not_prefilled_again_and_again(fleet):
     """Both decode engines are under suspicion after failures, and the prefill
     engine refuses what it gets, as another one has its address. The request
