Clients are told when an engine will be back; the last decode engine isn't waited for

Change: without any instance to try, Retry-After is 3 s, within 0.3 of the time left; a pool left with one decode engine by a notice is mended after 0.5 s. Ruled out: sending to engines that drain: what is still running when they end is cut, and captions can't be resumed.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -33,6 +33,10 @@
 WAIT_MARGIN = 2.0
 #: Seconds told to a client whose request found no place.
 RETRY_AFTER_SECONDS = 0.5
+#: Seconds told to a client whose service has no instance that could take it: an
+#: engine is back 3 s after a stage order, a crashed one after 2 to 5 s. A client
+#: that comes back sooner is refused again, and then often for good.
+NO_INSTANCE_RETRY_SECONDS = 3.0
 #: Multiple of a client's patience that the wait must exceed before a stream is
 #: refused: nine of ten waits are over in twice the estimate, and with 1 the
 #: heaviest days lost 0.01 to 0.03 of their worth.
@@ -369,9 +373,18 @@
         if self.may_have_run:
             self.relay.reject(self.request, self.sink, 502, self.cause)
             return ResultCode.UPSTREAM_FAILED
-        self.relay.reject(self.request, self.sink, 503, self.cause, RETRY_AFTER_SECONDS)
+        come_back = self._come_back(time.monotonic())
+        self.relay.reject(self.request, self.sink, 503, self.cause, come_back)
         return ResultCode.NO_UPSTREAM
 
+    def _come_back(self, now):
+        """Return the seconds after which a client that was refused may find a
+        place, as far as it has the time for it."""
+        if self.tried:
+            return RETRY_AFTER_SECONDS
+        left = max(0.0, self.deadline - now)
+        return min(NO_INSTANCE_RETRY_SECONDS, left * COME_BACK_SHARE)
+
     def _shed(self, plan, come_back):
         """Final answer to a request that would wait longer than its client."""
         reason = f"expected to wait {plan.wait:.1f} s"
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -27,9 +27,9 @@
 #: late. A crashed engine is back, in its old stage, after 2 to 5 s, and its
 #: record lapses after 3.6 s.
 FEW_PREFILLS_SECONDS = 2.5
-#: Seconds for which a pool must lack prefill engines after an engine's notice
-#: that it leaves: that engine won't be back. Its successor, where it is
-#: replaced, has registered before the notice.
+#: Seconds for which a pool must lack prefill engines, or be down to its last
+#: decode engine, after an engine's notice that it leaves: that engine won't be
+#: back. Its successor, where it is replaced, has registered before the notice.
 NOTICED_SECONDS = 0.5
 #: Seconds after an order for which the pool isn't changed again: the users'
 #: engines are dark for 3 s, and one without an answer may be carried out 12 s
@@ -127,9 +127,11 @@
         """Return for how many seconds the pool may stay as it is."""
         if not prefills or not decoders:
             return MISSING_SECONDS
+        noticed = self.noticed_at is not None and self.noticed_at >= self.off_since
+        if noticed and (len(prefills) < wanted or len(decoders) == 1):
+            return NOTICED_SECONDS
         if len(prefills) < wanted:
-            noticed = self.noticed_at is not None and self.noticed_at >= self.off_since
-            return NOTICED_SECONDS if noticed else FEW_PREFILLS_SECONDS
+            return FEW_PREFILLS_SECONDS
         if len(decoders) < len(prefills):
             return FEW_DECODERS_SECONDS
         return UNBALANCED_SECONDS
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -312,6 +312,21 @@
     assert prefill.misdirected == 1
 
 
+@pytest.mark.parametrize(("deadline", "seconds"), [("8000", 1.2), ("2000", 0.6)])
+def test_client_learns_when_an_engine_will_be_back(fleet, deadline, seconds):
+    """Both decode engines have announced that they leave, and no other is
+    there. A client that comes back after half a second is refused again and
+    gives up; it is told a time by which a stage change or a restart is over,
+    within the third of its time left that it would wait. The route's own
+    timeout is 4 s."""
+    for engine in ("d1", "d2"):
+        fleet.write(f"servers/{engine}", fleet.engines[engine].record("draining"))
+    until(lambda: len(fleet.events("instance draining")) == 2)
+    response = fleet.request(LETTER, "cb1", X_Mulberrydock_Deadline_Ms=deadline)
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) == pytest.approx(seconds, abs=0.11)
+
+
 def test_long_prompt_goes_to_the_other_prefill_engine(fleet):
     """One of two prefill engines refuses a letter. Read by a decode engine in
     its streams' way, it would hold up those; the other prefill engine is free
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -90,6 +90,25 @@
     assert change is None or change.stage is P
 
 
+@pytest.mark.parametrize(
+    ("stages", "seconds", "changed"),
+    [
+        ((P, P, D), NOTICED_SECONDS, True),
+        # Too many prefill engines: one of them may be about to leave as well.
+        ((P, P, P, D, D), NOTICED_SECONDS, False),
+        ((P, P, P, D, D), FEW_DECODERS_SECONDS, True),
+    ],
+)
+def test_pool_left_with_one_decode_engine_by_notice(stages, seconds, changed):
+    """A decode engine drains and leaves two prefill engines and one that
+    decodes. When that one drains too, a second later, nothing can run for as
+    long as a stage change takes; every moment before the order adds to it."""
+    planner = StagePlanner()
+    engines = pool(*stages)
+    planner.decide(engines, True, {}, 0.0)
+    assert (planner.decide(engines, True, {}, seconds) is not None) is changed
+
+
 def test_one_change_at_a_time_and_the_next_at_once():
     """A pool without prefill engines gets one; while that order is at work
     nothing else is ordered. As soon as the engine shows its stage and the
