--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,7 +4,6 @@
 import http.client
 import json
 import os
-import socket
 import subprocess
 import sys
 import threading
@@ -12,6 +11,7 @@
 
 import tornado.httpserver
 
+from mulberrydock.fleet import free_ports
 from mulberrydock.platform import SETTINGS_VARIABLE, wire
 from mulberrydock.standin import platform_store
 from mulberrydock.standin.platform_engine import PlatformEngine
@@ -48,17 +48,6 @@
 """
 
 
-def free_ports(count):
-    """Return ports that are free now, held open together while choosing."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def until(check, seconds=15.0):
     """Wait until ``check()`` is true and return its value."""
     end = time.monotonic() + seconds
