--- a/src/mulberrydock/standin/faultproxy.py
+++ b/src/mulberrydock/standin/faultproxy.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import socket
 
 import tornado.iostream
 import tornado.tcpclient
@@ -45,12 +46,27 @@
         self.delay_seconds = 0.0
         self.pipes = set()
         self.connections = 0
+        self.held = None
 
     def open(self):
         """Accept connections."""
+        if self.held is not None:
+            self.held.close()
+            self.held = None
         host, port = self.listen_on
         self.listen(port, address=host)
 
+    def _close(self):
+        """Refuse connections and keep the port.
+
+        Without a socket bound to it, another process that looks for a free
+        port may take it, and the proxy could not be opened again.
+        """
+        self.stop()
+        self.held = socket.socket()
+        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.held.bind(self.listen_on)
+
     def set_mode(self, mode, delay_seconds=0.0):
         """Switch mode; ``kill`` closes all and ``silent`` freezes all open pipes.
 
@@ -58,7 +74,7 @@
         its caller knows that nothing was sent.
         """
         if mode == "partition" and self.mode != "partition":
-            self.stop()
+            self._close()
         elif mode != "partition" and self.mode == "partition":
             self.open()
         self.mode = mode
