--- /dev/null
+++ b/src/mulberrydock/refusal.py
@@ -0,0 +1,48 @@
+"""Whether a request is refused at once, and when its client should come back.
+
+The load pattern this answers is a burst, or a loss of engines, that leaves more
+prompts waiting than are read before their clients leave. Held, such a request
+earns nothing and is in the way of others; refused with a time, it is served
+when the queue is short or an engine is back.
+"""
+
+#: Seconds told to a client whose request found no place.
+RETRY_AFTER_SECONDS = 0.5
+#: Seconds told to a client whose service has no instance that could take it: an
+#: engine is back 3 s after a stage order, a crashed one after 2 to 5 s. A client
+#: that comes back sooner is refused again, and then often for good.
+NO_INSTANCE_RETRY_SECONDS = 3.0
+#: Multiple of a client's patience that the wait must exceed before a stream is
+#: refused: nine of ten waits are over in twice the estimate, and with 1 the
+#: heaviest days lost 0.01 to 0.03 of their worth.
+HOPELESS_FACTOR = 2.0
+#: Share of its time left after which a client still comes back (a third), less
+#: a little, as it has been on its way.
+COME_BACK_SHARE = 0.3
+
+
+def hopeless(plan, patience, left):
+    """Return seconds to come back after, None when ``plan`` may be in time.
+
+    A stream whose first event is expected long after its client has left would
+    only hold up others. One that is late by its own length finds no better
+    time.
+
+    :param patience: seconds without an event for which the client stays.
+    :param left: seconds until the request's deadline.
+    """
+    patience = min(patience, left)
+    if plan.wait <= patience * HOPELESS_FACTOR or plan.reading > plan.wait / 2:
+        return None
+    return min(plan.wait - patience / 2, left * COME_BACK_SHARE)
+
+
+def come_back(found_instance, left):
+    """Return the seconds after which a refused client may find a place, as far
+    as it has the time for it.
+
+    :param found_instance: whether there was any instance to ask.
+    """
+    if found_instance:
+        return RETRY_AFTER_SECONDS
+    return min(NO_INSTANCE_RETRY_SECONDS, max(0.0, left) * COME_BACK_SHARE)
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -7,7 +7,8 @@
 
 from .connections import ConnectionPool, WholeAnswer
 from .exceptions import ResultCode, UpstreamError
-from .serving import RETRY_AFTER_SECONDS, Serving
+from .refusal import RETRY_AFTER_SECONDS
+from .serving import Serving
 
 #: Seconds for a call that frees an unused handle.
 RELEASE_SECONDS = 1.0
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from . import refusal
 from .connections import WholeAnswer
 from .exceptions import ResultCode, UpstreamError
 from .placement import IN_PLACE_LIMIT_TOKENS, PRIORITY_MAX, prefill_urgency
@@ -31,19 +32,6 @@
 PREFILL_SECONDS = 1.0
 #: Multiple of the estimated wait that an engine may take.
 WAIT_MARGIN = 2.0
-#: Seconds told to a client whose request found no place.
-RETRY_AFTER_SECONDS = 0.5
-#: Seconds told to a client whose service has no instance that could take it: an
-#: engine is back 3 s after a stage order, a crashed one after 2 to 5 s. A client
-#: that comes back sooner is refused again, and then often for good.
-NO_INSTANCE_RETRY_SECONDS = 3.0
-#: Multiple of a client's patience that the wait must exceed before a stream is
-#: refused: nine of ten waits are over in twice the estimate, and with 1 the
-#: heaviest days lost 0.01 to 0.03 of their worth.
-HOPELESS_FACTOR = 2.0
-#: Share of its time left after which a client still comes back (a third), less
-#: a little, as it has been on its way.
-COME_BACK_SHARE = 0.3
 
 
 class Serving:
@@ -79,27 +67,22 @@
         """Answer the request; return the :class:`ResultCode` of the outcome."""
         self.fleet.budget(self.service).note_request(self.request.arrived)
         loop = asyncio.get_running_loop()
-        left = self.deadline - time.monotonic()
+        left = self._left(time.monotonic())
         try:
             async with asyncio.timeout_at(loop.time() + left):
                 return await self._attempts()
         except TimeoutError:
             return self._expire()
 
-    def _hopeless(self, plan, now):
-        """Return seconds to come back after, None when the request may be served.
+    def _left(self, now):
+        """Return the seconds until the request's deadline."""
+        return self.deadline - now
 
-        A stream whose first event is expected after its client has left would
-        only hold up others: the client learns at once when to come back. One
-        that is late by its own length finds no better time.
-        """
-        left = self.deadline - now
-        patience = min(self.route.patience, left)
-        if self.sends or self.prefills or plan.wait <= patience * HOPELESS_FACTOR:
-            return None
-        if plan.reading > plan.wait / 2:
+    def _hopeless(self, plan, now):
+        """Return seconds to come back after if the first attempt is in vain."""
+        if self.sends or self.prefills:
             return None
-        return min(plan.wait - patience / 2, left * COME_BACK_SHARE)
+        return refusal.hopeless(plan, self.route.patience, self._left(now))
 
     async def _attempts(self):
         attempt = self._stream if self.route.kind is Kind.STREAMING else self._call
@@ -258,7 +241,7 @@
         self.tried.add(target.id)
         options = SendOptions(
             instance=target.id,
-            deadline_ms=int((self.deadline - now) * 1000),
+            deadline_ms=int(self._left(now) * 1000),
             priority=min(PRIORITY_MAX, self.route.priority),
             last_event_id=self.stream.splitter.last_id,
             kv_source=handle,
@@ -308,7 +291,7 @@
         now = time.monotonic()
         options = SendOptions(
             instance=engine.id,
-            deadline_ms=int((self.deadline - now) * 1000),
+            deadline_ms=int(self._left(now) * 1000),
             priority=urgency,
             prefill_only=True,
         )
@@ -373,18 +356,10 @@
         if self.may_have_run:
             self.relay.reject(self.request, self.sink, 502, self.cause)
             return ResultCode.UPSTREAM_FAILED
-        come_back = self._come_back(time.monotonic())
+        come_back = refusal.come_back(bool(self.tried), self._left(time.monotonic()))
         self.relay.reject(self.request, self.sink, 503, self.cause, come_back)
         return ResultCode.NO_UPSTREAM
 
-    def _come_back(self, now):
-        """Return the seconds after which a client that was refused may find a
-        place, as far as it has the time for it."""
-        if self.tried:
-            return RETRY_AFTER_SECONDS
-        left = max(0.0, self.deadline - now)
-        return min(NO_INSTANCE_RETRY_SECONDS, left * COME_BACK_SHARE)
-
     def _shed(self, plan, come_back):
         """Final answer to a request that would wait longer than its client."""
         reason = f"expected to wait {plan.wait:.1f} s"
@@ -400,5 +375,6 @@
         if self.sends:
             self.relay.reject(self.request, self.sink, 504, "deadline")
             return ResultCode.OUTCOME_UNKNOWN
-        self.relay.reject(self.request, self.sink, 503, "deadline", RETRY_AFTER_SECONDS)
+        retry_after = refusal.RETRY_AFTER_SECONDS
+        self.relay.reject(self.request, self.sink, 503, "deadline", retry_after)
         return ResultCode.SHED
