The fault proxy waits for a port that a starting process still holds

Change: taking the port is tried for up to a second. The test makes the copy by hand and fails without the change.

--- a/src/mulberrydock/standin/faultproxy.py
+++ b/src/mulberrydock/standin/faultproxy.py
@@ -8,7 +8,9 @@
 """
 
 import asyncio
+import errno
 import socket
+import time
 
 import tornado.iostream
 import tornado.tcpclient
@@ -19,9 +21,28 @@
 
 #: Bytes read from one side at a time.
 CHUNK_BYTES = 65536
+#: Tries to take a port, and seconds between them: a program loads in 10 ms.
+BIND_TRIES = 50
+BIND_PAUSE_SECONDS = 0.02
 MODES = ("pass", "delay", "partition", "kill", "silent")
 
 
+def _when_free(bind):
+    """Run ``bind``, again for a moment while the port is in use.
+
+    A process that is being started holds copies of all sockets of its parent
+    until it has loaded its program, also of one that is closed meanwhile.
+    """
+    for _ in range(BIND_TRIES):
+        try:
+            return bind()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            time.sleep(BIND_PAUSE_SECONDS)
+    return bind()
+
+
 class _Pipe:
     """One proxied connection: two streams and whether it has gone silent."""
 
@@ -54,7 +75,7 @@
             self.held.close()
             self.held = None
         host, port = self.listen_on
-        self.listen(port, address=host)
+        _when_free(lambda: self.listen(port, address=host))
 
     def _close(self):
         """Refuse connections and keep the port.
@@ -65,7 +86,7 @@
         self.stop()
         self.held = socket.socket()
         self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.held.bind(self.listen_on)
+        _when_free(lambda: self.held.bind(self.listen_on))
 
     def set_mode(self, mode, delay_seconds=0.0):
         """Switch mode; ``kill`` closes all and ``silent`` freezes all open pipes.
--- a/tests/test_faultproxy.py
+++ b/tests/test_faultproxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import threading
 
 import pytest
 
@@ -31,3 +32,22 @@
         proxy.stop()
 
     asyncio.run(go())
+
+
+def test_port_that_is_in_use_for_a_moment_is_waited_for():
+    """A daemon is started while a proxy closes: until the new process has
+    loaded its program it holds a copy of the proxy's listening socket, and the
+    port is in use for a moment more. The copy here is made by hand."""
+
+    async def go():
+        target, port = free_ports(2)
+        proxy = FaultProxy(f"127.0.0.1:{port}", f"127.0.0.1:{target}")
+        proxy.open()
+        (listening,) = proxy._sockets.values()
+        copy = listening.dup()
+        threading.Timer(0.1, copy.close).start()
+        proxy.set_mode("partition")
+        with socket.socket() as client, pytest.raises(ConnectionRefusedError):
+            client.connect(("127.0.0.1", port))
+
+    asyncio.run(go())
