--- a/src/mulberrydock/trace.py
+++ b/src/mulberrydock/trace.py
@@ -124,11 +124,11 @@
 def _explain_end(fields, own, event):
     if event == "client left":
         return f"the client left after {fields['seconds']} s, {_progress(fields, own)}"
+    if fields["code"] == "OK" and fields.get("first_event"):
+        first = f"first event after {fields['first_event']} s"
+        return f"answered whole: {first}, {fields['seconds']} s in all"
     if fields["code"] == "OK":
-        late = f"first event after {fields['first_event']} s, " * bool(
-            fields.get("first_event")
-        )
-        return f"answered whole: {late}{fields['seconds']} s in all"
+        return f"answered whole after {fields['seconds']} s"
     return f"{fields['code']} after {fields['seconds']} s: {fields['cause']}"
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,5 +1,6 @@
 """From a request's id to its cause, by the log lines of several VMs."""
 
+import json
 import pathlib
 import re
 
@@ -13,8 +14,6 @@
 
 def line(milliseconds, event, process="entry-1", **fields):
     """Return a log line as a VM writes it."""
-    import json
-
     at = START % milliseconds
     return json.dumps({"at": at, "event": event, "process": process, **fields})
 
