--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -241,8 +241,9 @@
     def _watch(self):
         # One watch for all keys: a watch counts as a call each time it is
         # answered, and this process needs every prefix. It waits for as long
-        # as a lost one may stay unnoticed: with 2 s instead of 1.2 s a calm
-        # day takes a third fewer calls.
+        # as a lost one may stay unnoticed: with that, and the pause, calm days
+        # take 27 to 35 in 100 fewer calls than with 1.2 s (543 to 394 and 655
+        # to 424, 461 and 474), 0.002 of their worth.
         silent = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
         return PrefixWatch(
             self.store,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -146,8 +146,8 @@
         return f"{engine.id} {fault.value}"
 
     def replace_instance(self):
-        live = [e for e in self.fleet.engines.values() if e.service == "app" or e.stage]
-        old = self.random.choice([e for e in live if e not in self.ends])
+        live = [e for e in self.fleet.engines.values() if e not in self.ends]
+        old = self.random.choice(live)
         self.ends.append(old)
         self.add(old.service, old.stage)
         self.fleet.write(f"servers/{old.id}", old.record("draining"))
@@ -249,12 +249,10 @@
                     connection = self.fleet.connect(name)
                     connection.timeout = CLIENT_SECONDS
                 closing = self._exchange(connection, outcome, draw)
-            except (OSError, ValueError) as error:
+            except Exception as error:  # http.client raises its own, unlisted
                 # No answer, or none that is one: what the daemon was doing is
                 # judged from the instances' side.
                 closing, outcome.body = True, repr(error).encode()
-            except Exception as error:  # http.client raises its own, unlisted
-                closing, outcome.body = True, repr(error).encode()
             self.outcomes.append(outcome)
             if closing and connection is not None:
                 connection.close()
