Engines that start again under their id; records that another writer spoiled

Change: everything remembered of an instance is kept under the name of one start (id and born); a later start, or another address, drops the former at once, an older record changes nothing, a handle of a start that is over isn't used, an order isn't built on the report of another start. Records are checked field by field. A spoiled one takes its engine out of new work until its next good record (it names no engine; requests in progress stay, as nothing says that the engine failed); one log line while it lasts, in bounds.

Ruled out: requiring born.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -34,6 +34,11 @@
         self.peers = peers
         self.budgets = {}
 
+    def forget(self, instance_id):
+        """Drop what is known of an incarnation that is over."""
+        self.suspicion.forget(instance_id)
+        self.loads.forget(instance_id)
+
     def budget(self, service):
         """Return this VM's retry budget for a service."""
         budget = self.budgets.get(service)
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -25,7 +25,11 @@
 
 @attrs.define(frozen=True)
 class InstanceRecord:
-    """One instance as it registered itself; ``slots`` are places at once."""
+    """One instance as it registered itself; ``slots`` are places at once.
+
+    ``born`` is the Unix time of its start in milliseconds, None when it
+    doesn't say.
+    """
 
     id: str
     service: str
@@ -34,6 +38,16 @@
     slots: int
     draining: bool
     stage: Stage = Stage.NONE
+    born: int | None = None
+
+    @property
+    def incarnation(self):
+        """Name of one start of the instance.
+
+        An instance may start again under its id; it then knows nothing of
+        before, so whatever is remembered of it is kept under this name.
+        """
+        return self.id if self.born is None else f"{self.id}@{self.born}"
 
 
 @attrs.define(frozen=True)
@@ -41,36 +55,54 @@
     """What an engine reports of itself, some hundred milliseconds late.
 
     ``busy`` while an order is being carried out; ``orders`` counts those it
-    accepted since its start.
+    accepted since its start, which was at ``born`` as in its record.
     """
 
     stage: Stage
     busy: bool
     orders: int
+    born: int | None = None
 
 
 @attrs.define(eq=False)
 class Instance:
-    """A registered instance, whether it leaves, and since when its record is
-    missing after an outage of the store."""
+    """One incarnation of a registered instance.
+
+    ``leaving`` when it takes no new work, ``gone`` when it has left the
+    registry, ``spoiled`` while its record can't be read; ``lapsed_at`` is since
+    when its record is missing after an outage of the store.
+    """
 
     record: InstanceRecord
     leaving: bool = False
     lapsed_at: float | None = None
+    spoiled: bool = False
+    gone: bool = False
 
     @property
     def id(self):
-        return self.record.id
+        """The incarnation's name; the wire's id is in the record."""
+        return self.record.incarnation
 
     @property
     def address(self):
         return self.record.address
 
 
+def _older(record, known):
+    """True when ``record`` is of an earlier start than the ``known`` one."""
+    if record.born is None or known.born is None:
+        return False
+    return record.born < known.born
+
+
 class InstanceRegistry:
     """Instances by id; every decision takes the present time.
 
-    :param on_gone: called with the id of an instance that left the registry.
+    :param on_gone: called with the incarnation's name of an instance that left
+        the registry.
+
+    ``ended`` holds names of incarnations that are over.
     """
 
     def __init__(self, on_gone=lambda instance_id: None):
@@ -85,31 +117,70 @@
     def put(self, record, now):
         """Take a record from the store."""
         self.read.add(record.id)
-        if record.id in self.ended:
-            # An instance that is over never returns under its id: a record
-            # read late must not bring it back.
+        if record.incarnation in self.ended:
+            # A record read late must not bring back what is over.
+            return
+        known = self._same_start(record)
+        if known is not None and _older(record, known.record):
+            logger.info("older instance record ignored", instance=record.incarnation)
             return
-        known = self.instances.get(record.id)
         if known is None:
             known = Instance(record)
             self.instances[record.id] = known
             logger.info(
                 "instance seen",
-                instance=record.id,
+                instance=record.incarnation,
                 service=record.service,
                 stage=record.stage.value,
             )
         if record.stage is not known.record.stage:
             logger.info(
                 "instance stage changed",
-                instance=record.id,
+                instance=record.incarnation,
                 stage=record.stage.value,
             )
         known.record = record
         known.lapsed_at = None
+        known.spoiled = False
         if record.draining and not known.leaving:
             known.leaving = True
-            logger.info("instance draining", instance=record.id)
+            logger.info("instance draining", instance=record.incarnation)
+
+    def _same_start(self, record):
+        """Return what is known of the instance, None if it has started anew.
+
+        Neither the start nor the address changes while an instance lives. What
+        is known of a former start must go before anything is sent to the new
+        one: its cache, its order count and the requests on it are gone.
+        """
+        known = self.instances.get(record.id)
+        if known is None or _older(record, known.record):
+            return known
+        if known.id == record.incarnation and known.address == record.address:
+            return known
+        if known.id != record.incarnation:
+            self.ended.add(known.id)
+        self._drop(record.id, "started again")
+        return None
+
+    def spoil(self, instance_id):
+        """The instance's record can't be read any more.
+
+        Nothing new is sent there until it is good again, as nobody vouches for
+        where the instance is or whether it leaves. Requests in progress stay:
+        a spoiled record is no sign that the instance failed, and a living one
+        writes its own again with its next heartbeat.
+        """
+        self.read.add(instance_id)
+        known = self.instances.get(instance_id)
+        if known is not None:
+            known.spoiled = True
+
+    def restarted(self, instance, born):
+        """The instance itself says that it was born later than its record does."""
+        if self.instances.get(instance.record.id) is instance:
+            self.ended.add(instance.id)
+            self._drop(instance.record.id, f"started again at {born}")
 
     def remove(self, instance_id, now):
         """Take a removed record: gone at once, or held if the store was away.
@@ -161,17 +232,18 @@
             if instance.lapsed_at is not None:
                 self._drop(instance_id, "record still missing after the outage")
 
-    def left(self, instance_id, reason):
-        """This VM saw itself that the instance is over or not there."""
-        if instance_id in self.instances:
-            self._drop(instance_id, reason)
-            self.ended.add(instance_id)
+    def left(self, instance, reason):
+        """This VM saw itself that ``instance`` is over or not there."""
+        if self.instances.get(instance.record.id) is instance:
+            self.ended.add(instance.id)
+            self._drop(instance.record.id, reason)
 
     def _drop(self, instance_id, reason):
         instance = self.instances.pop(instance_id)
         instance.leaving = True
-        logger.info("instance gone", instance=instance_id, reason=reason)
-        self.on_gone(instance_id)
+        instance.gone = True
+        logger.info("instance gone", instance=instance.id, reason=reason)
+        self.on_gone(instance.id)
 
     def serving(self, service, stage=None):
         """Instances of ``service`` that may take new work, optionally by stage."""
@@ -180,6 +252,7 @@
             for i in self.instances.values()
             if i.record.service == service
             and not i.leaving
+            and not i.spoiled
             and (stage is None or i.record.stage is stage)
         ]
 
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -158,6 +158,11 @@
         if not works:
             self.works.pop(work.instance_id, None)
 
+    def forget(self, instance_id):
+        """An incarnation is over: its work and its hold with it."""
+        self.works.pop(instance_id, None)
+        self.held_until.pop(instance_id, None)
+
     def own(self):
         """Return this VM's own loads by instance id."""
         return {i: _load_of(works) for i, works in self.works.items()}
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the documents that the operator and the instances keep in the store."""
 
+import ipaddress
 import json
 
 from ..exceptions import SettingsError, UpstreamError
@@ -14,8 +15,13 @@
 
 #: Seconds without an event for which a client keeps a stream at least.
 LEAST_PATIENCE_SECONDS = 2.0
-#: The platform's word for an instance that leaves after a planned notice.
+#: The platform's words for an instance that takes work, and for one that leaves
+#: after a planned notice.
+READY = "ready"
 DRAINING = "draining"
+#: What decoding raises for a document that isn't what it should be; too deep a
+#: nesting ends the parser's recursion.
+UNREADABLE = (ValueError, KeyError, TypeError, RecursionError)
 
 
 def read_config(key, text):
@@ -34,7 +40,7 @@
             services=services,
             limits=_limits(document.get("limits") or {}),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (AttributeError, *UNREADABLE) as error:
         raise SettingsError(f"{key}: {error!r}") from error
 
 
@@ -94,21 +100,25 @@
 def read_instance(key, text):
     """Return the :class:`InstanceRecord` in ``text``.
 
-    :raises SettingsError: when the document lacks a field.
+    Anyone may write under the prefix, so every field that decides where a
+    request goes is checked; the others don't matter.
+
+    :raises SettingsError: when the document is no instance's.
     """
     try:
-        row = json.loads(text)
+        row = _document(text)
         return InstanceRecord(
-            id=instance_id(key),
-            service=row["service"],
-            address=row["address"],
+            id=_text(instance_id(key), "id"),
+            service=_text(row["service"], "service"),
+            address=_address(row["address"]),
             # The platform's zone is a data centre.
-            data_centre=row.get("zone", ""),
-            slots=int(row.get("slots", 0)),
-            draining=row.get("state") == DRAINING,
+            data_centre=_text(row["zone"], "zone"),
+            slots=_count(row["slots"], "slots"),
+            draining=_draining(row["state"]),
             stage=_stage(row.get("stage")),
+            born=_born(row),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except UNREADABLE as error:
         raise SettingsError(f"{key}: {error!r}") from error
 
 
@@ -118,16 +128,68 @@
     :raises UpstreamError: when the body isn't such an answer.
     """
     try:
-        row = json.loads(body)
-        # Here "sequence" counts accepted orders; in an instance's record the
-        # same name counts its heartbeats.
-        return EngineReport(_stage(row["stage"]), bool(row["busy"]), row["sequence"])
-    except (ValueError, KeyError, TypeError) as error:
+        row = _document(body)
+        return EngineReport(
+            _stage(row["stage"]),
+            _flag(row["busy"]),
+            # Here "sequence" counts accepted orders; in an instance's record
+            # the same name counts its heartbeats.
+            _count(row["sequence"], "sequence"),
+            _born(row),
+        )
+    except UNREADABLE as error:
         raise UpstreamError(f"engine report: {error!r}") from error
 
 
+def _document(text):
+    # Bytes that were no UTF-8 come as lone surrogates, see the store's client;
+    # they may stand in a name that otherwise looks sound.
+    if isinstance(text, str):
+        text.encode()
+    row = json.loads(text)
+    if not isinstance(row, dict):
+        raise TypeError(f"{type(row).__name__} instead of an object")
+    return row
+
+
+def _text(value, name):
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{name} is {value!r:.40}")
+    return value
+
+
+def _flag(value):
+    if not isinstance(value, bool):
+        raise TypeError(f"flag is {value!r:.40}")
+    return value
+
+
+def _count(value, name):
+    # JSON's true and false would pass as numbers.
+    if type(value) is not int or value < 0:
+        raise TypeError(f"{name} is {value!r:.40}")
+    return value
+
+
+def _address(value):
+    host, _, port = _text(value, "address").rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"address is {value!r:.40}")
+    return value
+
+
+def _draining(word):
+    if word not in (READY, DRAINING):
+        raise ValueError(f"state is {word!r:.40}")
+    return word == DRAINING
+
+
 def _stage(word):
-    try:
-        return Stage(word or "")
-    except ValueError:
+    if word is None:
         return Stage.NONE
+    return Stage(word)
+
+
+def _born(row):
+    return _count(row["born"], "born") if "born" in row else None
--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -157,7 +157,10 @@
 
 
 def _decode(text):
-    return base64.b64decode(text).decode()
+    # Others write to the store too. Bytes that are no UTF-8 become lone
+    # surrogates, which no reader of a document accepts: raised here, the error
+    # would end the watch that brings everything else.
+    return base64.b64decode(text).decode(errors="surrogateescape")
 
 
 def _item(row):
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -21,6 +21,7 @@
 from .exceptions import SettingsError
 from .fleet_view import FleetView
 from .front import Front
+from .instance_feed import InstanceFeed
 from .lease import LeaderLease
 from .membership import Membership
 from .metrics import ServeMetrics
@@ -124,6 +125,7 @@
             self.membership.count,
             self._on_gone,
         )
+        self.instance_feed = InstanceFeed(self.fleet.instances)
         self.relay = Relay(self.fleet, wire, self.metrics)
         self.front = Front(self.relay, wire, time.monotonic)
         self.directory = Directory(
@@ -178,7 +180,7 @@
 
     def _on_gone(self, instance_id):
         self.relay.forget(instance_id)
-        self.fleet.suspicion.forget(instance_id)
+        self.fleet.forget(instance_id)
 
     def _on_config(self, key, value, revision):
         if value is None:
@@ -199,16 +201,7 @@
         )
 
     def _on_instance(self, key, value, revision):
-        now = time.monotonic()
-        if value is None:
-            self.fleet.instances.remove(platform.instance_id(key), now)
-            return
-        try:
-            record = platform.read_instance(key, value)
-        except SettingsError as error:
-            logger.error("instance refused", revision=revision, error=str(error))
-            return
-        self.fleet.instances.put(record, now)
+        self.instance_feed.apply(key, value, revision, time.monotonic())
 
     def _on_store_answer(self, answered):
         now = time.monotonic()
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -228,8 +228,8 @@
         Either another one has its address now, or its stage is not what its
         record says yet; in both cases it is of no use for the moment.
         """
-        if marks.instance and marks.instance != instance.id:
-            self.fleet.instances.left(instance.id, "address reused")
+        if marks.instance and marks.instance != instance.record.id:
+            self.fleet.instances.left(instance, "address reused")
         else:
             self.fleet.suspicion.failed(instance.id, time.monotonic(), True)
 
@@ -240,7 +240,7 @@
         self.sends += 1
         self.tried.add(target.id)
         options = SendOptions(
-            instance=target.id,
+            instance=target.record.id,
             deadline_ms=int(self._left(now) * 1000),
             priority=min(PRIORITY_MAX, self.route.priority),
             last_event_id=self.stream.splitter.last_id,
@@ -290,7 +290,7 @@
         self.tried.add(engine.id)
         now = time.monotonic()
         options = SendOptions(
-            instance=engine.id,
+            instance=engine.record.id,
             deadline_ms=int(self._left(now) * 1000),
             priority=urgency,
             prefill_only=True,
@@ -323,6 +323,17 @@
             return None
         finally:
             work.end()
+        if engine.gone:
+            # It is over, or has started again under its id: a handle of that
+            # number may then be another prompt's.
+            self.cause = f"prefill at {engine.id}: the engine is gone"
+            logger.warning(
+                "prefill failed",
+                request=self.request.id,
+                instance=engine.id,
+                error="engine gone",
+            )
+            return None
         self.fleet.suspicion.answered(engine.id)
         logger.info(
             "prefilled",
--- a/src/mulberrydock/stage_duty.py
+++ b/src/mulberrydock/stage_duty.py
@@ -25,6 +25,13 @@
 CHANGE_SECONDS = 3.5
 
 
+def _started_again(record, report):
+    """True when an engine reports another start than its record does."""
+    if record.born is None or report.born is None:
+        return False
+    return report.born > record.born
+
+
 @attrs.define
 class StageDuty:
     """Plans and orders stage changes while this VM holds the lease.
@@ -92,6 +99,10 @@
         except UpstreamError as error:
             logger.warning("report refused", instance=instance.id, error=str(error))
             return stages.REFUSED_SETTLE_SECONDS
+        if _started_again(instance.record, report):
+            # The decision rests on what the former incarnation was.
+            self.fleet.instances.restarted(instance, report.born)
+            return stages.REFUSED_SETTLE_SECONDS
         if report.busy:
             return stages.ORDER_SETTLE_SECONDS
         # The lease is checked at the moment of sending.
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -73,7 +73,7 @@
 class StagePlanner:
     """Decides stage changes of one pool; remembers since when it is off.
 
-    ``ordered`` maps instance ids to the :class:`Ordered` that may be at work;
+    ``ordered`` maps incarnations' names to the :class:`Ordered` that may be at work;
     ``noticed_at`` is when an engine of the pool was last known to be leaving.
     """
 
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import json
+import weakref
 
 import attrs
 import tornado.httpserver
@@ -57,6 +58,7 @@
 
     :param faults: what to do with the next requests, in order.
     :param events: events of a whole stream; ids begin at 1.
+    :param born: Unix milliseconds of its start, None when it doesn't say.
     :param prefill_gate: prefill calls are answered once this is set.
     :param prefill_refusals: each entry refuses one prefill call; several
         engines may share the list, so that whichever is asked first refuses.
@@ -77,11 +79,13 @@
     released: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
     misdirected: int = 0
+    born: int | None = None
     server: object = None
+    readers: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
 
     def record(self, state="ready"):
         """Return the document that the instance keeps of itself in the store."""
-        return {
+        record = {
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
@@ -89,9 +93,14 @@
             "slots": 4,
             "state": state,
             "cold_remaining_ms": 0,
-            "stage": self.stage,
             "sequence": 7,
         }
+        if self.stage:
+            record["stage"] = self.stage
+        return record | self._birth()
+
+    def _birth(self):
+        return {} if self.born is None else {"born": self.born}
 
     def listen(self):
         """Begin to serve on the running loop."""
@@ -99,6 +108,14 @@
         self.server = tornado.httpserver.HTTPServer(_Server(self))
         self.server.listen(int(port), address=host)
 
+    def restart(self, born):
+        """Start again under the same id: nothing of before is known."""
+        self.born = born
+        self.orders = []
+        self.prefills = []
+        for reader in list(self.readers):
+            reader.close()
+
     def stop(self):
         """Refuse new connections, as a process that is gone."""
         self.server.stop()
@@ -127,7 +144,7 @@
             "sequence": len(self.orders),
             "queued": 0,
             "running": 0,
-        }
+        } | self._birth()
 
     def _order(self, reader):
         order = json.loads(reader.body)
@@ -309,4 +326,6 @@
         self.engine = engine
 
     def start_request(self, server_conn, request_conn):
-        return _Reader(self.engine, request_conn)
+        reader = _Reader(self.engine, request_conn)
+        self.engine.readers.add(reader)
+        return reader
--- a/src/mulberrydock/standin/platform_store.py
+++ b/src/mulberrydock/standin/platform_store.py
@@ -33,8 +33,11 @@
 
     def write(self, key, document):
         """Write a document as the operator or an instance does."""
-        text = json.dumps(document).encode()
-        return self.put(key, _encode(text), None, 0, time.monotonic())
+        return self.write_bytes(key, json.dumps(document).encode())
+
+    def write_bytes(self, key, raw):
+        """Write any bytes, as a foreign writer may."""
+        return self.put(key, _encode(raw), None, 0, time.monotonic())
 
     def forget_history(self):
         """Drop the history, as a compaction does."""
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -529,3 +529,83 @@
     assert runs(fleet, "u2") == []
     fleet.call(gate.set)
     assert event_ids(connection.getresponse().read()) == [1, 2, 3, 4]
+
+
+@pytest.mark.parametrize("raw", [b"\xff\xfe", b"[" * 50_000, b'{"service": 7}'])
+def test_spoiled_record_takes_its_instance_alone(fleet, raw):
+    """Another writer overwrites an instance's record with bytes that can't be
+    read. The daemon goes on with the others, says so once, and sends to that
+    instance again as soon as its own record is back."""
+    fleet.call(fleet.store.write_bytes, "servers/a1", raw)
+    until(lambda: fleet.events("instance refused"))
+    for number in range(4):
+        assert fleet.request(RECEIPT, f"s{number}").status == 200
+    assert [len(runs(fleet, f"s{n}")) for n in range(4)] == [1] * 4
+    assert not fleet.engines["a1"].runs
+    fleet.write("servers/a1", fleet.engines["a1"].record())
+    fleet.remove("servers/a2")
+    until(lambda: fleet.request(RECEIPT, "again").status == 200)
+    assert len(fleet.events("instance refused")) == 1
+    assert not fleet.events("task ended")
+
+
+def test_prefill_of_a_former_start_is_never_continued(fleet):
+    """A letter's prompt is read by an engine that crashes and starts again
+    under its id before the hand-over. Its handle may now be another prompt's,
+    so the prompt is read anew and no run names the old handle."""
+    gate = asyncio.Event()
+    engine = fleet.add("p1", "llm", "prefill", prefill_gate=gate, born=1000)
+    until(lambda: '"instance":"p1@1000"' in fleet.log())
+    connection = fleet.connect()
+    send(connection, LETTER, "reborn", **{wire.TOKEN_COUNTS: "5000,10"})
+    until(lambda: engine.prefills)
+    # The new start registers while the old one's answer is on its way.
+    fleet.write("servers/p1", dict(engine.record(), born=2000))
+    until(lambda: fleet.events("instance gone"))
+    fleet.loop.call_soon_threadsafe(gate.set)
+    response = connection.getresponse()
+    assert (response.status, event_ids(response.read())) == (200, [1, 2, 3, 4])
+    sources = [r.headers.get(wire.KV_SOURCE) for r in runs(fleet, "reborn")]
+    assert all(source != f"{engine.address}/h0" for source in sources)
+
+
+def test_stream_whose_engine_starts_again_under_its_id(fleet):
+    """An engine crashes in the middle of a letter and starts again under its
+    id at the same address. The letter goes on, whole and in order, as a new
+    run after the last whole event."""
+    for engine in list(fleet.engines.values()):
+        if engine.service == "llm":
+            engine.event_seconds = 0.2
+            engine.born = 1000
+            fleet.write(f"servers/{engine.id}", engine.record())
+    until(lambda: len(fleet.events("instance gone")) == 2)
+    connection = fleet.connect()
+    send(connection, LETTER, "mid")
+    until(lambda: runs(fleet, "mid"))
+    (run,) = runs(fleet, "mid")
+    engine = next(e for e in fleet.engines.values() if run in e.runs)
+    time.sleep(0.3)
+    fleet.call(engine.restart, 2000)
+    fleet.write(f"servers/{engine.id}", engine.record())
+    response = connection.getresponse()
+    assert event_ids(response.read()) == [1, 2, 3, 4]
+    assert len(runs(fleet, "mid")) == 2
+
+
+def test_order_is_not_built_on_a_former_start(fleet):
+    """A pool needs a prefill engine. The engine to be changed has started again
+    under its id, which its report shows before its record does: its order
+    count is another one now, so the order waits for the new record."""
+    for name in ("d1", "d2"):
+        engine = fleet.engines[name]
+        engine.born = 1000
+        fleet.write(f"servers/{name}", engine.record())
+        engine.born = 2000
+    until(
+        lambda: any("d1@1000" in r["instance"] for r in fleet.events("order"))
+        or len(fleet.events("instance gone")) >= 3
+    )
+    assert not fleet.engines["d1"].orders and not fleet.engines["d2"].orders
+    for name in ("d1", "d2"):
+        fleet.write(f"servers/{name}", fleet.engines[name].record())
+    until(lambda: fleet.engines["d1"].orders or fleet.engines["d2"].orders)
