Decisions from what is observed: reading speed, kept parts, demand, stages

Change: the time of a token, of context and of the overhead is fitted to prefills that had no queue, shared by all VMs; parts count as kept once they were read, by any VM's word; the demand of each stage is measured, and stages change only when one is short, the other can spare an engine, and that lasts; before any request a pool has three decode engines or a third; a prompt goes where its wait and the engine time it takes, priced by how busy that stage is, are least; short prompts alone are read in place; urgency by reading time against the route's objective, and half of the prompts that can't be in time anyway go as their route says (size floors).

--- /dev/null
+++ b/src/mulberrydock/cache_book.py
@@ -0,0 +1,88 @@
+"""Which engine is believed to keep which parts of prompts.
+
+The load pattern this answers is hundreds of documents that many prompts begin
+with, together larger than an engine's memory. Every VM notes what is read where for it
+and tells its peers, so each of them knows what the fleet has had read. Engines
+let go of what was used longest ago; so does this book.
+"""
+
+import collections
+import zlib
+
+#: Share of an engine's memory in which parts are believed to stay: the rest is
+#: taken by running requests and by what this VM hasn't heard of.
+KEPT_SHARE = 0.95
+
+
+def part_key(part_id):
+    """Return a short name of a part, as VMs tell it to each other."""
+    return zlib.crc32(part_id.encode())
+
+
+class EngineCache:
+    """Parts at one engine, the one used longest ago first."""
+
+    def __init__(self):
+        self.parts = collections.OrderedDict()
+        self.tokens = 0
+
+    def use(self, key, tokens, capacity):
+        """A prompt with this part was read here."""
+        self.tokens += tokens - self.parts.pop(key, 0)
+        self.parts[key] = tokens
+        while self.tokens > capacity and len(self.parts) > 1:
+            _, dropped = self.parts.popitem(last=False)
+            self.tokens -= dropped
+
+
+class CacheBook:
+    """Parts by engine; ``news`` are this VM's own since its last message.
+
+    A part counts as kept once its prompt was read. Counted from the moment it is
+    sent, prompts whose clients leave before would count as well: the more of them
+    wait, the more documents are sought where they never were, and read again.
+    """
+
+    def __init__(self):
+        self.engines = {}
+        self.news = {}
+
+    def was_read(self, instance_id, prompt, capacity):
+        """An engine has read or fetched a prompt for this VM."""
+        rows = [(part_key(part.id), part.tokens) for part in prompt.parts]
+        self.hear(instance_id, rows, capacity)
+        self.news.setdefault(instance_id, []).extend(rows)
+
+    def hear(self, instance_id, rows, capacity):
+        """Take (key, tokens) rows of parts that an engine read, in order.
+
+        :param capacity: tokens of the engine's memory.
+        """
+        cache = self.engines.setdefault(instance_id, EngineCache())
+        for key, tokens in rows:
+            cache.use(key, tokens, capacity * KEPT_SHARE)
+
+    def take_news(self):
+        """Return what peers haven't been told yet."""
+        news, self.news = self.news, {}
+        return news
+
+    def forget(self, instance_id):
+        """An incarnation is over, its memory with it."""
+        self.engines.pop(instance_id, None)
+        self.news.pop(instance_id, None)
+
+    def cached(self, instance_id, prompt):
+        """Return the tokens of ``prompt`` that needn't be read at an engine.
+
+        A part is of use only if all parts before it are kept as well.
+        """
+        cache = self.engines.get(instance_id)
+        if cache is None:
+            return 0
+        kept = 0
+        for part in prompt.parts:
+            if part_key(part.id) not in cache.parts:
+                break
+            kept += part.tokens
+        return min(kept, prompt.tokens)
--- /dev/null
+++ b/src/mulberrydock/demand.py
@@ -0,0 +1,85 @@
+"""How much work clients ask of a pool, measured as it arrives.
+
+The load pattern this answers is a mix that swings between long prompts and long
+answers within seconds: what is asked now, whether it is served or not, says
+which stage of the pool will be short.
+"""
+
+import math
+
+import attrs
+
+#: Seconds over which demand is averaged: swings of a few seconds are evened out,
+#: a shift that stays shows three quarters of itself after twice this time.
+AVERAGE_SECONDS = 4.0
+#: Seconds for which a peer's figures count: a second and a half passes between
+#: two of them in small fleets, several in large ones.
+PEER_SECONDS = 6.0
+
+
+class Rate:
+    """An exponential average of something a second."""
+
+    def __init__(self):
+        self.value = 0.0
+        self.at = None
+
+    def note(self, amount, now):
+        """``amount`` was asked at ``now``."""
+        self.value = self.read(now) + amount / AVERAGE_SECONDS
+        self.at = now
+
+    def read(self, now):
+        """Return the average a second."""
+        if self.at is None:
+            return 0.0
+        return self.value * math.exp(-max(0.0, now - self.at) / AVERAGE_SECONDS)
+
+
+@attrs.define(frozen=True)
+class Demand:
+    """What is asked of a pool in a second.
+
+    ``reading`` is the work of reading prompts, in tokens without context;
+    ``moved`` the tokens whose KV cache goes to a decode engine; ``streams`` the
+    requests. ``apart`` and ``in_place`` are the work of reading that was sent to
+    prefill and to decode engines, repeats included; ``short`` the part of
+    ``reading`` that decode engines could do as well.
+    """
+
+    reading: float = 0.0
+    moved: float = 0.0
+    streams: float = 0.0
+    apart: float = 0.0
+    in_place: float = 0.0
+    short: float = 0.0
+
+    def __add__(self, other):
+        pairs = zip(attrs.astuple(self), attrs.astuple(other))
+        return Demand(*(a + b for a, b in pairs))
+
+
+class DemandMeter:
+    """Demand of one pool as this VM sees it, and what its peers tell."""
+
+    def __init__(self):
+        self.rates = [Rate() for _ in attrs.fields(Demand)]
+        self.peers = {}
+
+    def note(self, demand, now):
+        """One request asks for ``demand``."""
+        for rate, amount in zip(self.rates, attrs.astuple(demand)):
+            rate.note(amount, now)
+
+    def own(self, now):
+        """Return the :class:`Demand` that this VM's clients make."""
+        return Demand(*(rate.read(now) for rate in self.rates))
+
+    def hear(self, peer, demand, now):
+        """A peer tells what its clients ask."""
+        self.peers[peer] = (demand, now)
+
+    def total(self, now):
+        """Return the :class:`Demand` of all VMs that are heard."""
+        fresh = [d for d, at in self.peers.values() if now - at <= PEER_SECONDS]
+        return sum(fresh, self.own(now))
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -4,14 +4,20 @@
 
 from .admission import RetryBudget
 from .instances import InstanceRegistry, Stage
+from .learned import Learned
 from .peer_loads import LoadBook
-from .placement import Placement, Plan, prefill_urgency
+from .placement import FAR_MOVE_FACTOR, Placement, Plan, Pool, is_short, lot
+from .reading_speed import IN_PLACE_SHARE
 from .route_table import RouteTable
+from .stages import StageNeeds
 from .suspicion import Suspicion
 
 #: Share of the connection cap of an instance that the entry VMs use together;
 #: the rest covers VMs that come and go.
 CONNECTION_SHARE = 0.8
+#: Requests a second below which a pool counts as idle: what so few of them ask
+#: says nothing about the mix.
+LEAST_STREAMS = 1.0
 #: Share of the fleet-wide retry budget that the VMs spend together: their
 #: windows and views of each other never quite agree.
 BUDGET_SHARE = 0.7
@@ -30,6 +36,7 @@
         self.loads = LoadBook()
         self.suspicion = Suspicion()
         self.placement = Placement(data_centre)
+        self.learned = Learned(self._capacity)
         self.timing = timing
         self.peers = peers
         self.budgets = {}
@@ -38,6 +45,20 @@
         """Drop what is known of an incarnation that is over."""
         self.suspicion.forget(instance_id)
         self.loads.forget(instance_id)
+        self.learned.cache.forget(instance_id)
+
+    def misdirected(self, instance, answering, now):
+        """An instance refused a call as not meant for it.
+
+        Either another one has its address now, or its stage is not what its
+        record says yet; in both cases it is of no use for the moment.
+
+        :param answering: id of the instance that answered, empty if unknown.
+        """
+        if answering and answering != instance.record.id:
+            self.instances.left(instance, "address reused")
+        else:
+            self.suspicion.failed(instance.id, now, unreachable=True)
 
     def budget(self, service):
         """Return this VM's retry budget for a service."""
@@ -71,24 +92,95 @@
         sound = self.suspicion.sound
         return sound(prefills, now), sound(decoders, now)
 
-    def decode_plan(self, service, plan, tried, now):
-        """Return ``plan`` with the decode engine that is best now, or None."""
-        _, decoders = self._split(self._fresh(service, tried, now), now)
-        target = self.placement.decoder(decoders, self.loads.total(now))
+    def _spec(self, service):
+        config = self.routes.config
+        return config.services.get(service) if config else None
+
+    def _capacity(self, instance_id):
+        """Return the tokens of an engine's memory, 0 when it isn't known."""
+        instance = self.instances.named(instance_id)
+        spec = self._spec(instance.record.service) if instance else None
+        return spec.kv_tokens if spec else 0
+
+    def _pool(self, service, tried, now):
+        fresh = self._fresh(service, tried, now)
+        prefills, decoders = self._split(fresh, now)
+        spec = self._spec(service)
+        knowledge = self.learned.pool(service)
+        demand = knowledge.demand.total(now)
+        cost = knowledge.speed.cost
+        return Pool(
+            prefills,
+            decoders,
+            self.loads.total(now),
+            cost,
+            self.learned.cache,
+            spec.move_seconds if spec else 0.0,
+            cost.seconds(demand.apart) / max(1, len(prefills)),
+            self._decoders_busy(knowledge, demand, spec, len(decoders)),
+        )
+
+    def _decoders_busy(self, knowledge, demand, spec, count):
+        """Return the utilization of ``count`` decode engines."""
+        in_place = knowledge.speed.cost.seconds(demand.in_place) / IN_PLACE_SHARE
+        decoding = self._decoding(knowledge, demand, spec) if spec else 0.0
+        return (in_place + decoding) / max(1, count)
+
+    def _decoding(self, knowledge, demand, spec):
+        """Return the engines' worth of decoding that is asked of a pool.
+
+        Decode engines are short of whatever runs out first: the link over which
+        KV cache comes, places, or memory.
+        """
+        link = demand.moved * spec.move_seconds * FAR_MOVE_FACTOR
+        streams = demand.streams * (knowledge.stream_seconds or 0.0)
+        places = streams / max(1, spec.slots)
+        memory = 0.0
+        if demand.streams and spec.kv_tokens:
+            memory = streams * demand.moved / demand.streams / spec.kv_tokens
+        return max(link, places, memory)
+
+    def decode_plan(self, service, plan, moved, tried, now):
+        """Return ``plan`` with the decode engine that is best now, or None.
+
+        :param moved: tokens whose KV cache the engine fetches.
+        """
+        pool = self._pool(service, tried, now)
+        target = self.placement.decoder(pool, moved, plan.prefill)
         return target and attrs.evolve(plan, target=target)
 
+    def note_demand(self, prompt, route, service, now):
+        """A client asks for a prompt's completion, whether it is served or not."""
+        engines = self.instances.serving(service)
+        cached = max(
+            (self.learned.cache.cached(e.id, prompt) for e in engines), default=0
+        )
+        cost = self.learned.pool(service).speed.cost
+        work = cost.work(prompt.tokens - cached, cached)
+        short = is_short(cost.seconds(work), route.latency_objective)
+        self.learned.note_demand(service, prompt, work, short, now)
+
+    def stage_needs(self, spec, now):
+        """Return the :class:`StageNeeds` of a pool, from the demand of all VMs,
+        None while nobody has asked anything of it."""
+        knowledge = self.learned.pool(spec.name)
+        demand = knowledge.demand.total(now)
+        if demand.streams < LEAST_STREAMS:
+            return None
+        seconds = knowledge.speed.cost.seconds
+        decoding = self._decoding(knowledge, demand, spec)
+        return StageNeeds(seconds(demand.reading), decoding, seconds(demand.short))
+
     def plan(self, request, route, service, tried, now):
         """Return the :class:`Plan` of one attempt, or None.
 
         :param tried: ids of instances that this request was sent to before.
         """
-        fresh = self._fresh(service, tried, now)
-        if not fresh:
-            return None
-        loads = self.loads.total(now)
         if not request.prompt.tokens:
+            fresh = self._fresh(service, tried, now)
             sound = self.suspicion.sound(fresh, now)
-            return Plan(self.placement.least_loaded(sound, loads))
-        prefills, decoders = self._split(fresh, now)
-        urgency = prefill_urgency(request.prompt, route.priority)
-        return self.placement.plan(request.prompt, urgency, prefills, decoders, loads)
+            if not sound:
+                return None
+            return Plan(self.placement.least_loaded(sound, self.loads.total(now)))
+        pool = self._pool(service, tried, now)
+        return self.placement.plan(request.prompt, route, pool, lot(request.id))
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -256,6 +256,11 @@
             and (stage is None or i.record.stage is stage)
         ]
 
+    def named(self, incarnation):
+        """Return the instance of that incarnation, None when it isn't known."""
+        instance = self.instances.get(incarnation.partition("@")[0])
+        return instance if instance and instance.id == incarnation else None
+
     def any_leaving(self, service):
         """True while an instance of ``service`` is known to be leaving."""
         return any(
--- /dev/null
+++ b/src/mulberrydock/learned.py
@@ -0,0 +1,139 @@
+"""What this VM and its peers have learnt of the pools of engines."""
+
+import attrs
+from loguru import logger
+
+from .cache_book import CacheBook
+from .demand import Demand, DemandMeter
+from .reading_speed import ReadingCost, ReadingSpeed
+
+#: Samples that a VM must have for its fit to be told to its peers.
+TOLD_SAMPLES = 4
+#: Share of the last stream in the average: some forty streams count.
+STREAM_SHARE = 0.05
+#: Part by which an estimate moves before it is logged again.
+LOGGED_CHANGE = 0.25
+
+
+@attrs.define
+class PoolKnowledge:
+    """Of one service: how fast its engines read, and what is asked of it.
+
+    ``stream_seconds`` is the average time from a stream's first event to its
+    end, None before the first; ``logged_token_seconds`` the speed last logged.
+    """
+
+    speed: ReadingSpeed = attrs.field(factory=ReadingSpeed)
+    demand: DemandMeter = attrs.field(factory=DemandMeter)
+    stream_seconds: float | None = None
+    logged_token_seconds: float = 0.0
+
+    def note_stream(self, seconds):
+        """A stream ended whole, ``seconds`` after its first event."""
+        if self.stream_seconds is None:
+            self.stream_seconds = seconds
+        self.stream_seconds += STREAM_SHARE * (seconds - self.stream_seconds)
+
+
+@attrs.define(frozen=True)
+class PoolNews:
+    """What one VM tells of one service; ``cost`` is None without samples."""
+
+    service: str
+    demand: Demand
+    cost: ReadingCost | None
+
+
+@attrs.define(frozen=True)
+class ReadSample:
+    """One prompt that an engine read without a queue before it.
+
+    ``tokens`` were read after ``cached`` ones, in ``seconds``.
+    """
+
+    service: str
+    tokens: int
+    cached: int
+    seconds: float
+
+
+class Learned:
+    """Knowledge by service, and the parts of prompts kept by each engine.
+
+    :param capacity: returns the tokens of an engine's memory, by its id.
+    """
+
+    def __init__(self, capacity):
+        self.capacity = capacity
+        self.pools = {}
+        self.cache = CacheBook()
+        self.samples = []
+
+    def pool(self, service):
+        """Return the :class:`PoolKnowledge` of a service."""
+        return self.pools.setdefault(service, PoolKnowledge())
+
+    def was_read(self, instance_id, prompt):
+        """An engine read a prompt, or fetched what another one had read."""
+        self.cache.was_read(instance_id, prompt, self.capacity(instance_id))
+
+    def note_demand(self, service, prompt, work, short, now):
+        """A client asks for a prompt's completion, whether it is served or not.
+
+        :param work: that of reading it, in tokens without context.
+        :param short: True when a decode engine could read it as well.
+        """
+        demand = Demand(work, prompt.tokens, 1.0, short=work if short else 0.0)
+        self.pool(service).demand.note(demand, now)
+
+    def note_sample(self, sample, now):
+        """An engine read a prompt for this VM; its peers learn from it as well:
+        alone, each of them would see too few to tell an engine's speed."""
+        self.samples.append(sample)
+        self.hear_samples([sample], now)
+
+    def take_samples(self):
+        """Return the :class:`ReadSample` that peers haven't been told yet."""
+        samples, self.samples = self.samples, []
+        return samples
+
+    def hear_samples(self, samples, now):
+        """Take samples of this VM or of a peer."""
+        for row in samples:
+            pool = self.pool(row.service)
+            pool.speed.note(row.tokens, row.cached, row.seconds, now)
+            self._log_change(row.service, pool)
+
+    def _log_change(self, service, pool):
+        cost, logged = pool.speed.cost, pool.logged_token_seconds
+        if logged and abs(cost.token / logged - 1) < LOGGED_CHANGE:
+            return
+        pool.logged_token_seconds = cost.token
+        logger.info(
+            "reading speed learnt",
+            service=service,
+            token_seconds=cost.token,
+            overhead=round(cost.overhead, 4),
+            samples=len(pool.speed.samples),
+        )
+
+    def news(self, now):
+        """Return a :class:`PoolNews` of each service."""
+        rows = []
+        for service, pool in self.pools.items():
+            told = len(pool.speed.samples) >= TOLD_SAMPLES
+            cost = pool.speed.cost if told else None
+            rows.append(PoolNews(service, pool.demand.own(now), cost))
+        return rows
+
+    def hear_news(self, peer, rows, now):
+        """Take a peer's :class:`PoolNews`."""
+        for row in rows:
+            pool = self.pool(row.service)
+            pool.demand.hear(peer, row.demand, now)
+            if row.cost is not None:
+                pool.speed.hear(peer, row.cost)
+
+    def hear_reads(self, instance_id, rows):
+        """Take the parts that an engine read for a peer."""
+        self.cache.hear(instance_id, rows, self.capacity(instance_id))
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -69,6 +69,11 @@
         )
 
 
+#: Bounds of the ratio of a real wait to its estimate: a quarter off, a factor of
+#: two, and worse, on either side.
+WAIT_RATIO_BUCKETS = (0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0)
+
+
 class ServeMetrics:
     """Metrics of one entry VM on the platform, in their own registry."""
 
@@ -81,6 +86,19 @@
             buckets=LATENCY_BUCKETS,
             registry=self.registry,
         )
+        self.wait_ratio = prometheus_client.Histogram(
+            "mulberrydock_wait_ratio",
+            "Seconds to a stream's first event against those estimated for it.",
+            ["service"],
+            buckets=WAIT_RATIO_BUCKETS,
+            registry=self.registry,
+        )
+        self.token_seconds = prometheus_client.Gauge(
+            "mulberrydock_token_seconds",
+            "Learnt seconds for reading one prompt token without context.",
+            ["service"],
+            registry=self.registry,
+        )
         self.sends = prometheus_client.Counter(
             "mulberrydock_sends_total",
             "Requests sent to an upstream instance, retries included.",
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -12,50 +12,77 @@
 import attrs
 
 from .peer_loads import Load
+from .reading_speed import IN_PLACE_SHARE
 
-#: Prompt tokens a prefill engine reads in a second, at the start of a prompt
-#: (the users' sheet: 92.1 a millisecond).
-PREFILL_TOKENS_PER_SECOND = 92_100.0
-#: Part by which each token before it slows the reading of a token: attention
-#: takes 0.31 to 0.35 ms for a million pairs of tokens (fitted to the times of
-#: 600 prefills of a calm day), a token without context 0.011 ms.
-ATTENTION_PER_TOKEN = 3.2e-5
-#: What a decode engine reads in a second: half the speed, in pieces of 512
-#: tokens that each wait 3 ms for a step of the streams beside it. Judged from
-#: the sheet's step time; not measured apart from the choice by wait.
-IN_PLACE_TOKENS_PER_SECOND = 36_000.0
-#: Seconds that a hand-over costs beside the prefill: two more hops, the
-#: transfer's set-up and the KV cache itself.
+#: Seconds that a hand-over costs beside the prefill and the moved KV cache: two
+#: more hops and the transfer's set-up.
 HANDOVER_SECONDS = 0.01
-#: Prompt tokens above which a decode engine's own prefill would stall the
-#: streams it carries: such prompts always go to a prefill engine, if any. With
-#: no limit but the wait, a heavy day loses 0.2 of its worth; from 2,000 to 4,000
-#: days are level (one run each).
-IN_PLACE_LIMIT_TOKENS = 2800
-#: Weight of reading shared parts again at an engine that doesn't own them,
-#: beside the time it takes: it fills the engine's memory with a second copy.
-#: Against no weight a calm day is worth 0.03 to 0.04 more, a heavy one 0.02 to
-#: 0.05 (one run each); from 6 to 50 the days are level.
-REREAD_WEIGHT = 15.0
+#: Weight of a busy engine's time, beside the time that the prompt itself waits:
+#: what one prompt takes of an engine, the others that wait there lose, and the
+#: documents that it pushes out of memory are read again.
+WORK_WEIGHT = 30.0
+#: Utilization of a stage above which its time gets no dearer.
+MOST_UTILIZATION = 1.2
 #: Weight of one running request at a decode engine, in seconds of wait: a
 #: step takes 0.12 ms longer for each, over some 30 steps.
 RUNNING_SECONDS = 0.004
-#: Prompt tokens from which a prefill call is one step less urgent each: about
-#: the middle of the users' letters, twice it and four times it.
-LONG_PROMPT_TOKENS = (8000, 16000, 32000)
+#: Shares of a request's latency objective; a prompt is one step less urgent for
+#: each of them that its reading alone takes. The last is that of prompts which
+#: can't be in time wherever they go.
+READING_STEPS = (0.25, 0.5, 1.0)
+#: Share of the prompts beyond the last step that are as urgent as their route
+#: says. Under a load that exceeds the pool the least urgent are never read; with
+#: this share, prompts of the largest sizes are served at least half as often as
+#: the others.
+SPARED_SHARE = 0.5
 #: Least urgent priority that an engine takes.
 PRIORITY_MAX = 9
 #: Seconds that a hop to another data centre costs, and bytes are priced.
 FAR_SECONDS = 0.002
+#: Share of the reading that waits at a decode engine by which a stream begins
+#: later there: prompts are read in pieces between the tokens of the streams.
+BESIDE_SHARE = 0.1
+#: Multiple of the time of a transfer that it takes to another data centre.
+FAR_MOVE_FACTOR = 2.0
+#: Seconds by which the owner of a part is preferred while no engine is known to
+#: keep it: VMs that get the same document at the same moment, or have just started
+#: and know nothing, then send it to the engine that has it or soon will.
+OWNER_SECONDS = 0.3
+
+
+@attrs.define(frozen=True)
+class Pool:
+    """The engines of one service to choose from, and what is known of them.
+
+    ``loads`` are the :class:`Load` by engine, ``cost`` the time that reading
+    takes, ``cache`` what each engine keeps, ``move_seconds`` the time that the
+    KV cache of a token takes between engines of one data centre, ``busy`` and
+    ``decoders_busy`` the utilization of the two stages.
+    """
+
+    prefills: list
+    decoders: list
+    loads: dict
+    cost: object
+    cache: object
+    move_seconds: float = 0.0
+    busy: float = 1.0
+    decoders_busy: float = 1.0
+
+    def load(self, instance):
+        """Return the :class:`Load` of one engine."""
+        return self.loads.get(instance.id, Load())
 
 
 @attrs.define(frozen=True)
 class Plan:
     """Where one attempt runs; ``prefill`` is None when done in place.
 
-    ``tokens`` is the work of reading the prompt, see :func:`reading_work`;
-    ``wait`` estimates the seconds to the first token, ``reading`` those of
-    them that the prompt itself takes.
+    ``tokens`` is the work of reading the prompt, in tokens without context, of
+    which ``cached`` tokens needn't be read; ``wait`` estimates the seconds to
+    the first token, ``reading`` those of them that the prompt itself takes,
+    ``queued`` the work read before it, ``urgency`` the priority at the engine
+    that reads it.
     """
 
     target: object
@@ -63,35 +90,58 @@
     tokens: int = 0
     wait: float = 0.0
     reading: float = 0.0
+    cached: int = 0
+    queued: float = 0.0
+    urgency: int = 0
 
 
-def reading_work(prompt, cached):
-    """Return the work of prefilling ``prompt``, in tokens without context.
-
-    A token costs more the more tokens stand before it, cached ones included:
-    25,000 tokens take 1.4 times as long as their number says.
+@attrs.define(frozen=True)
+class Option:
+    """One engine that may read a prompt; ``cost`` weighs its time as well."""
 
-    :param cached: tokens of its shared parts that need not be read.
-    """
-    tokens = prompt.tokens - cached
-    return int(tokens * (1 + ATTENTION_PER_TOKEN * (cached + tokens / 2)))
+    cost: float
+    wait: float
+    instance: object
+    work: int
+    reading: float
+    cached: int
+    queued: float
+    urgency: int
 
 
 def _rank(key, instance_id):
     return hashlib.blake2b(f"{key}/{instance_id}".encode(), digest_size=8).digest()
 
 
-def prefill_urgency(prompt, priority):
-    """Return the priority of a prefill: longer prompts are less urgent.
+def lot(request_id):
+    """Return a number from 0 to 1 that every VM draws for a request alike."""
+    return int.from_bytes(_rank("lot", request_id)) / 2**64
+
+
+def prefill_urgency(reading, objective, priority, drawn=1.0):
+    """Return the priority of a prefill: longer readings are less urgent.
 
-    A long prompt holds up several short ones that could still be on time.
+    A long one holds up several short ones that could still be on time.
 
+    :param reading: seconds that its engine takes for it.
+    :param objective: seconds to the first event, as the route declares.
     :param priority: that of the request's route, 0 first.
+    :param drawn: the request's :func:`lot`.
     """
-    size = sum(prompt.tokens > step for step in LONG_PROMPT_TOKENS)
+    size = sum(reading > step * objective for step in READING_STEPS)
+    if size == len(READING_STEPS) and drawn < SPARED_SHARE:
+        size = 0
     return min(PRIORITY_MAX, priority + size)
 
 
+def is_short(reading, objective):
+    """True when a decode engine may read a prompt without harm to its streams.
+
+    :param reading: seconds that a prefill engine takes for it.
+    """
+    return reading / IN_PLACE_SHARE <= READING_STEPS[0] * objective
+
+
 def owner(key, instances):
     """Return the instance that owns ``key`` by rendezvous hashing.
 
@@ -123,75 +173,106 @@
             ),
         )
 
-    def _options(self, prompt, urgency, instances, loads, rate):
-        """Return (seconds, id, instance, work) for each instance.
+    def _options(self, prompt, route, drawn, instances, pool, busy, share=1.0):
+        """Return an :class:`Option` for each instance.
 
-        :param rate: prompt tokens a second that these instances read.
+        :param drawn: the request's :func:`lot`.
+        :param busy: utilization of their stage.
+        :param share: speed of these engines against a prefill engine's.
         """
+        kept = {i.id: pool.cache.cached(i.id, prompt) for i in instances}
         key = prompt.shared_parts[-1].id if prompt.shared_parts else ""
-        holder = owner(key, instances) if key else None
+        # Nobody is known to keep the parts: their owner reads them first.
+        holder = owner(key, instances) if key and not any(kept.values()) else None
+        weight = WORK_WEIGHT * min(busy, MOST_UTILIZATION) ** 2
         options = []
         for instance in instances:
-            cached = 0
-            penalty = 0.0
+            cached = kept[instance.id]
+            work = pool.cost.work(prompt.tokens - cached, cached)
+            reading = pool.cost.seconds(work) / share
+            urgency = route.priority
+            if share == 1.0:
+                objective = route.latency_objective
+                urgency = prefill_urgency(reading, objective, urgency, drawn)
+            ahead = pool.load(instance).ahead(urgency)
+            wait = pool.cost.overhead + pool.cost.seconds(ahead) / share + reading
+            wait += self._distance(instance)
+            cost = wait + weight * reading
             if instance is holder:
-                cached = prompt.shared_tokens
-            elif holder is not None:
-                penalty = prompt.shared_tokens / rate * REREAD_WEIGHT
-            tokens = reading_work(prompt, cached)
-            ahead = loads.get(instance.id, Load()).ahead(urgency)
-            seconds = (ahead + tokens) / rate + penalty
-            seconds += self._distance(instance)
-            options.append((seconds, instance.id, instance, tokens))
+                cost -= OWNER_SECONDS
+            options.append(
+                Option(cost, wait, instance, work, reading, cached, ahead, urgency)
+            )
         return options
 
-    def _decode_seconds(self, instance, loads):
-        load = loads.get(instance.id, Load())
-        return (
-            load.running * RUNNING_SECONDS
-            + load.prefill_tokens / IN_PLACE_TOKENS_PER_SECOND
-            + self._distance(instance)
-        )
+    def _decode_seconds(self, instance, pool, moved=0, source=None):
+        """Return the seconds from the hand-over to the first token.
 
-    def plan(self, prompt, urgency, prefills, decoders, loads):
+        :param moved: tokens whose KV cache comes from ``source``.
+        """
+        load = pool.load(instance)
+        move = moved * pool.move_seconds
+        if source is not None:
+            if source.record.data_centre != instance.record.data_centre:
+                move *= FAR_MOVE_FACTOR
+        in_place = pool.cost.seconds(load.prefill_tokens) / IN_PLACE_SHARE
+        running = load.running * RUNNING_SECONDS
+        return running + in_place * BESIDE_SHARE + move + self._distance(instance)
+
+    def plan(self, prompt, route, pool, drawn=1.0):
         """Return a :class:`Plan` for a prompt, or None without a decode engine.
 
-        :param urgency: its priority at the engine that reads it, 0 first.
-        :param prefills: engines that may prefill it.
-        :param decoders: engines that may decode it.
+        :param drawn: the request's :func:`lot`.
+        :param pool: the :class:`Pool` to choose from.
         """
-        if not decoders:
+        if not pool.decoders:
             return None
-        in_place = self._in_place(prompt, urgency, decoders, loads)
-        if not prefills:
+        in_place_cost, in_place = self._in_place(prompt, route, pool)
+        if not pool.prefills:
             return in_place
-        handed_over = self._handed_over(prompt, urgency, prefills, decoders, loads)
-        if prompt.tokens > IN_PLACE_LIMIT_TOKENS:
-            return handed_over
-        return min(in_place, handed_over, key=lambda plan: plan.wait)
-
-    def _in_place(self, prompt, urgency, decoders, loads):
-        rate = IN_PLACE_TOKENS_PER_SECOND
-        rows = self._options(prompt, urgency, decoders, loads, rate)
-        rows = [
-            (seconds + loads.get(key, Load()).running * RUNNING_SECONDS, key, *rest)
-            for seconds, key, *rest in rows
-        ]
-        seconds, _, target, tokens = min(rows)
-        return Plan(target, None, tokens, seconds, tokens / rate)
-
-    def _handed_over(self, prompt, urgency, prefills, decoders, loads):
-        rate = PREFILL_TOKENS_PER_SECOND
-        rows = self._options(prompt, urgency, prefills, loads, rate)
-        seconds, _, prefill, tokens = min(rows)
-        target = self.decoder(decoders, loads)
-        wait = seconds + HANDOVER_SECONDS + self._decode_seconds(target, loads)
-        return Plan(target, prefill, tokens, wait, tokens / rate)
-
-    def decoder(self, decoders, loads):
-        """Return the least loaded of the engines that decode, None without one."""
+        cost, handed_over = self._handed_over(prompt, route, drawn, pool)
+        short = is_short(in_place.reading * IN_PLACE_SHARE, route.latency_objective)
+        return in_place if short and in_place_cost < cost else handed_over
+
+    def _in_place(self, prompt, route, pool):
+        """Return (cost, :class:`Plan`) of reading by a decode engine."""
+        options = self._options(
+            prompt, route, 1.0, pool.decoders, pool, pool.decoders_busy, IN_PLACE_SHARE
+        )
+        rows = []
+        for option in options:
+            running = pool.load(option.instance).running * RUNNING_SECONDS
+            rows.append((option.cost + running, option.instance.id, option, running))
+        cost, _, best, running = min(rows, key=lambda row: row[:2])
+        wait = best.wait + running
+        plan = Plan(best.instance, None, best.work, wait, best.reading)
+        return cost, self._detailed(plan, best)
+
+    def _handed_over(self, prompt, route, drawn, pool):
+        """Return (cost, :class:`Plan`) of reading by a prefill engine."""
+        options = self._options(prompt, route, drawn, pool.prefills, pool, pool.busy)
+        best = min(options, key=lambda option: (option.cost, option.instance.id))
+        target = self.decoder(pool, prompt.tokens, best.instance)
+        after = self._decode_seconds(target, pool, prompt.tokens, best.instance)
+        after += HANDOVER_SECONDS
+        plan = Plan(target, best.instance, best.work, best.wait + after, best.reading)
+        return best.cost + after, self._detailed(plan, best)
+
+    def _detailed(self, plan, option):
+        return attrs.evolve(
+            plan,
+            cached=option.cached,
+            queued=option.queued,
+            urgency=min(PRIORITY_MAX, option.urgency),
+        )
+
+    def decoder(self, pool, moved, source):
+        """Return the best engine to decode, None without one.
+
+        :param moved: tokens whose KV cache comes from ``source``.
+        """
         return min(
-            decoders,
-            key=lambda i: (self._decode_seconds(i, loads), i.id),
+            pool.decoders,
+            key=lambda i: (self._decode_seconds(i, pool, moved, source), i.id),
             default=None,
         )
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -76,11 +76,15 @@
 
 def _service(row):
     engine = row.get("engine") or {}
+    link = float(engine.get("link_mbps", 0))
+    bits = 8 * float(engine.get("kv_token_bytes", 0))
     return ServiceSpec(
         name=row["name"],
         max_connections=int(row.get("max_connections", 100)),
         kv_tokens=int(engine.get("kv_tokens", 0)),
         slots=int(engine.get("slots", 0)),
+        move_seconds=bits / (link * 1e6) if link > 0 else 0.0,
+        change_seconds=float(engine.get("role_switch_s", 3.0)),
     )
 
 
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -61,13 +61,17 @@
 class ServiceSpec:
     """A declared service: connection cap per instance and engine limits.
 
-    ``kv_tokens`` is 0 for a plain application service.
+    ``kv_tokens`` is an engine's memory in tokens, 0 for a plain application
+    service; ``move_seconds`` the time that a token's KV cache takes on an
+    engine's link, ``change_seconds`` that of a stage change.
     """
 
     name: str
     max_connections: int
     kv_tokens: int = 0
     slots: int = 0
+    move_seconds: float = 0.0
+    change_seconds: float = 3.0
 
     @property
     def is_engine(self):
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -47,6 +47,35 @@
   longest @3 :UInt32;        # tokens of the longest unread prompt
 }
 
+struct ReadRecord {
+  # Parts of prompts that one engine read for one entry VM, in order.
+  instance @0 :Text;
+  keys @1 :List(UInt32);     # short names of the parts
+  tokens @2 :List(UInt32);   # their lengths
+}
+
+struct SampleRecord {
+  # One prompt that an engine read without a queue before it.
+  service @0 :Text;
+  tokens @1 :UInt32;       # that were read
+  cached @2 :UInt32;       # that stood before them
+  seconds @3 :Float32;     # from the call to its answer
+}
+
+struct PoolRecord {
+  # What one entry VM learnt of one service.
+  service @0 :Text;
+  reading @1 :Float32;     # demand a second: work of reading, in tokens
+  moved @2 :Float32;       # tokens whose KV cache is handed over
+  streams @3 :Float32;     # requests
+  overhead @4 :Float64;    # fitted seconds of one prefill
+  token @5 :Float64;       # and for each token, 0 while nothing is fitted
+  pair @6 :Float64;        # and for each pair of tokens
+  apart @7 :Float32;       # work sent to prefill engines a second, in tokens
+  inPlace @8 :Float32;     # work sent to decode engines a second
+  short @9 :Float32;       # part of reading that decode engines could do as well
+}
+
 struct PeerMessage {
   # Sent several times a second from each entry VM to its peers over UDP.
   name @0 :Text;
@@ -55,4 +84,7 @@
   loads @3 :List(LoadRecord);
   held @4 :List(Text);     # instances under change: no new work for now
   intervalMs @5 :UInt32;   # until the sender's next message
+  reads @6 :List(ReadRecord);   # since the sender's last message
+  pools @7 :List(PoolRecord);   # in some messages only
+  samples @8 :List(SampleRecord);   # since the sender's last message
 }
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -153,7 +153,11 @@
             defaults.LEADER_KEY: self._on_leader,
         }
         self.peers = PeerLink(
-            settings.name, self.fleet.loads, self._peer_addresses, self._leaving
+            settings.name,
+            self.fleet.loads,
+            self._peer_addresses,
+            self._leaving,
+            self.fleet.learned,
         )
 
     @classmethod
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -11,8 +11,10 @@
 
 from . import refusal
 from .connections import WholeAnswer
+from .demand import Demand
 from .exceptions import ResultCode, UpstreamError
-from .placement import IN_PLACE_LIMIT_TOKENS, PRIORITY_MAX, prefill_urgency
+from .placement import PRIORITY_MAX
+from .prefill import WAIT_MARGIN, Prefill
 from .request import Kind, SendOptions
 from .sends import ClientStream, Patience, StreamListener, watch
 from .sse import EventSplitter
@@ -26,12 +28,6 @@
 #: Seconds for a plain service's answer to a repeatable call: ten times its
 #: usual work.
 PLAIN_ANSWER_SECONDS = 0.45
-#: Seconds for a prefill answer beyond the estimate. A prompt that is given up
-#: while it waits has to wait again elsewhere; an engine that is gone is noticed
-#: by its connection first.
-PREFILL_SECONDS = 1.0
-#: Multiple of the estimated wait that an engine may take.
-WAIT_MARGIN = 2.0
 
 
 class Serving:
@@ -58,6 +54,7 @@
         self.sends = 0
         self.prefills = 0
         self.granted = 0
+        self.planned_at = request.arrived
         self.tried = set()
         self.may_have_run = False
         self.answer = None
@@ -66,6 +63,10 @@
     async def run(self):
         """Answer the request; return the :class:`ResultCode` of the outcome."""
         self.fleet.budget(self.service).note_request(self.request.arrived)
+        if self.request.prompt.tokens:
+            self.fleet.note_demand(
+                self.request.prompt, self.route, self.service, self.request.arrived
+            )
         loop = asyncio.get_running_loop()
         left = self._left(time.monotonic())
         try:
@@ -105,6 +106,7 @@
         if self.may_have_run and self.sends >= self.route.max_attempts:
             return None
         plan = self.fleet.plan(self.request, self.route, self.service, self.tried, now)
+        self.planned_at = now
         if plan is None or not self._grant(plan, now):
             return None
         return plan
@@ -158,15 +160,16 @@
         handle, prefill = None, plan.prefill
         if prefill is not None:
             handle = await self._prefill(plan)
-            if handle is None and self.request.prompt.tokens > IN_PLACE_LIMIT_TOKENS:
-                # Read by a decode engine, it would stall the streams there
-                # while another prefill engine may be free.
+            if handle is None:
+                # Another prefill engine may be free, or a decode engine
+                # quicker by now.
                 return False
             # The prefill may have waited for seconds: the decode engine that
             # was best before may be leaving or busy now, and one that leaves
             # must get nothing new a moment after its notice.
             now = time.monotonic()
-            plan = self.fleet.decode_plan(self.service, plan, self.tried, now)
+            moved = self.request.prompt.tokens
+            plan = self.fleet.decode_plan(self.service, plan, moved, self.tried, now)
         taken = False
         try:
             if plan is None:
@@ -174,6 +177,8 @@
             tokens = plan.tokens if handle is None else 0
             urgency = min(PRIORITY_MAX, self.route.priority)
             work = self.fleet.loads.begin(plan.target.id, tokens, urgency)
+            knowledge = self.fleet.learned.pool(self.service)
+            knowledge.demand.note(Demand(in_place=tokens), time.monotonic())
             listener = StreamListener(self.wire, self.stream, work)
             patience = self._patience(
                 FIRST_EVENT_SECONDS + WAIT_MARGIN * plan.wait, EVENT_GAP_SECONDS
@@ -185,10 +190,24 @@
             if handle is not None and not taken:
                 self.relay.release(prefill, handle)
         if whole and listener.good:
+            self.fleet.learned.was_read(plan.target.id, self.request.prompt)
+            self._note_stream(plan, time.monotonic())
             self.sink.finish()
             return True
         return whole and self._take_whole(plan, listener, listener.marks)
 
+    def _note_stream(self, plan, now):
+        """A stream ended whole: learn from it, and measure the estimate."""
+        if not self.stream.begun:
+            return
+        knowledge = self.fleet.learned.pool(self.service)
+        knowledge.note_stream(now - self.stream.begun_at)
+        metrics = self.relay.metrics
+        metrics.token_seconds.labels(self.service).set(knowledge.speed.cost.token)
+        if plan.wait > 0:
+            ratio = (self.stream.begun_at - self.planned_at) / plan.wait
+            metrics.wait_ratio.labels(self.service).observe(ratio)
+
     def _take_whole(self, plan, answer, marks):
         """Take an instance's whole answer; True when it went to the client."""
         if not self._ran(plan.target, marks, answer.status):
@@ -205,7 +224,7 @@
         """Note what an answer shows; False when it must not be passed on."""
         now = time.monotonic()
         if status == 421:
-            self._misdirected(instance, marks)
+            self.fleet.misdirected(instance, marks.instance, now)
             self.cause = f"{instance.id} is not at its address or in its stage"
             return False
         if marks.not_executed:
@@ -222,17 +241,6 @@
             self.fleet.suspicion.answered(instance.id)
         return True
 
-    def _misdirected(self, instance, marks):
-        """An instance refused a call as not meant for it.
-
-        Either another one has its address now, or its stage is not what its
-        record says yet; in both cases it is of no use for the moment.
-        """
-        if marks.instance and marks.instance != instance.record.id:
-            self.fleet.instances.left(instance, "address reused")
-        else:
-            self.fleet.suspicion.failed(instance.id, time.monotonic(), True)
-
     async def _send(self, plan, listener, work, patience, handle=None):
         """Send once; False when no whole answer came."""
         target = plan.target
@@ -283,74 +291,15 @@
         )
 
     async def _prefill(self, plan):
-        """Prefill apart; return the handle, None when the decode engine must."""
-        engine = plan.prefill
-        urgency = prefill_urgency(self.request.prompt, self.route.priority)
+        """Prefill apart; return the handle, None when the engine gave none."""
         self.prefills += 1
-        self.tried.add(engine.id)
-        now = time.monotonic()
-        options = SendOptions(
-            instance=engine.record.id,
-            deadline_ms=int(self._left(now) * 1000),
-            priority=urgency,
-            prefill_only=True,
-        )
-        answer = WholeAnswer()
-        work = self.fleet.loads.begin(engine.id, plan.tokens, urgency)
-        limit = PREFILL_SECONDS + WAIT_MARGIN * plan.wait
-        logger.info(
-            "prefill",
-            request=self.request.id,
-            instance=engine.id,
-            tokens=plan.tokens,
-            wait=round(plan.wait, 3),
-            urgency=urgency,
-        )
+        self.tried.add(plan.prefill.id)
+        call = Prefill(self.relay, self.request, self.service, plan)
         try:
-            await asyncio.wait_for(
-                self.relay.exchange(engine, self.request, options, answer), limit
-            )
-            handle = self._read_handle(engine, answer)
-        except (UpstreamError, asyncio.TimeoutError) as error:
-            self.fleet.suspicion.failed(engine.id, time.monotonic())
-            self.cause = f"prefill at {engine.id}: {error!r}"
-            logger.warning(
-                "prefill failed",
-                request=self.request.id,
-                instance=engine.id,
-                error=repr(error),
-            )
-            return None
-        finally:
-            work.end()
-        if engine.gone:
-            # It is over, or has started again under its id: a handle of that
-            # number may then be another prompt's.
-            self.cause = f"prefill at {engine.id}: the engine is gone"
-            logger.warning(
-                "prefill failed",
-                request=self.request.id,
-                instance=engine.id,
-                error="engine gone",
-            )
+            return await call.run(self._left(time.monotonic()))
+        except UpstreamError as error:
+            self.cause = f"prefill at {plan.prefill.id}: {error}"
             return None
-        self.fleet.suspicion.answered(engine.id)
-        logger.info(
-            "prefilled",
-            request=self.request.id,
-            instance=engine.id,
-            seconds=round(time.monotonic() - now, 3),
-        )
-        return handle
-
-    def _read_handle(self, engine, answer):
-        if answer.status == 200:
-            return self.wire.read_handle(engine.address, answer.body)
-        # A refused prefill call counts as a repeat, the first as well.
-        self.fleet.budget(self.service).spend(time.monotonic())
-        if answer.status == 421:
-            self._misdirected(engine, self.wire.read_marks(answer.headers))
-        raise UpstreamError(f"prefill status {answer.status}")
 
     def _respond(self, answer):
         headers = self.wire.answer_headers(answer.headers)
--- a/src/mulberrydock/stage_duty.py
+++ b/src/mulberrydock/stage_duty.py
@@ -80,15 +80,16 @@
             engines = self.fleet.instances.serving(service.name)
             leaving = self.fleet.instances.any_leaving(service.name)
             loads = self.fleet.loads.total(now)
-            change = planner.decide(engines, leaving, loads, now)
+            needs = self.fleet.stage_needs(service, now)
+            change = planner.decide(engines, leaving, loads, needs, now)
             if change is None or not self.may_order(boot_seconds()):
                 continue
-            settle = await self.order(change, now)
+            settle = await self.order(change, needs, now)
             if settle:
                 planner.note_order(change, settle, time.monotonic())
 
-    async def order(self, change, now):
-        """Send one order; return for how many seconds to leave the pool alone."""
+    async def order(self, change, needs, now):
+        """Send one order; return for how many seconds it may be at work."""
         instance = change.instance
         call = self.wire.report(instance.record)
         report = await self.relay.call(instance, call, ORDER_SECONDS)
@@ -119,6 +120,8 @@
             "order",
             instance=instance.id,
             stage=change.stage.value,
+            reading=needs and round(needs.reading, 2),
+            decoding=needs and round(needs.decoding, 2),
             token=token,
             orders=report.orders,
             status=status,
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -1,37 +1,50 @@
 """How many engines of a pool prefill, and which one to change.
 
-Answers the pattern in which engines leave or crash until none of a pool is
-left that prefills: long prompts are then read by the decode engines at half
-the speed, in the way of every running stream. A change darkens an engine for
-seconds, so a pool is only changed when it has stayed out of balance.
+Answers two patterns. A mix whose prompts grow or shrink against its answers: the
+stage that is short makes every client wait while the other one idles. And engines
+that leave or crash until none of a pool is left that prefills, or that decodes. A
+change darkens an engine for seconds, so a pool is only changed when the measured
+demand asks for it, the other stage can spare the engine, and that lasts.
 """
 
 import attrs
 
 from .instances import Stage
 from .peer_loads import Load
-
-#: Share of a pool's engines that prefill. With the users' mix, prompts of
-#: more than the in-place limit fill about 1.1 engines of five.
-PREFILL_SHARE = 0.4
+from .reading_speed import IN_PLACE_SHARE
+
+#: Share of a pool's engines that decode while nothing is known of its mix: a
+#: change costs nothing before the first request. Prompts take engines, answers
+#: rarely do.
+IDLE_DECODING_SHARE = 1 / 3
+#: Decode engines that an idle pool has at least: one may be lost while another is
+#: dark for a change.
+IDLE_DECODERS = 3
+#: Utilization of the prefill engines, by what decode engines can't read as well,
+#: above which one more of them is worth the seconds in which it is dark.
+MOST_READING = 1.2
+#: Utilization of the decode engines above which one more decodes; their streams
+#: share an engine, and each of them slows the others.
+MOST_DECODING = 0.8
+#: Engines from which a pool keeps two decode engines: with one, nothing runs for
+#: as long as a change takes once it is lost.
+SPARE_DECODER_FROM = 3
 #: Seconds for which a pool must lack a whole stage before one is changed; a
 #: crashed engine's record takes longer than this to lapse.
 MISSING_SECONDS = 0.3
-#: Seconds for which a pool must have too many prefill engines. One of them may
-#: be the successor of another that leaves a second later. With fewer decode
-#: engines than prefill engines there is no time to wait for that: such a pool
-#: fails requests.
-UNBALANCED_SECONDS = 6.0
-FEW_DECODERS_SECONDS = 1.5
-#: Seconds for which a pool must lack prefill engines: long prompts are answered
-#: late. A crashed engine is back, in its old stage, after 2 to 5 s, and its
-#: record lapses after 3.6 s.
-FEW_PREFILLS_SECONDS = 2.5
-#: Seconds for which a pool must lack prefill engines, or be down to its last
-#: decode engine, after an engine's notice that it leaves: that engine won't be
-#: back. Its successor, where it is replaced, has registered before the notice.
+#: Seconds for which a pool must have too few decode engines: one that crashed is
+#: back, in its old stage, after 2 to 5 s, and its record lapses after 3.6 s.
+FEW_DECODERS_SECONDS = 6.0
+#: Seconds for which a pool must lack prefill engines: the average of the demand
+#: has no trend of its own by then, and long prompts are answered late meanwhile.
+FEW_PREFILLS_SECONDS = 2.0
+#: Seconds for which a pool must lack engines of a stage after an engine's notice
+#: that it leaves: that engine won't be back. Its successor, where it is replaced,
+#: has registered before the notice.
 NOTICED_SECONDS = 0.5
-#: Seconds after an order for which the pool isn't changed again: the users'
+#: Share of a pool that may be under change at once.
+CHANGED_SHARE = 0.25
+#: Seconds after an order for which its engine counts as under change: the users'
 #: engines are dark for 3 s, and one without an answer may be carried out 12 s
 #: late. A refused order did nothing; its engine's report lags a little.
 ORDER_SETTLE_SECONDS = 5.0
@@ -43,6 +56,18 @@
 REPEAT_SECONDS = 0.6
 
 
+@attrs.define(frozen=True)
+class StageNeeds:
+    """Engines' worth of work that is asked of each stage of a pool.
+
+    ``short`` is the part of ``reading`` that decode engines could do as well.
+    """
+
+    reading: float = 0.0
+    decoding: float = 0.0
+    short: float = 0.0
+
+
 @attrs.define(frozen=True)
 class StageChange:
     """An order to be given: the engine and the stage it should have."""
@@ -51,11 +76,38 @@
     stage: Stage
 
 
-def prefill_target(count):
-    """Return how many of ``count`` engines should prefill."""
+def spare_decoders(count):
+    """Return how many of ``count`` engines decode at least, for their loss."""
     if count < 2:
-        return 0
-    return min(count - 1, max(1, round(count * PREFILL_SHARE)))
+        return count
+    return 2 if count >= SPARE_DECODER_FROM else 1
+
+
+def idle_prefills(count):
+    """Return how many of ``count`` engines prefill before any demand."""
+    least = min(IDLE_DECODERS, (count + 1) // 2)
+    return count - max(least, round(count * IDLE_DECODING_SHARE))
+
+
+def prefills_wanted(prefills, decoders, needs):
+    """Return how many of a pool's engines should prefill, as it stands.
+
+    A pool in which no stage is short stays as it is: what a change would win is
+    less than the seconds for which its engine is dark.
+    """
+    count = prefills + decoders
+    if needs is None:
+        return idle_prefills(count)
+    spare = spare_decoders(count)
+    if decoders < spare or needs.decoding > MOST_DECODING * decoders:
+        return max(0, min(prefills - 1, count - spare)) if count > 1 else 0
+    idle = IN_PLACE_SHARE * max(0.0, decoders - needs.decoding)
+    reading = needs.reading - min(needs.short, idle)
+    can_spare = decoders > spare
+    can_spare = can_spare and needs.decoding <= MOST_DECODING * (decoders - 1)
+    if can_spare and reading > MOST_READING * prefills:
+        return prefills + 1
+    return prefills if prefills or count < 2 else 1
 
 
 @attrs.define
@@ -73,11 +125,13 @@
 class StagePlanner:
     """Decides stage changes of one pool; remembers since when it is off.
 
-    ``ordered`` maps incarnations' names to the :class:`Ordered` that may be at work;
-    ``noticed_at`` is when an engine of the pool was last known to be leaving.
+    ``lacking`` is the stage that it lacks since ``off_since``; ``ordered`` maps
+    incarnations' names to the :class:`Ordered` that may be at work; ``noticed_at``
+    is when an engine of the pool was last known to be leaving.
     """
 
     off_since: float | None = None
+    lacking: Stage | None = None
     noticed_at: float | None = None
     ordered: dict = attrs.field(factory=dict)
 
@@ -107,8 +161,8 @@
                 return StageChange(engine, order.stage)
         return None
 
-    def unsettled(self, engines, now):
-        """True while an order may be at work.
+    def under_change(self, engines, now):
+        """Return the ids of the engines at which an order may be at work.
 
         It is over when its engine shows the stage it asks for, or has left;
         the pool may then need the next change at once.
@@ -121,49 +175,57 @@
             and instance_id in stages
             and stages[instance_id] is not order.stage
         }
-        return bool(self.ordered)
+        return set(self.ordered)
 
     def _patience(self, prefills, decoders, wanted):
         """Return for how many seconds the pool may stay as it is."""
         if not prefills or not decoders:
             return MISSING_SECONDS
-        noticed = self.noticed_at is not None and self.noticed_at >= self.off_since
-        if noticed and (len(prefills) < wanted or len(decoders) == 1):
+        if self.noticed_at is not None and self.noticed_at >= self.off_since:
             return NOTICED_SECONDS
         if len(prefills) < wanted:
             return FEW_PREFILLS_SECONDS
-        if len(decoders) < len(prefills):
-            return FEW_DECODERS_SECONDS
-        return UNBALANCED_SECONDS
+        return FEW_DECODERS_SECONDS
 
-    def decide(self, engines, leaving, loads, now):
+    def decide(self, engines, leaving, loads, needs, now):
         """Return a :class:`StageChange`, or None.
 
         :param engines: instances of the pool that may take new work.
         :param leaving: True while others of the pool are leaving.
         :param loads: work at each, by instance id.
+        :param needs: the :class:`StageNeeds` measured, None before any request.
         """
         if leaving:
             self.noticed_at = now
-        prefills = [e for e in engines if e.record.stage is Stage.PREFILL]
-        decoders = [e for e in engines if e.record.stage is Stage.DECODE]
-        wanted = prefill_target(len(prefills) + len(decoders))
+        changing = self.under_change(engines, now)
+        prefills = [e for e in engines if self._becomes(e) is Stage.PREFILL]
+        decoders = [e for e in engines if self._becomes(e) is Stage.DECODE]
+        wanted = prefills_wanted(len(prefills), len(decoders), needs)
+        repeated = self._repeated(engines, now)
+        if repeated is not None:
+            return repeated
         if len(prefills) == wanted:
             self.off_since = None
             return None
-        if self.off_since is None:
-            self.off_since = now
+        lacking = Stage.PREFILL if len(prefills) < wanted else Stage.DECODE
+        if self.off_since is None or self.lacking is not lacking:
+            self.off_since, self.lacking = now, lacking
         patience = self._patience(prefills, decoders, wanted)
         if now - self.off_since < patience:
             return None
-        if self.unsettled(engines, now):
-            return self._repeated(engines, now)
-        if len(prefills) < wanted:
-            return self._change(decoders, Stage.PREFILL, loads)
-        return self._change(prefills, Stage.DECODE, loads)
+        if len(changing) >= max(1, int(len(engines) * CHANGED_SHARE)):
+            return None
+        free = [e for e in engines if e.id not in changing]
+        return self._change(free, lacking, loads)
+
+    def _becomes(self, engine):
+        """Return the stage an engine has, or is about to have by order."""
+        order = self.ordered.get(engine.id)
+        return order.stage if order else engine.record.stage
 
     def _change(self, engines, stage, loads):
         """Pick the engine with the least work, as its change costs least."""
+        engines = [e for e in engines if e.record.stage is not stage]
         if not engines:
             return None
         idlest = min(engines, key=lambda e: (loads.get(e.id, Load()).running, e.id))
