--- a/src/mulberrydock/cache_book.py
+++ b/src/mulberrydock/cache_book.py
@@ -56,8 +56,12 @@
     def hear(self, instance_id, rows, capacity):
         """Take (key, tokens) rows of parts that an engine read, in order.
 
-        :param capacity: tokens of the engine's memory.
+        :param capacity: tokens of the engine's memory, 0 when the engine isn't
+            known: a peer may tell of one that is over, and what is noted of it
+            would stay for ever.
         """
+        if not capacity:
+            return
         cache = self.engines.setdefault(instance_id, EngineCache())
         for key, tokens in rows:
             cache.use(key, tokens, capacity * KEPT_SHARE)
--- a/tests/test_cache_book.py
+++ b/tests/test_cache_book.py
@@ -80,6 +80,14 @@
     assert book.engines["e1"].tokens == 13_000
 
 
+def test_news_of_an_engine_that_is_not_known_is_not_kept():
+    """Engines come and go for days, and a peer's late message names one that is
+    over. It isn't noted, or the book would grow with every engine there ever was."""
+    book = CacheBook()
+    book.hear("gone@1", [(1, 10), (2, 20)], 0)
+    assert book.engines == {}
+
+
 def test_engine_that_is_gone_keeps_nothing():
     """An engine is over, or has started again: its memory went with it."""
     book = CacheBook()
