Remove what the change made dead: a setting never read, a property without callers

change_seconds of a service was decoded and never used; shared_tokens of a prompt lost its last caller with the placement by kept parts. The bound on a prompt's priority stands once, where the priority is chosen.

--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -192,7 +192,7 @@
             cached = kept[instance.id]
             work = pool.cost.work(prompt.tokens - cached, cached)
             reading = pool.cost.seconds(work) / share
-            urgency = route.priority
+            urgency = min(PRIORITY_MAX, route.priority)
             if share == 1.0:
                 objective = route.latency_objective
                 urgency = prefill_urgency(reading, objective, urgency, drawn)
@@ -265,7 +265,7 @@
             plan,
             cached=option.cached,
             queued=option.queued,
-            urgency=min(PRIORITY_MAX, option.urgency),
+            urgency=option.urgency,
         )
 
     def decoder(self, pool, moved, source):
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -84,7 +84,6 @@
         kv_tokens=int(engine.get("kv_tokens", 0)),
         slots=int(engine.get("slots", 0)),
         move_seconds=bits / (link * 1e6) if link > 0 else 0.0,
-        change_seconds=float(engine.get("role_switch_s", 3.0)),
     )
 
 
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -63,7 +63,7 @@
 
     ``kv_tokens`` is an engine's memory in tokens, 0 for a plain application
     service; ``move_seconds`` the time that a token's KV cache takes on an
-    engine's link, ``change_seconds`` that of a stage change.
+    engine's link.
     """
 
     name: str
@@ -71,7 +71,6 @@
     kv_tokens: int = 0
     slots: int = 0
     move_seconds: float = 0.0
-    change_seconds: float = 3.0
 
     @property
     def is_engine(self):
@@ -119,11 +118,6 @@
         """Parts that other requests have too: all but the last."""
         return self.parts[:-1]
 
-    @property
-    def shared_tokens(self):
-        """Tokens of the shared parts."""
-        return sum(part.tokens for part in self.shared_parts)
-
 
 @attrs.define(frozen=True)
 class KvHandle:
