Logs name the work that a request asks for, and whether a cut instance crashed

The lines couldn't tell whether the requests under several crashes were the same, nor a crash from one reset connection. No decision uses either yet.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -19,7 +19,7 @@
 import tornado.tcpclient
 
 from ._http import split_address
-from .exceptions import ResultCode, UpstreamError
+from .exceptions import ConnectionCut, ResultCode, UpstreamError
 
 #: Seconds for a new connection; a place two data centres away answers in 2 ms,
 #: a VM without power never does.
@@ -147,6 +147,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def _is_refusal(error):
+    """True when a connection failed as nobody listens, not for want of an answer."""
+    if not isinstance(error, tornado.iostream.StreamClosedError):
+        return False
+    return error.real_error is None or isinstance(error.real_error, ConnectionError)
+
+
 @attrs.define(eq=False)
 class Connection:
     """An open connection and until when it may be reused (monotonic seconds)."""
@@ -231,6 +238,18 @@
             )
         return await self._connect()
 
+    async def accepts(self, now):
+        """Return whether the peer accepts connections, None when it doesn't say.
+
+        A connection made to find out is kept for the next exchange.
+        """
+        try:
+            connection = await self._connect()
+        except UpstreamError as error:
+            return False if _is_refusal(error.__cause__) else None
+        self.release(connection, now, IDLE_SECONDS - IDLE_MARGIN_SECONDS)
+        return True
+
     def release(self, connection, now, keep_seconds):
         """Keep ``connection`` for ``keep_seconds`` if it can carry another."""
         stream = connection.stream
@@ -282,9 +301,7 @@
                 http.write(body)
             http.finish()
         except tornado.iostream.StreamClosedError as error:
-            raise UpstreamError(
-                f"{self.address} cut: {error}", ResultCode.UPSTREAM_FAILED
-            ) from error
+            raise ConnectionCut(f"{self.address} cut: {error}") from error
         for _ in range(1 + STALE_ANSWERS_SKIPPED):
             delegate = _Delegate(listener, accepts)
             whole, reading = await self._read(http, delegate)
@@ -298,9 +315,7 @@
                 return delegate.headers, reading.done() and not stream.closed()
             http = tornado.http1connection.HTTP1Connection(stream, True, PARAMS)
             http.finish()
-        raise UpstreamError(
-            f"{self.address} cut the answer", ResultCode.UPSTREAM_FAILED
-        )
+        raise ConnectionCut(f"{self.address} cut the answer")
 
     async def _read(self, http, delegate):
         reading = asyncio.ensure_future(http.read_response(delegate))
--- /dev/null
+++ b/src/mulberrydock/crash_probe.py
@@ -0,0 +1,54 @@
+"""Tells a crashed instance from one that cut a single connection.
+
+Both end the exchanges on a connection in the same way. An instance that broke off one
+answer, or whose connections were reset on the way, still accepts a new connection; at
+the address of one that crashed nobody listens.
+"""
+
+import asyncio
+import time
+
+from loguru import logger
+
+#: Seconds for which the next attempt of a cut request waits to learn what happened. A
+#: refusal takes one round trip; who doesn't answer by then hasn't shown a crash.
+ANSWER_SECONDS = 0.1
+
+
+class CrashProbe:
+    """Probes instances whose connections were cut; one connection tells all that wait.
+
+    :param pool: returns the :class:`~mulberrydock.connections.ConnectionPool` of an
+        instance.
+
+    ``down`` are the incarnations that were found crashed.
+    """
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.probes = {}
+        self.down = set()
+
+    async def crashed(self, instance):
+        """Return True when ``instance`` is found to have crashed."""
+        if instance.id in self.down:
+            return True
+        probe = self.probes.get(instance.id)
+        if probe is None:
+            probe = asyncio.ensure_future(self._probe(instance))
+            self.probes[instance.id] = probe
+        await asyncio.wait([probe], timeout=ANSWER_SECONDS)
+        return instance.id in self.down
+
+    async def _probe(self, instance):
+        try:
+            accepts = await self.pool(instance).accepts(time.monotonic())
+        finally:
+            self.probes.pop(instance.id, None)
+        if accepts is False and not instance.gone:
+            self.down.add(instance.id)
+        logger.info("instance probed", instance=instance.id, accepts=accepts)
+
+    def forget(self, instance_id):
+        """The incarnation is over and its end known."""
+        self.down.discard(instance_id)
--- a/src/mulberrydock/exceptions.py
+++ b/src/mulberrydock/exceptions.py
@@ -87,3 +87,7 @@
     """An engine or application service failed to answer."""
 
     code = ResultCode.UPSTREAM_FAILED
+
+
+class ConnectionCut(UpstreamError):
+    """The connection ended before the answer did, as when an instance crashes."""
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -8,7 +8,7 @@
 
 from .connections import WholeAnswer
 from .demand import Demand
-from .exceptions import ResultCode, UpstreamError
+from .exceptions import ConnectionCut, ResultCode, UpstreamError
 from .learned import ReadSample
 from .request import SendOptions
 
@@ -65,7 +65,7 @@
         try:
             handle = await self._call(left)
         except UpstreamError as error:
-            self._failed(error)
+            await self._failed(error)
             raise
         finally:
             work.end()
@@ -107,15 +107,18 @@
             self.fleet.misdirected(self.engine, marks.instance, now)
         raise UpstreamError(f"prefill status {answer.status}")
 
-    def _failed(self, error):
+    async def _failed(self, error):
         unreachable = error.code == ResultCode.NOT_RUN
         self.fleet.suspicion.failed(self.engine.id, time.monotonic(), unreachable)
         logger.warning(
             "prefill failed",
             request=self.request.id,
+            fingerprint=self.request.fingerprint,
             instance=self.engine.id,
             error=str(error),
         )
+        if isinstance(error, ConnectionCut):
+            await self.relay.probe.crashed(self.engine)
 
     def _learn(self, started, now):
         """A prompt was read: log how long it took, and learn from it."""
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from .connections import ConnectionPool, WholeAnswer
+from .crash_probe import CrashProbe
 from .exceptions import ResultCode, UpstreamError
 from .refusal import RETRY_AFTER_SECONDS
 from .serving import Serving
@@ -27,6 +28,7 @@
         self.wire = wire
         self.metrics = metrics
         self.pools = {}
+        self.probe = CrashProbe(self.pool)
         self.background = set()
 
     def pool(self, instance):
@@ -41,6 +43,7 @@
 
     def forget(self, instance_id):
         """Close the kept connections of an instance that is gone."""
+        self.probe.forget(instance_id)
         pool = self.pools.pop(instance_id, None)
         if pool is not None:
             pool.close()
@@ -150,6 +153,7 @@
         first = serving.stream.begun_at
         return {
             "request": serving.request.id,
+            "fingerprint": serving.request.fingerprint,
             "route": serving.route.name,
             "service": serving.service,
             "prefills": serving.prefills,
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -5,10 +5,14 @@
 """
 
 import enum
+import hashlib
 import math
 
 import attrs
 
+#: Bytes of a fingerprint: among millions of requests no two are alike by chance.
+FINGERPRINT_BYTES = 12
+
 
 class Kind(enum.Enum):
     """What may be repeated of a route's requests."""
@@ -131,12 +135,29 @@
     tokens: int
 
 
+def fingerprint(*parts):
+    """Return the name of the work that a request asks for.
+
+    Two requests that an instance can't tell apart, but for the id of the attempt and
+    the deadline, have the same one, whichever VM they reach.
+
+    :param parts: text or bytes that together decide what an instance does.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in parts:
+        raw = part if isinstance(part, bytes) else part.encode(errors="replace")
+        # With its length, so that no two lists of parts run together alike.
+        digest.update(len(raw).to_bytes(8, "big") + raw)
+    return digest.hexdigest()
+
+
 @attrs.define(eq=False)
 class Request:
     """One attempt of a client, read whole from its connection.
 
     ``arrived`` and ``deadline`` are monotonic seconds; ``headers`` are the
     end-to-end headers to pass on, in order, as (name, value) pairs.
+    ``fingerprint`` is shared by all attempts at the same work.
     """
 
     id: str
@@ -149,6 +170,11 @@
     deadline: float
     prompt: Prompt = Prompt()
     last_event_id: int = 0
+    fingerprint: str = attrs.field(init=False)
+
+    @fingerprint.default
+    def _fingerprint(self):
+        return fingerprint(self.method, self.host, self.target, self.body)
 
     @property
     def path(self):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -12,7 +12,7 @@
 from . import refusal
 from .connections import WholeAnswer
 from .demand import Demand
-from .exceptions import ResultCode, UpstreamError
+from .exceptions import ConnectionCut, ResultCode, UpstreamError
 from .placement import PRIORITY_MAX
 from .prefill import WAIT_MARGIN, Prefill
 from .request import Kind, SendOptions
@@ -269,13 +269,13 @@
         try:
             await watch(exchange, listener, patience)
         except UpstreamError as error:
-            self._failed(target, error)
+            await self._failed(target, error)
             return False
         finally:
             work.end()
         return True
 
-    def _failed(self, instance, error):
+    async def _failed(self, instance, error):
         not_sent = error.code == ResultCode.NOT_RUN
         if not not_sent:
             self.may_have_run = True
@@ -286,10 +286,13 @@
         logger.warning(
             "attempt failed",
             request=self.request.id,
+            fingerprint=self.request.fingerprint,
             instance=instance.id,
             error=str(error),
             suspected=suspected,
         )
+        if isinstance(error, ConnectionCut):
+            await self.relay.probe.crashed(instance)
 
     async def _prefill(self, plan):
         """Prefill apart; return the handle, None when the engine gave none."""
