--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -7,6 +7,8 @@
 import asyncio
 import enum
 import json
+import time
+import typing as t
 import weakref
 
 import attrs
@@ -37,6 +39,8 @@
 #: Seconds of a pause: longer than any silence after which an instance may be
 #: left for another one, shorter than the requests' deadline.
 PAUSE_SECONDS = 1.5
+#: Seconds after which a crashed process is back.
+CRASH_SECONDS = 0.5
 
 
 @attrs.define
@@ -59,6 +63,8 @@
     :param faults: what to do with the next requests, in order.
     :param events: events of a whole stream; ids begin at 1.
     :param born: Unix milliseconds of its start, None when it doesn't say.
+    :param crash_on: a run whose body holds these bytes crashes the process.
+    :param on_back: called with this engine when it is back after a crash.
     :param prefill_gate: prefill calls are answered once this is set.
     :param prefill_refusals: each entry refuses one prefill call; several
         engines may share the list, so that whichever is asked first refuses.
@@ -80,6 +86,10 @@
     orders: list = attrs.field(factory=list)
     misdirected: int = 0
     born: int | None = None
+    crash_on: bytes = b""
+    on_back: t.Callable = lambda engine: None
+    crashes: int = 0
+    arrivals: list = attrs.field(factory=list)
     server: object = None
     readers: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
 
@@ -116,6 +126,19 @@
         for reader in list(self.readers):
             reader.close()
 
+    def crash(self):
+        """End as a process that crashed, and be back under the same id later."""
+        self.crashes += 1
+        self.stop()
+        for reader in list(self.readers):
+            reader.close()
+        asyncio.get_running_loop().call_later(CRASH_SECONDS, self._come_back)
+
+    def _come_back(self):
+        self.born = int(time.time() * 1000)
+        self.listen()
+        self.on_back(self)
+
     def stop(self):
         """Refuse new connections, as a process that is gone."""
         self.server.stop()
@@ -159,6 +182,7 @@
         reader.respond(202, {}, b"")
 
     async def _serve(self, reader):
+        self.arrivals.append(reader.headers.get(wire.ATTEMPT_ID, ""))
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         if fault is Fault.REFUSE:
             reader.respond(503, {wire.NOT_EXECUTED: "1"}, b"")
@@ -175,6 +199,9 @@
             int(reader.headers.get(wire.LAST_EVENT_ID, "0")),
         )
         self.runs.append(run)
+        if self.crash_on and self.crash_on in reader.body:
+            self.crash()
+            return
         try:
             await self._run(reader, run, fault)
             run.ended = run.ended or "done"
--- /dev/null
+++ b/tests/test_crashing_request.py
@@ -0,0 +1,96 @@
+"""Requests that crash the engines that run them, against real daemons.
+
+A client's request ends with an engine's connection, its VM sends it to the next
+engine, and that one ends as well; the client sends the same again, to another VM,
+which has never seen it. Every engine of the pool is down within a second, again and
+again, and with them everything else that runs there.
+"""
+
+import time
+
+import pytest
+from platform_fleet import LETTER, QUERY, RECEIPT, STATUS, PlatformFleet, config, until
+
+#: A body whose run crashes the engine, and one that no engine minds.
+CRASHING = b"crash"
+SOUND = b"prompt"
+VMS = ("entry-1", "entry-2")
+#: Engines that may end under a request before no VM in touch sends it on.
+CRASHES = 3
+#: Seconds within which all VMs in touch must know, as in the daemons' settings.
+CONTACT_SECONDS = 2.2
+#: Calls that may reach engines after that.
+SENDS_AFTER = 3
+#: Seconds until engines that have just crashed are back and known again.
+BACK_SECONDS = 1.2
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """A store, a pool and a plain service, two daemons."""
+    running = PlatformFleet(tmp_path)
+    running.write("op/config", config(3))
+    for name in ("d1", "d2", "d3"):
+        add(running, name, "llm", "decode")
+    add(running, "p1", "llm", "prefill")
+    for name in ("a1", "a2", "a3"):
+        add(running, name, "app")
+    for name in VMS:
+        running.start(name)
+    try:
+        for name in VMS:
+            running.wait_ready(name, [f"{engine}@1" for engine in running.engines])
+        yield running
+    finally:
+        running.stop()
+
+
+def add(fleet, name, service, stage=""):
+    fleet.add(
+        name,
+        service,
+        stage,
+        born=1,
+        crash_on=CRASHING,
+        on_back=lambda engine: fleet.store.write(f"servers/{name}", engine.record()),
+    )
+
+
+def crashes(fleet):
+    return sum(engine.crashes for engine in fleet.engines.values())
+
+
+def arrivals(fleet):
+    """Return how many calls reached engines, prefill calls among them."""
+    return sum(len(engine.arrivals) for engine in fleet.engines.values())
+
+
+def crash_engines(fleet, prefix):
+    """Send the same request, to one VM after the other, until it crashed three."""
+    sent = 0
+    end = time.monotonic() + 20.0
+    while crashes(fleet) < CRASHES and time.monotonic() < end:
+        name = VMS[sent % len(VMS)]
+        fleet.request(prefix, f"crashing-{sent}", name=name, body=CRASHING)
+        sent += 1
+        time.sleep(0.2)
+    assert crashes(fleet) >= CRASHES
+
+
+@pytest.mark.parametrize("prefix", [LETTER, QUERY, STATUS, RECEIPT])
+def test_request_that_crashed_three_engines_is_sent_on_by_no_vm(fleet, prefix):
+    """A client's request crashes every engine that runs it, and the client sends it
+    again and again, to whichever VM: those that saw the crashes, one that saw none of
+    them, one that has just started. Engines go on ending under it."""
+    crash_engines(fleet, prefix)
+    time.sleep(CONTACT_SECONDS)
+    fleet.start("entry-3")
+    until(lambda: fleet.ready("entry-3"))
+    before = arrivals(fleet)
+    for turn in range(3):
+        for name in (*VMS, "entry-3"):
+            request_id = f"again-{name}-{turn}"
+            fleet.request(prefix, request_id, name=name, body=CRASHING)
+        time.sleep(BACK_SECONDS)
+    assert arrivals(fleet) - before <= SENDS_AFTER
+    until(lambda: fleet.request(prefix, "sound", body=SOUND).status == 200, 5.0)
