What can't have crashed an engine isn't blamed: waiting prompts, streams under way

Cause: every request that a crash cut off counted, among them prompts that had waited behind others for a second and streams that had been written for long; a few of them met three crashes.

A prompt with others before it, and a stream more than 0.25 s after its first event, are not counted: work that crashes an engine does so as it begins (11 to 104 ms in the record). A client that leaves while its VM looks at the engine no longer hides the crash.

Ruled out: not counting prompts at all (one may crash what reads it), a fourth crash before the quarantine (two copies of a request at once would be sent on too often).

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -51,9 +51,11 @@
 class Listener(abc.ABC):
     """Takes the parts of one answer as they arrive.
 
-    ``progress_at`` is when the answer last made progress, None before.
+    ``begun_at`` is when the answer first made progress and ``progress_at`` when it last
+    did, None before.
     """
 
+    begun_at: float | None = None
     progress_at: float | None = None
 
     @abc.abstractmethod
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -117,7 +117,8 @@
             instance=self.engine.id,
             error=str(error),
         )
-        if isinstance(error, ConnectionCut):
+        if isinstance(error, ConnectionCut) and not self.plan.queued:
+            # A prompt that waits behind others has crashed nothing.
             await self.relay.examine(self.request, self.engine)
 
     def _learn(self, started, now):
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -95,12 +95,22 @@
         marks = self.wire.read_marks(headers)
         return 0 if marks.closing else marks.keep_alive_seconds
 
+    def _apart(self, coroutine):
+        """Run ``coroutine`` apart from any request; return its task."""
+        task = asyncio.ensure_future(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        return task
+
     async def examine(self, request, instance):
         """The connection to ``instance`` was cut under ``request``: find out why.
 
-        What ends an instance ends all that runs there. That this request was among
-        it is kept, for when it is there the next time as well.
+        Also when the client leaves meanwhile, as one does whose request is never
+        answered: what it sends again is recognised by what was seen now.
         """
+        await asyncio.shield(self._apart(self._examine(request, instance)))
+
+    async def _examine(self, request, instance):
         if instance.leaving:
             # One that leaves ends what it couldn't finish.
             return
@@ -114,9 +124,7 @@
 
     def release(self, engine, handle):
         """Free a handle that no run took, apart from its request."""
-        task = asyncio.ensure_future(self._release(engine, handle))
-        self.background.add(task)
-        task.add_done_callback(self.background.discard)
+        self._apart(self._release(engine, handle))
 
     async def _release(self, engine, handle):
         await self.call(engine, self.wire.release(handle), RELEASE_SECONDS)
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -115,9 +115,10 @@
             raise
         if not events:
             return None
-        if self.progress_at is None:
-            self.work.prefilled()
         self.progress_at = time.monotonic()
+        if self.begun_at is None:
+            self.begun_at = self.progress_at
+            self.work.prefilled()
         return self.stream.write(self.status, self.headers, events)
 
     def check(self):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -28,6 +28,14 @@
 #: Seconds for a plain service's answer to a repeatable call: ten times its
 #: usual work.
 PLAIN_ANSWER_SECONDS = 0.45
+#: Seconds after its first event from which a stream isn't blamed for its engine's
+#: crash: what crashes an engine does so as it begins.
+HARMLESS_SECONDS = 0.25
+
+
+def _ran_on(listener, now):
+    """True when an instance has gone on for long after it began to answer."""
+    return listener.begun_at is not None and now - listener.begun_at > HARMLESS_SECONDS
 
 
 class Serving:
@@ -284,13 +292,13 @@
         try:
             await watch(exchange, listener, patience)
         except UpstreamError as error:
-            await self._failed(target, error)
+            await self._failed(target, error, listener)
             return False
         finally:
             work.end()
         return True
 
-    async def _failed(self, instance, error):
+    async def _failed(self, instance, error, listener):
         not_sent = error.code == ResultCode.NOT_RUN
         if not not_sent:
             self.may_have_run = True
@@ -306,8 +314,14 @@
             error=str(error),
             suspected=suspected,
         )
+        if not_sent or _ran_on(listener, time.monotonic()):
+            return
         if isinstance(error, ConnectionCut):
             await self.relay.examine(self.request, instance)
+        else:
+            self.fleet.quarantine.note_cut(
+                self.request.fingerprint, instance.id, time.monotonic()
+            )
 
     async def _prefill(self, plan):
         """Prefill apart; return the handle, None when the engine gave none."""
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -15,7 +15,16 @@
 import time
 
 import pytest
-from platform_fleet import LETTER, QUERY, RECEIPT, STATUS, PlatformFleet, config, until
+from platform_fleet import (
+    LETTER,
+    QUERY,
+    RECEIPT,
+    STATUS,
+    PlatformFleet,
+    config,
+    send,
+    until,
+)
 
 #: A body whose run crashes the engine, and one that no engine minds.
 CRASHING = b"crash"
@@ -27,6 +36,9 @@
 CONTACT_SECONDS = 2.2
 #: Calls that may reach engines after that.
 SENDS_AFTER = 3
+#: Seconds for which a stream has run when its engine ends, well over those within which
+#: it could be to blame.
+HARMLESS_SECONDS = 0.4
 #: Seconds until engines that have just crashed are back and known again.
 BACK_SECONDS = 1.2
 
@@ -100,3 +112,28 @@
         time.sleep(BACK_SECONDS)
     assert arrivals(fleet) - before <= SENDS_AFTER
     until(lambda: fleet.request(prefix, "sound", body=SOUND).status == 200, 5.0)
+
+
+def test_stream_that_ran_beside_a_crashing_request_is_not_blamed(tmp_path):
+    """Three times in a row an engine ends under a stream that it has been writing for a
+    while, as another request, each time another one, crashes it. The stream's client
+    sends it a fourth time: it is served, as it would have ended its engine at once."""
+    fleet = PlatformFleet(tmp_path)
+    fleet.write("op/config", config(3))
+    add(fleet, "d1", "llm", "decode")
+    engine = fleet.engines["d1"]
+    engine.events, engine.event_seconds = 20, 0.05
+    fleet.start()
+    try:
+        fleet.wait_ready(instances=["d1@1"])
+        for turn in range(CRASHES):
+            connection = fleet.connect()
+            send(connection, QUERY, f"bystander-{turn}", body=SOUND)
+            connection.getresponse().read(1)
+            time.sleep(HARMLESS_SECONDS)
+            fleet.request(QUERY, f"crash-{turn}", body=CRASHING + str(turn).encode())
+            assert engine.crashes == turn + 1
+            until(lambda: len(fleet.events("instance seen")) == turn + 2)
+        assert fleet.request(QUERY, "bystander", body=SOUND).status == 200
+    finally:
+        fleet.stop()
