The entry's own front sends no work on under which three upstreams crashed

The same cause as on the platform: Completion and IdempotentCall knew what was tried only for one call, so the same body ended three engines a request, again and again. They ask the same quarantine now, kept in the entry's store; a caller is its tenant here.

--- a/src/mulberrydock/completion.py
+++ b/src/mulberrydock/completion.py
@@ -18,6 +18,7 @@
 from .exceptions import ResultCode, UpstreamError
 from .policies import LeastWait
 from .prefix import block_hashes, prompt_tokens, routing_key
+from .request import fingerprint
 from .routing import PREFILL_ROLE, Work
 
 #: Engines that one language request may be sent to.
@@ -197,7 +198,7 @@
     and returns the :class:`ResultCode` of the outcome.
     """
 
-    def __init__(self, daemon, klass, route, body, work, sink, arrived):
+    def __init__(self, daemon, klass, route, body, work, sink, arrived, name):
         self.daemon = daemon
         self.klass = klass
         self.route = route
@@ -205,6 +206,7 @@
         self.work = work
         self.sink = sink
         self.arrived = arrived
+        self.fingerprint = name
         self.request_id = uuid.uuid4().hex
         self.events = 0
         self.may_have_run = False
@@ -232,7 +234,10 @@
             routing_key(tokens),
             blocks,
         )
-        return cls(daemon, handler.klass, route, body, work, sink, handler.arrived)
+        name = fingerprint(route, handler.tenant, handler.request.body)
+        return cls(
+            daemon, handler.klass, route, body, work, sink, handler.arrived, name
+        )
 
     @property
     def deadline(self):
@@ -275,13 +280,26 @@
     async def run(self):
         """Try engines until the answer is whole; return the result code.
 
-        NO_UPSTREAM (it ran nowhere) or UPSTREAM_FAILED (it may have run) is
-        returned with nothing written; the caller of this method then answers.
+        NO_UPSTREAM and QUARANTINED (it ran nowhere) or UPSTREAM_FAILED (it may have
+        run) are returned with nothing written; the caller of this method then answers.
         """
+        code = ResultCode.CALLER_GONE
+        try:
+            code = await self._attempts()
+        finally:
+            self.daemon.crashes.ended(self.fingerprint, code is ResultCode.OK)
+        return code
+
+    async def _attempts(self):
         self.daemon.retry_budget.note_request(self.arrived)
         cause = "no engine could take the request"
+        quarantined = False
         for attempt in range(MAX_ATTEMPTS):
             now = time.monotonic()
+            quarantined = self.daemon.crashes.holds(self.fingerprint)
+            if quarantined:
+                cause = "engines crashed under it"
+                break
             if attempt and not self.daemon.retry_budget.allow(now):
                 cause = "retry budget spent"
                 break
@@ -298,6 +316,8 @@
                 self.daemon.engines.failed(engine, time.monotonic())
                 self.may_have_run |= error.code != ResultCode.NOT_RUN
                 cause = str(error)
+                call = f"{self.request_id}/{attempt}"
+                await self.daemon.crashes.failed(self.fingerprint, engine, call, error)
                 logger.info(
                     "attempt failed",
                     engine=engine.name,
@@ -309,6 +329,8 @@
             return ResultCode.STREAM_CUT
         if self.may_have_run:
             return ResultCode.UPSTREAM_FAILED
+        if quarantined:
+            return ResultCode.QUARANTINED
         return ResultCode.NO_UPSTREAM
 
     def _next_engine(self, now):
--- /dev/null
+++ b/src/mulberrydock/crash_guard.py
@@ -0,0 +1,52 @@
+"""The quarantine of work that crashes instances, as the entry's own front uses it.
+
+Engines and services have fixed names here and no incarnations: each crash under a call
+counts by itself.
+"""
+
+import time
+
+import attrs
+
+from .connections import ConnectionPool
+from .exceptions import ConnectionCut
+from .quarantine import Quarantine
+from .quarantine_keeper import QuarantineKeeper
+
+
+@attrs.define
+class CrashGuard:
+    """Knows the work that crashes upstreams; ``keeper`` writes it to the store."""
+
+    book: Quarantine
+    keeper: QuarantineKeeper
+
+    @classmethod
+    def from_store(cls, store, name, on_duty):
+        """Build over ``store`` for the entry called ``name``.
+
+        :param on_duty: returns True at the one entry that removes what is old.
+        """
+        book = Quarantine()
+        return cls(book, QuarantineKeeper(book, store, name, on_duty))
+
+    def holds(self, work):
+        """True when ``work``, a fingerprint, must not be sent to any upstream."""
+        return self.book.holds(work, time.monotonic())
+
+    async def failed(self, work, upstream, call, error):
+        """A call for ``work`` failed with ``error``: note it if the upstream crashed.
+
+        :param call: a name of the call that no other has.
+        """
+        if not isinstance(error, ConnectionCut):
+            return
+        pool = ConnectionPool(upstream.address)
+        accepts = await pool.accepts(time.monotonic())
+        pool.close()
+        if accepts is False:
+            self.book.note_crash(work, f"{upstream.name}/{call}", time.monotonic())
+
+    def ended(self, work, served):
+        """The request for ``work`` is over; ``served`` when it was answered."""
+        self.book.note_end(work, served, time.monotonic())
--- a/src/mulberrydock/entry.py
+++ b/src/mulberrydock/entry.py
@@ -19,6 +19,7 @@
 from ._http import split_address
 from .admission import Admission, RetryBudget
 from .configuration import ConfigFollower, PeerConfig
+from .crash_guard import CrashGuard
 from .idempotency import RecordLeases
 from .load_report import LoadFollower
 from .membership import Membership, Peer
@@ -56,6 +57,14 @@
         self.record_leases = RecordLeases(
             store, settings.deployment.idempotency_retention_seconds
         )
+        self.crashes = CrashGuard.from_store(store, entry.name, self._first_entry)
+        self.crash_watch = PrefixWatch(
+            store,
+            defaults.CRASH_PREFIX,
+            self.crashes.keeper.apply,
+            self.crashes.book.reset,
+            self.crashes.book.loaded,
+        )
         self.settling = set()
         self.vm_list = VmList(settings.vm_list.address, self._on_vm_list)
         self.loads = LoadFollower(self.engines)
@@ -95,6 +104,10 @@
             )
         self.metrics.config_version.set(version)
 
+    def _first_entry(self):
+        """True at one entry: the first by name of those that are registered."""
+        return self.entry.name == min([*self.membership.peers, self.entry.name])
+
     def _on_vm_list(self, leaving):
         self.engines.set_listed_leaving(leaving)
         for router in self.services.values():
@@ -184,6 +197,8 @@
             asyncio.ensure_future(self.config.run()),
             asyncio.ensure_future(self.peer_config.run()),
             asyncio.ensure_future(self.plan.run()),
+            asyncio.ensure_future(self.crash_watch.run()),
+            asyncio.ensure_future(self.crashes.keeper.run()),
             asyncio.ensure_future(self.vm_list.run()),
             asyncio.ensure_future(self.loads.follow_loads()),
             asyncio.ensure_future(self.loads.follow_events()),
--- a/src/mulberrydock/handlers.py
+++ b/src/mulberrydock/handlers.py
@@ -14,10 +14,15 @@
 from .completion import Completion
 from .exceptions import ResultCode
 from .idempotency import IdempotentCall
+from .refusal import QUARANTINE_RETRY_SECONDS
 
 #: HTTP status of a language request that no engine answered: 503 only when
 #: it ran nowhere.
-UNSERVED_STATUS = {ResultCode.NO_UPSTREAM: 503, ResultCode.UPSTREAM_FAILED: 502}
+UNSERVED_STATUS = {
+    ResultCode.NO_UPSTREAM: 503,
+    ResultCode.QUARANTINED: 503,
+    ResultCode.UPSTREAM_FAILED: 502,
+}
 
 
 class _EntryHandler(JsonHandler):
@@ -181,11 +186,14 @@
                 completion.first_event_at - self.arrived
             )
         if self.code in UNSERVED_STATUS:
+            retry_after = defaults.RETRY_AFTER_SECONDS
+            if self.code is ResultCode.QUARANTINED:
+                retry_after = int(QUARANTINE_RETRY_SECONDS)
             self.refuse(
                 UNSERVED_STATUS[self.code],
                 self.code,
                 f"no engine could serve model {completion.model!r}",
-                retry_after=defaults.RETRY_AFTER_SECONDS,
+                retry_after=retry_after,
             )
 
     def _body(self):
--- a/src/mulberrydock/idempotency.py
+++ b/src/mulberrydock/idempotency.py
@@ -16,6 +16,8 @@
 
 from . import defaults, records, upstream
 from .exceptions import ResultCode, UpstreamError, VersionConflict
+from .refusal import QUARANTINE_RETRY_SECONDS
+from .request import fingerprint
 from .routing import Work
 
 #: Times the final record write is tried before it is left to a later read.
@@ -47,6 +49,12 @@
     return Outcome(status, code, body.encode(), retry_after)
 
 
+def _quarantined():
+    retry_after = int(QUARANTINE_RETRY_SECONDS)
+    message = "instances crashed under such a call"
+    return _error(503, ResultCode.QUARANTINED, message, retry_after)
+
+
 class RecordLeases:
     """Leases that end old idempotency records.
 
@@ -124,8 +132,25 @@
         }
         return first not in routes
 
+    @property
+    def fingerprint(self):
+        """Name of the work that the call asks for, by whichever attempt."""
+        return fingerprint(self.method, self.kind, self.route, self.tenant, self.body)
+
     async def run(self, now):
         """Make the call and return the :class:`Outcome` for the caller."""
+        crashes = self.daemon.crashes
+        if crashes.holds(self.fingerprint):
+            return _quarantined()
+        outcome = None
+        try:
+            outcome = await self._run(now)
+        finally:
+            served = outcome is not None and outcome.status < 400
+            crashes.ended(self.fingerprint, served)
+        return outcome
+
+    async def _run(self, now):
         if self.idempotent():
             return await self._call_any(now)
         if not self.key:
@@ -239,6 +264,7 @@
         try:
             status, body = await self._send(service)
         except UpstreamError as error:
+            await self._examine(service, error)
             if error.code == ResultCode.NOT_RUN:
                 await self._complete(version, "notRun")
                 return _error(503, ResultCode.NOT_RUN, str(error), 1)
@@ -274,12 +300,20 @@
             tried.add(service.name)
             try:
                 status, body = await self._send(service)
-            except UpstreamError:
+            except UpstreamError as error:
                 router.failed(service, time.monotonic())
+                await self._examine(service, error)
+                if self.daemon.crashes.holds(self.fingerprint):
+                    return _error(502, ResultCode.UPSTREAM_FAILED, str(error))
                 continue
             return Outcome(status, ResultCode.OK, body)
         return _error(503, ResultCode.NO_UPSTREAM, "no instance answered", 1)
 
+    async def _examine(self, service, error):
+        """Note a failed call if its instance crashed under it."""
+        call = f"{self.attempt}/{uuid.uuid4().hex}"
+        await self.daemon.crashes.failed(self.fingerprint, service, call, error)
+
     async def _send(self, service):
         chunks = []
         exchange = await upstream.exchange(
--- a/src/mulberrydock/store.py
+++ b/src/mulberrydock/store.py
@@ -107,6 +107,25 @@
         body = {"key": key, "expect_version": expect_version}
         return await self._swap("/v1/delete", body, "revision")
 
+    async def write_all(self, values, removals):
+        """Write ``values`` by key and delete ``removals``, one after the other.
+
+        :returns: ``Ok(revision)``, or the first ``Error(StoreError)``; what came before
+            it has then been written.
+        """
+        revision = 0
+        for key, value in values.items():
+            written = await self.put(key, value)
+            if written.is_error():
+                return written
+            revision = written.ok
+        for key in removals:
+            deleted = await self.delete(key)
+            if deleted.is_error():
+                return deleted
+            revision = deleted.ok
+        return Ok(revision)
+
     async def _swap(self, path, body, field):
         """Send a compare-and-swap; ``Ok`` with ``field`` of its answer."""
         result = await self._call("POST", path, body)
--- a/src/mulberrydock/upstream.py
+++ b/src/mulberrydock/upstream.py
@@ -17,7 +17,12 @@
 
 from . import defaults
 from ._http import split_address
-from .exceptions import MulberrydockError, ResultCode, UpstreamError
+from .exceptions import (
+    ConnectionCut,
+    MulberrydockError,
+    ResultCode,
+    UpstreamError,
+)
 
 #: Seconds between two looks at an exchange for its time limits.
 POLL_SECONDS = 0.1
@@ -144,7 +149,7 @@
         if delegate.error is None:
             reading.result()
     except (tornado.iostream.StreamClosedError, OSError) as e:
-        raise UpstreamError(f"{address} cut: {e}", ResultCode.UPSTREAM_FAILED) from e
+        raise ConnectionCut(f"{address} cut: {e}") from e
     finally:
         stream.close()
         if reading is not None:
@@ -154,5 +159,5 @@
             raise delegate.error
         raise UpstreamError(f"{address}: {delegate.error}", ResultCode.STREAM_CUT)
     if not result.finished:
-        raise UpstreamError(f"{address} cut the answer", ResultCode.STREAM_CUT)
+        raise ConnectionCut(f"{address} cut the answer", ResultCode.STREAM_CUT)
     return result
--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,162 @@
+"""Requests that crash engines at the entry's own front, over loopback connections.
+
+The story is that of ``test_crashing_request``: a request ends every engine that runs it
+and comes again, to any entry. The cause was the same here: what an entry learnt of a
+failure it kept for the engine, and forgot of the request.
+"""
+
+import asyncio
+import socket
+
+import attrs
+import pytest
+
+from mulberrydock.admission import RetryBudget
+from mulberrydock.completion import Completion
+from mulberrydock.crash_guard import CrashGuard
+from mulberrydock.exceptions import ResultCode
+from mulberrydock.idempotency import IdempotentCall
+from mulberrydock.metrics import EntryMetrics
+from mulberrydock.quarantine import CRASHES_BORNE, Crash
+from mulberrydock.request import fingerprint
+from mulberrydock.routing import Router, Upstream, Work
+from mulberrydock.settings import default_settings_text, parse_settings
+
+CRASHING = b'{"prompt": "crash"}'
+SOUND = b'{"prompt": "sound"}'
+
+
+class Engine:
+    """Ends as a process does when it reads the marked body, cuts others' answers."""
+
+    def __init__(self, name):
+        self.name = name
+        self.calls = 0
+        self.server = None
+        self.port = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+        body = await reader.readexactly(length)
+        self.calls += 1
+        if b"crash" in body:
+            self.server.close()
+        writer.transport.abort()
+
+    async def revive(self):
+        if not self.server.is_serving():
+            await self.start()
+
+    def upstream(self):
+        return Upstream(self.name, f"127.0.0.1:{self.port}", "dc1", "m")
+
+
+class Sink:
+    def cut(self, message):
+        pass
+
+
+@attrs.define
+class Daemon:
+    """What a completion and a call need of an entry."""
+
+    engines: Router
+    services: dict
+    settings: object
+    crashes: CrashGuard
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
+    metrics: EntryMetrics = attrs.field(factory=EntryMetrics)
+
+
+def daemon_of(engines):
+    router = Router()
+    router.update([engine.upstream() for engine in engines], ())
+    guard = CrashGuard.from_store(None, "entry-1", bool)
+    return Daemon(
+        router, {"app": router}, parse_settings(default_settings_text()), guard
+    )
+
+
+def completion(daemon, body):
+    klass = daemon.settings.classes[0]
+    now = asyncio.get_running_loop().time()
+    name = fingerprint("completions", "tenant", body)
+    document = {"prompt": body.decode()}
+    return Completion(
+        daemon, klass, "completions", document, Work(), Sink(), now, name
+    ).run()
+
+
+async def call(daemon, body):
+    made = IdempotentCall(daemon, "app", "status", "GET", "tenant", "", body, 2.0)
+    outcome = await made.run(asyncio.get_running_loop().time())
+    return outcome.code
+
+
+@pytest.mark.parametrize("send", [completion, call])
+@pytest.mark.parametrize(
+    "body, code",
+    [(CRASHING, ResultCode.QUARANTINED), (SOUND, None)],
+)
+def test_work_that_crashed_three_upstreams_goes_to_none(send, body, code):
+    """Engines that end under a request are back a moment later and get it again;
+    those that only cut its answers go on being asked."""
+
+    async def run():
+        engines = [Engine(f"e{number}") for number in range(3)]
+        for engine in engines:
+            await engine.start()
+        daemon = daemon_of(engines)
+        for _ in range(4):
+            for engine in engines:
+                await engine.revive()
+            for upstream in daemon.engines.upstreams.values():
+                upstream.failed_until = 0.0
+            last = await send(daemon, body)
+        for engine in engines:
+            engine.server.close()
+        return sum(engine.calls for engine in engines), last
+
+    calls, last = asyncio.run(run())
+    if code is not None:
+        assert (calls, last) == (CRASHES_BORNE, code)
+    else:
+        assert calls > 2 * CRASHES_BORNE
+        assert last is not ResultCode.QUARANTINED
+
+
+def test_entry_that_read_the_crashes_sends_nothing():
+    """The engines ended at other entries; this one knows it from the store."""
+
+    async def run():
+        engine = Engine("e0")
+        await engine.start()
+        daemon = daemon_of([engine])
+        work = fingerprint("completions", "tenant", CRASHING)
+        for number in range(CRASHES_BORNE):
+            daemon.crashes.book.apply(Crash.of(work, f"x{number}").key, 1000.0)
+        code = await completion(daemon, CRASHING)
+        engine.server.close()
+        return code, engine.calls
+
+    assert asyncio.run(run()) == (ResultCode.QUARANTINED, 0)
+
+
+def test_silent_upstream_is_not_blamed():
+    """Nobody answers at its address, as behind a partition: no crash is known."""
+
+    async def run():
+        guard = CrashGuard.from_store(None, "entry-1", bool)
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            address = "127.0.0.1:%d" % closed.getsockname()[1]
+            upstream = Upstream("e0", address, "dc1")
+            await guard.failed("work", upstream, "1", ValueError("silent"))
+        return guard.book.count("work")
+
+    assert asyncio.run(run()) == 0
