--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mulberrydock import records
+from mulberrydock.crash_guard import CrashGuard
 from mulberrydock.exceptions import ResultCode
 from mulberrydock.idempotency import IdempotentCall, Outcome, RecordLeases
 from mulberrydock.standin.store import DirectStore, StoreState
@@ -19,6 +20,7 @@
         self.store = DirectStore(state)
         self.entry = types.SimpleNamespace(name="entry-1")
         self.record_leases = RecordLeases(self.store, 60.0)
+        self.crashes = CrashGuard.from_store(self.store, "entry-1", bool)
         self.settling = []
 
     def settle(self, coroutine):
