A call that found nobody listening spends no retry budget

Hypothesis: each VM meets each lost engine by itself, and a connection that nobody took counted as a call, so looking for a living engine spent the budget within a second. The users count calls that reach engines. Now such a call is none, and what the budget had granted for it is kept for the next.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -41,9 +41,10 @@
 class Serving:
     """One request on its way; :meth:`run` answers it through ``sink``.
 
-    ``sends`` and ``prefills`` count calls to instances, ``granted`` those
-    that the retry budget allowed ahead of their making, ``tried`` holds the
-    instances asked so far. ``answer`` is an instance's failure that may be
+    ``sends`` and ``prefills`` count calls to instances, ``reached`` and
+    ``prefills_reached`` those of them that an instance may have got, ``granted`` those
+    that the retry budget allowed ahead of their making, ``tried`` holds the instances
+    asked so far. ``answer`` is an instance's failure that may be
     passed on if nothing better comes, ``cause`` why the last attempt failed.
     ``served`` is set once an instance has answered the request with success.
     """
@@ -61,7 +62,9 @@
             relay.wire, sink, EventSplitter(request.last_event_id)
         )
         self.sends = 0
+        self.reached = 0
         self.prefills = 0
+        self.prefills_reached = 0
         self.granted = 0
         self.planned_at = request.arrived
         self.tried = set()
@@ -113,13 +116,13 @@
         """Return the plan of the next attempt, None when there is no other."""
         if self._quarantined(now):
             return None
-        if self.sends > self.route.max_attempts:
+        if self.reached > self.route.max_attempts:
             return None
-        if self.may_have_run and self.sends >= self.route.max_attempts:
+        if self.may_have_run and self.reached >= self.route.max_attempts:
             return None
         plan = self.fleet.plan(self.request, self.route, self.service, self.tried, now)
         self.planned_at = now
-        if plan is None or not self._grant(plan, now):
+        if plan is None or not self.grant(plan, now):
             return None
         return plan
 
@@ -132,18 +135,26 @@
         self.cause = f"{quarantine.count(work)} instances crashed under it"
         return True
 
-    def _grant(self, plan, now):
+    def grant(self, plan, now):
         """Ask the retry budget for the calls that ``plan`` repeats."""
-        # A request's first prefill call and its first send are free.
-        calls = int(self.sends > 0)
-        calls += int(plan.prefill is not None and self.prefills > 0)
-        calls -= min(calls, self.granted)
+        # A request's first prefill call and its first send are free. What found nobody
+        # listening was no call: when engines are lost, their requests would spend the
+        # budget on looking for another one, and be refused when they found it.
+        calls = int(self.reached > 0)
+        calls += int(plan.prefill is not None and self.prefills_reached > 0)
+        granted = min(calls, self.granted)
+        calls -= granted
         if calls and not self.fleet.budget(self.service).allow(now, calls):
             self.cause += "; retry budget spent"
             return False
-        self.granted = 0
+        self.granted -= granted
         return True
 
+    def not_sent(self):
+        """A call found nobody listening: what the budget granted for it is kept."""
+        self.reached -= 1
+        self.granted += int(self.reached > 0)
+
     def _may_leave(self):
         """True when a silent instance may be left: another one takes over.
 
@@ -163,7 +174,7 @@
         Only a request that may be repeated, and has an attempt left, can go
         elsewhere at all.
         """
-        if not self.route.repeatable or self.sends + 1 >= self.route.max_attempts:
+        if not self.route.repeatable or self.reached + 1 >= self.route.max_attempts:
             return None
         return Patience(first, gap, self._may_leave)
 
@@ -270,6 +281,7 @@
         target = plan.target
         now = time.monotonic()
         self.sends += 1
+        self.reached += 1
         self.tried.add(target.id)
         options = SendOptions(
             instance=target.record.id,
@@ -300,7 +312,9 @@
 
     async def _failed(self, instance, error, listener):
         not_sent = error.code == ResultCode.NOT_RUN
-        if not not_sent:
+        if not_sent:
+            self.not_sent()
+        else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
         suspected = self.fleet.suspicion.failed(
@@ -326,11 +340,15 @@
     async def _prefill(self, plan):
         """Prefill apart; return the handle, None when the engine gave none."""
         self.prefills += 1
+        self.prefills_reached += 1
         self.tried.add(plan.prefill.id)
         call = Prefill(self.relay, self.request, self.service, plan)
         try:
             return await call.run(self._left(time.monotonic()))
         except UpstreamError as error:
+            if error.code == ResultCode.NOT_RUN:
+                self.prefills_reached -= 1
+                self.granted += int(self.prefills_reached > 0)
             self.cause = f"prefill at {plan.prefill.id}: {error}"
             return None
 
@@ -370,7 +388,7 @@
         if self.stream.begun:
             self.sink.abort()
             return ResultCode.STREAM_CUT
-        if self.sends:
+        if self.reached:
             self.relay.reject(self.request, self.sink, 504, "deadline")
             return ResultCode.OUTCOME_UNKNOWN
         retry_after = refusal.RETRY_AFTER_SECONDS
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,12 +1,17 @@
 """The retry budget that all entry VMs share, seen from one of them."""
 
+import types
+
 import pytest
 
 from mulberrydock._serve_model import Timing
 from mulberrydock.admission import RetryBudget
 from mulberrydock.fleet_view import BUDGET_SHARE, FleetView
 from mulberrydock.membership import Membership, Peer
+from mulberrydock.placement import Plan
+from mulberrydock.request import Request
 from mulberrydock.serve import EntryVm
+from mulberrydock.serving import Serving
 
 TIMING = Timing(
     config_apply_seconds=2,
@@ -61,3 +66,48 @@
     assert membership.count() == 8
     membership.reset()
     assert membership.count() == 8
+
+
+@pytest.mark.parametrize(
+    "ends, granted",
+    [
+        ([], True),
+        # Nobody listened where the first engines were: nothing was repeated yet.
+        (["not sent"], True),
+        (["not sent", "not sent", "not sent"], True),
+        (["failed"], False),
+        (["not sent", "failed"], False),
+        # The budget has granted the call that was not made.
+        (["failed", "not sent"], True),
+    ],
+)
+def test_looking_for_an_engine_spends_no_budget(ends, granted):
+    """Half of a pool's engines crash. Every VM goes on choosing them until it has met
+    each of them, and each time finds nobody listening. Counted as repeats, these tries
+    spend the budget within a second, and requests are refused that were never sent."""
+    view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    relay = types.SimpleNamespace(fleet=view, wire=None)
+    request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
+    route = types.SimpleNamespace(timeout=5.0)
+    serving = Serving(relay, request, route, "llm", None)
+    view.budget("llm").allow = lambda now, count=1: False
+    for end in ends:
+        serving.reached += 1
+        if end == "not sent":
+            serving.not_sent()
+    assert serving.grant(Plan(None), 0.0) is granted
+
+
+def test_budget_granted_for_a_call_that_was_not_made_is_kept():
+    view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    relay = types.SimpleNamespace(fleet=view, wire=None)
+    request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
+    serving = Serving(relay, request, types.SimpleNamespace(timeout=5.0), "llm", None)
+    asked = []
+    view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
+    serving.reached = 1
+    for _ in range(3):
+        assert serving.grant(Plan(None), 0.0)
+        serving.reached += 1
+        serving.not_sent()
+    assert asked == [1]
