A crash seen a moment ago is asked after again; a stopping VM writes what it saw

A probe that was wrong, as by an engine at its limit of connections, would have counted each later cut at a living engine as a crash. And what the last requests of a draining VM showed was lost if it ended within 0.1 s.

--- a/src/mulberrydock/crash_probe.py
+++ b/src/mulberrydock/crash_probe.py
@@ -13,6 +13,9 @@
 #: Seconds for which the next attempt of a cut request waits to learn what happened. A
 #: refusal takes one round trip; who doesn't answer by then hasn't shown a crash.
 ANSWER_SECONDS = 0.1
+#: Seconds for which the answer holds for all that a crash cut off: they learn of it
+#: within milliseconds of each other, and one probe is enough.
+DOWN_SECONDS = 1.0
 
 
 class CrashProbe:
@@ -21,17 +24,18 @@
     :param pool: returns the :class:`~mulberrydock.connections.ConnectionPool` of an
         instance.
 
-    ``down`` are the incarnations that were found crashed.
+    ``down_at`` is when an incarnation was found crashed, monotonic seconds.
     """
 
     def __init__(self, pool):
         self.pool = pool
         self.probes = {}
-        self.down = set()
+        self.down_at = {}
 
     async def crashed(self, instance):
         """Return whether ``instance`` has crashed, None when it can't be told."""
-        if instance.id in self.down:
+        now = time.monotonic()
+        if now - self.down_at.get(instance.id, -DOWN_SECONDS) < DOWN_SECONDS:
             return True
         probe = self.probes.get(instance.id)
         if probe is None:
@@ -47,9 +51,9 @@
             self.probes.pop(instance.id, None)
         logger.info("instance probed", instance=instance.id, accepts=accepts)
         if accepts is False:
-            self.down.add(instance.id)
+            self.down_at[instance.id] = time.monotonic()
         return None if accepts is None else not accepts
 
     def forget(self, instance_id):
         """The incarnation is over and its end known."""
-        self.down.discard(instance_id)
+        self.down_at.pop(instance_id, None)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -384,4 +384,6 @@
         if self.front.tasks and left > 0:
             await asyncio.wait(set(self.front.tasks), timeout=left)
         leaving.cancel()
+        # What the last requests showed must outlast this process.
+        await self.quarantine.step(time.monotonic(), time.time())
         logger.info("drained", in_flight=len(self.front.tasks))
