Test runs at the same time draw their ports from blocks of their own

Cause: a drawn port is bound only later and by another process, and each run drew at random from the same 13,768 ports. One fleet of ten ports beside fifteen live ones meets one in a hundred times, so a file of 45 fleets about every other run, as seen. The one failure itself could not be repeated.

A process draws from a block that it holds by a file lock, round and round; the second hazard, two draws of one process before either port is bound, goes with it.

--- a/src/mulberrydock/fleet.py
+++ b/src/mulberrydock/fleet.py
@@ -6,6 +6,9 @@
 by the VM's own service manager.
 """
 
+import fcntl
+import functools
+import itertools
 import json
 import os
 import pathlib
@@ -14,6 +17,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -29,6 +33,8 @@
 #: Ports from here to the ephemeral range are for test fleets; the embedded
 #: deployments listen below.
 LOWEST_TEST_PORT = 19000
+#: Ports of one process that starts fleets: several of the largest it has at once.
+BLOCK_PORTS = 512
 
 
 @attrs.define
@@ -139,25 +145,69 @@
 """
 
 
+class PortBlock:
+    """Ports that no other process on this machine draws while this one lives.
+
+    A port that is drawn is bound only later, by another process; two runs that drew
+    from the same ports would now and then draw the same one, and a daemon of one of
+    them couldn't listen. A file lock, which ends with its process, keeps them apart.
+    """
+
+    def __init__(self):
+        lowest_ephemeral = int(EPHEMERAL_RANGE.read_text().split()[0])
+        blocks = (lowest_ephemeral - LOWEST_TEST_PORT) // BLOCK_PORTS
+        for index in random.sample(range(blocks), blocks):
+            path = pathlib.Path(tempfile.gettempdir(), f"mulberrydock-ports-{index}")
+            self.lock = open(path, "ab")
+            try:
+                fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                self.lock.close()
+                continue
+            first = LOWEST_TEST_PORT + index * BLOCK_PORTS
+            # Round and round, so that what was drawn a moment ago comes last.
+            self.ports = itertools.cycle(range(first, first + BLOCK_PORTS))
+            return
+        raise OSError("every block of ports below the ephemeral range is in use")
+
+    def draw(self, count):
+        """Return ``count`` distinct ports to which nothing is bound.
+
+        :raises OSError: when the block has no so many.
+        """
+        ports = []
+        for port in itertools.islice(self.ports, BLOCK_PORTS):
+            if _is_free(port):
+                ports.append(port)
+            if len(ports) == count:
+                return ports
+        raise OSError("no free ports left in this process's block")
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+@functools.cache
+def _port_block():
+    return PortBlock()
+
+
 def free_ports(count):
     """Return ``count`` distinct free loopback ports below the ephemeral range.
 
     A port of the ephemeral range that is free now may be taken, before its
     process listens, as the source port of any outgoing connection; the
     process then dies with "address in use", or a caller connects to itself.
+
+    :raises OSError: when there are none left.
     """
-    lowest_ephemeral = int(EPHEMERAL_RANGE.read_text().split()[0])
-    ports = []
-    for port in random.sample(range(LOWEST_TEST_PORT, lowest_ephemeral), 1000):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise OSError("no free ports below the ephemeral range")
+    return _port_block().draw(count)
 
 
 def settings_text(ports, engines, entries, engine_ports):
