The soak has a request that crashes what runs it; cuts that led to nothing are forgotten

A client of the soak sends the crashing body to any daemon all along; with the faults over it may reach instances three times more. Clients' bodies differ now, so that served work isn't all the same. Cuts of unknown cause were kept for as long as their instance lived.

--- a/src/mulberrydock/completion.py
+++ b/src/mulberrydock/completion.py
@@ -198,7 +198,7 @@
     and returns the :class:`ResultCode` of the outcome.
     """
 
-    def __init__(self, daemon, klass, route, body, work, sink, arrived, name):
+    def __init__(self, daemon, klass, route, body, work, sink, arrived, fingerprint):
         self.daemon = daemon
         self.klass = klass
         self.route = route
@@ -206,7 +206,7 @@
         self.work = work
         self.sink = sink
         self.arrived = arrived
-        self.fingerprint = name
+        self.fingerprint = fingerprint
         self.request_id = uuid.uuid4().hex
         self.events = 0
         self.may_have_run = False
@@ -234,9 +234,15 @@
             routing_key(tokens),
             blocks,
         )
-        name = fingerprint(route, handler.tenant, handler.request.body)
         return cls(
-            daemon, handler.klass, route, body, work, sink, handler.arrived, name
+            daemon,
+            handler.klass,
+            route,
+            body,
+            work,
+            sink,
+            handler.arrived,
+            fingerprint(route, handler.tenant, handler.request.body),
         )
 
     @property
--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -106,7 +106,10 @@
 
     def note_cut(self, work, incarnation, now):
         """The connection to an instance ended under ``work``, for unknown reason."""
-        self.cuts.setdefault(incarnation, {})[work] = now
+        cuts = self.cuts.get(incarnation, {})
+        # Those of an instance that lives on would fill the memory.
+        cuts = {other: at for other, at in cuts.items() if now - at <= CUT_SECONDS}
+        self.cuts[incarnation] = cuts | {work: now}
 
     def note_gone(self, incarnation, now):
         """An incarnation is over: what it was cut off from shortly before, it
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -44,9 +44,9 @@
     ``sends`` and ``prefills`` count calls to instances, ``reached`` and
     ``prefills_reached`` those of them that an instance may have got, ``granted`` those
     that the retry budget allowed ahead of their making, ``tried`` holds the instances
-    asked so far. ``answer`` is an instance's failure that may be
-    passed on if nothing better comes, ``cause`` why the last attempt failed.
-    ``served`` is set once an instance has answered the request with success.
+    asked so far. ``answer`` is an instance's failure that may be passed on if nothing
+    better comes, ``cause`` why the last attempt failed. ``served`` is set once an
+    instance has answered the request with success.
     """
 
     def __init__(self, relay, request, route, service, sink):
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -64,6 +64,7 @@
     :param events: events of a whole stream; ids begin at 1.
     :param born: Unix milliseconds of its start, None when it doesn't say.
     :param crash_on: a run whose body holds these bytes crashes the process.
+    :param on_crash: called with this engine when it crashes.
     :param on_back: called with this engine when it is back after a crash.
     :param prefill_gate: prefill calls are answered once this is set.
     :param prefill_refusals: each entry refuses one prefill call; several
@@ -87,9 +88,11 @@
     misdirected: int = 0
     born: int | None = None
     crash_on: bytes = b""
+    on_crash: t.Callable = lambda engine: None
     on_back: t.Callable = lambda engine: None
     crashes: int = 0
     arrivals: list = attrs.field(factory=list)
+    listens_at: str = ""
     server: object = None
     readers: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
 
@@ -113,8 +116,12 @@
         return {} if self.born is None else {"born": self.born}
 
     def listen(self):
-        """Begin to serve on the running loop."""
-        host, port = self.address.split(":")
+        """Begin to serve on the running loop.
+
+        Where it listens stays, also when it is known by a proxy's address later.
+        """
+        self.listens_at = self.listens_at or self.address
+        host, port = self.listens_at.split(":")
         self.server = tornado.httpserver.HTTPServer(_Server(self))
         self.server.listen(int(port), address=host)
 
@@ -129,6 +136,7 @@
     def crash(self):
         """End as a process that crashed, and be back under the same id later."""
         self.crashes += 1
+        self.on_crash(self)
         self.stop()
         for reader in list(self.readers):
             reader.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,10 +4,11 @@
 engines and services, each behind a loopback proxy. One seed draws what goes
 wrong and when: connections that are delayed, reset, cut or silenced, daemons
 that are paused, killed, stopped and restarted, a store that refuses, is silent,
-loses answers and forgets, instances that misbehave, drain and are replaced.
-Clients send on open connections until these are gone. The order of events
-follows the seed; what they meet differs a little from run to run, so a seed
-that failed once is played several times.
+loses answers and forgets, instances that misbehave, drain and are replaced, a
+request that crashes whatever runs it and comes again. Clients send on open
+connections until these are gone. The order of events follows the seed; what they
+meet differs a little from run to run, so a seed that failed once is played several
+times.
 
 Run ``python tests/soak.py --seed 7 --seconds 60 --daemons 4``; it ends with the
 broken promises, if any, and leaves the logs of that run.
@@ -57,6 +58,15 @@
 #: Seconds in which requests must be served again once all faults are over.
 RECOVERY_SECONDS = 20.0
 CLIENTS = 6
+#: The request that crashes what runs it: its body, the seconds between two, and how
+#: many calls may reach instances once three crashed and the contact time is over.
+CRASHING = b"crash"
+CRASH_PAUSE = (0.3, 1.2)
+CRASHES_BORNE = 3
+SENDS_AFTER_CRASHES = 3
+#: Seconds for all VMs to know, as in the daemons' settings, and for instances to be
+#: back.
+CONTACT_SECONDS = 2.2
 
 
 @attrs.define
@@ -65,6 +75,7 @@
 
     id: str
     prefix: str
+    sent: bytes
     status: int = 0
     whole: bool = False
     body: bytes = b""
@@ -99,8 +110,9 @@
             soak.add("app", "")
         for number in range(daemons):
             soak.fleet.start(f"entry-{number}")
+        names = [f"{e.id}@{e.born}" for e in soak.fleet.engines.values()]
         for number in range(daemons):
-            soak.fleet.wait_ready(f"entry-{number}")
+            soak.fleet.wait_ready(f"entry-{number}", names)
         return soak
 
     def _proxy(self, target):
@@ -113,11 +125,23 @@
     def add(self, service, stage):
         """Start an instance behind a proxy and register the proxy's address."""
         self.instances += 1
-        engine = self.fleet.add(f"i{self.instances}", service, stage)
+        born = int(time.time() * 1000)
+        engine = self.fleet.add(f"i{self.instances}", service, stage, born=born)
         engine.address = self._proxy(engine.address)
+        engine.crash_on = CRASHING
+        # Nobody listens where a process has crashed, also not its proxy.
+        proxy = self.proxies[-1]
+        engine.on_crash = lambda engine: proxy.set_mode("partition")
+        engine.on_back = lambda engine: self._back(engine, proxy)
         self.fleet.write(f"servers/{engine.id}", engine.record())
         return engine
 
+    def _back(self, engine, proxy):
+        proxy.set_mode("pass")
+        key = f"servers/{engine.id}"
+        if key in self.fleet.store.items and engine not in self.ends:
+            self.fleet.store.write(key, engine.record())
+
     # Faults: each returns what it did, for the log of the run.
 
     def break_connections(self):
@@ -195,6 +219,7 @@
             threading.Thread(target=self._client, args=(number,), daemon=True)
             for number in range(CLIENTS)
         ]
+        clients.append(threading.Thread(target=self._crasher, daemon=True))
         for client in clients:
             client.start()
         self._strike(seconds)
@@ -204,7 +229,7 @@
         for client in clients:
             client.join(2 * CLIENT_SECONDS)
         broken = [] if recovered else ["RECOVERY: nothing is served after the faults"]
-        return broken + self.broken_promises()
+        return broken + self._broken_quarantine() + self.broken_promises()
 
     def _strike(self, seconds):
         kinds = (
@@ -236,19 +261,58 @@
     def _served_since(self, count):
         return sum(o.status == 200 and o.whole for o in self.outcomes[count:])
 
+    def _crasher(self):
+        """Send the crashing request again and again, to any daemon."""
+        draw, count = random.Random(f"{self.seed}/crasher"), 0
+        while not self.over.wait(draw.uniform(*CRASH_PAUSE)):
+            count += 1
+            self._crash(f"entry-{draw.randrange(self.daemons)}", f"crash-{count}")
+
+    def _crash(self, name, request_id):
+        outcome = Outcome(request_id, LETTER, CRASHING)
+        try:
+            self._exchange(self.fleet.connect(name), outcome, "100,10")
+        except Exception as error:  # http.client raises its own, unlisted
+            outcome.body = repr(error).encode()
+        self.outcomes.append(outcome)
+
+    def _broken_quarantine(self):
+        """With all faults over, no daemon sends the crashing request on."""
+        if sum(e.crashes for e in self.fleet.engines.values()) < CRASHES_BORNE:
+            return []
+        time.sleep(CONTACT_SECONDS)
+        before = self._crash_arrivals()
+        for name in self.fleet.daemons:
+            self._crash(name, f"crash-after-{name}")
+            time.sleep(1.0)
+        sends = self._crash_arrivals() - before
+        if sends <= SENDS_AFTER_CRASHES:
+            return []
+        return [f"BUDGET: a request that crashes instances reached {sends} more"]
+
+    def _crash_arrivals(self):
+        return sum(
+            request_id.startswith("crash")
+            for engine in self.fleet.engines.values()
+            for request_id in engine.arrivals
+        )
+
     def _client(self, number):
         """Send one request after the other, on a connection while it lasts."""
         draw = random.Random(f"{self.seed}/{number}")
         connection, count = None, 0
         while not self.over.is_set():
             count += 1
-            outcome = Outcome(f"c{number}-{count}", draw.choice(list(REPEATABLE)))
+            request_id = f"c{number}-{count}"
+            body = f"prompt {request_id}".encode()
+            outcome = Outcome(request_id, draw.choice(list(REPEATABLE)), body)
             try:
                 if connection is None:
                     name = f"entry-{draw.randrange(self.daemons)}"
                     connection = self.fleet.connect(name)
                     connection.timeout = CLIENT_SECONDS
-                closing = self._exchange(connection, outcome, draw)
+                tokens = draw.choice(("100,10", "2000,10", "9000,10"))
+                closing = self._exchange(connection, outcome, tokens)
             except Exception as error:  # http.client raises its own, unlisted
                 # No answer, or none that is one: what the daemon was doing is
                 # judged from the instances' side.
@@ -258,10 +322,10 @@
                 connection.close()
                 connection = None
 
-    def _exchange(self, connection, outcome, draw):
+    def _exchange(self, connection, outcome, tokens):
         """Make one exchange; return True when the connection is over."""
-        tokens = draw.choice(("100,10", "2000,10", "9000,10"))
-        send(connection, outcome.prefix, outcome.id, X_Mulberrydock_Token_Counts=tokens)
+        fields = {"body": outcome.sent, "X_Mulberrydock_Token_Counts": tokens}
+        send(connection, outcome.prefix, outcome.id, **fields)
         response = connection.getresponse()
         outcome.status = response.status
         outcome.signature = response.headers.get(wire.SIGNATURE, "")
@@ -327,7 +391,7 @@
         where = [engine.id for engine, _ in runs]
         broken.append(f"TWICE: {outcome.id} ran at {where}")
     for _, run in runs:
-        if run.body != b"prompt" or not run.target.startswith(outcome.prefix):
+        if run.body != outcome.sent or not run.target.startswith(outcome.prefix):
             broken.append(f"UNASKED: {outcome.id} ran changed, {run.target}")
     return broken
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -183,6 +183,13 @@
     assert len(book.untold if bound == "SUSPECTS_KEPT" else book.served) == count
 
 
+def test_cuts_of_an_instance_that_lives_on_are_forgotten():
+    book = Quarantine()
+    for second in range(1000):
+        book.note_cut(f"w{second}", "a", float(second))
+    assert len(book.cuts["a"]) <= quarantine.CUT_SECONDS + 1
+
+
 @pytest.mark.parametrize(
     "instances, seconds, kept",
     [
