A message to peers bears so many crashes and no more

A VM that loses hundreds of requests to crashes at once would have told of all of them in one datagram, whose sending fails beyond 64 KiB; the task that sends it would have ended, and with it the process.

--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -28,6 +28,9 @@
 HEARD_SECONDS = 1.5
 #: Messages to peers that tell of one crash: single datagrams get lost.
 TELLINGS = 3
+#: Crashes told in one message, of some 55 bytes each: a datagram bears them beside
+#: the rest, and an engine has some dozens of requests of one VM when it ends.
+CRASHES_A_MESSAGE = 64
 #: Seconds after a cut in which the end of the instance shows that it crashed.
 CUT_SECONDS = 10.0
 #: Seconds for which work that was served whole isn't suspected. Instances that are
@@ -188,6 +191,8 @@
                 if untold.tellings and untold.write_at <= now:
                     untold.tellings -= 1
                     news.append(Crash(work, instance))
+                if len(news) == CRASHES_A_MESSAGE:
+                    return news
         return news
 
     def apply(self, key, written_at):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -167,6 +167,18 @@
     assert told.count([]) == 10 - quarantine.TELLINGS
 
 
+def test_a_message_bears_what_many_crashes_leave_behind():
+    """All engines end at once under a thousand requests of one VM. Told together they
+    would be more than a datagram bears, and the send would fail, each time."""
+    book = Quarantine()
+    for number in range(1000):
+        book.note_crash(f"w{number}", "a", 1.0)
+    told = [book.take_news(3.0) for _ in range(60)]
+    assert max(map(len, told)) <= quarantine.CRASHES_A_MESSAGE
+    assert sum(map(len, told)) == 1000 * quarantine.TELLINGS
+    assert book.take_news(3.0) == []
+
+
 def test_what_was_heard_is_not_told_again():
     book = Quarantine()
     book.hear(Crash.of(WORK, "a"), 0.0, 1.0)
