--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -28,6 +28,9 @@
 HEARD_SECONDS = 1.5
 #: Messages to peers that tell of one crash: single datagrams get lost.
 TELLINGS = 3
+#: Crashes told in one message, of some 55 bytes each: a datagram bears them beside
+#: the rest, and an engine has some dozens of requests of one VM when it ends.
+CRASHES_A_MESSAGE = 64
 #: Seconds after a cut in which the end of the instance shows that it crashed.
 CUT_SECONDS = 10.0
 #: Seconds for which work that was served whole isn't suspected. Instances that are
@@ -106,7 +109,10 @@
 
     def note_cut(self, work, incarnation, now):
         """The connection to an instance ended under ``work``, for unknown reason."""
-        self.cuts.setdefault(incarnation, {})[work] = now
+        cuts = self.cuts.get(incarnation, {})
+        # Those of an instance that lives on would fill the memory.
+        cuts = {other: at for other, at in cuts.items() if now - at <= CUT_SECONDS}
+        self.cuts[incarnation] = cuts | {work: now}
 
     def note_gone(self, incarnation, now):
         """An incarnation is over: what it was cut off from shortly before, it
@@ -185,6 +191,8 @@
                 if untold.tellings and untold.write_at <= now:
                     untold.tellings -= 1
                     news.append(Crash(work, instance))
+                if len(news) == CRASHES_A_MESSAGE:
+                    return news
         return news
 
     def apply(self, key, written_at):
