--- a/src/mulberrydock/trace.py
+++ b/src/mulberrydock/trace.py
@@ -2,7 +2,8 @@
 
 Works on the JSON lines of any number of VMs. Beside the request's own lines
 it shows what the VM that took it came to believe, in the meantime, about the
-instances that it was sent to.
+instances that it was sent to, and which instances crashed under the same work,
+whichever VM saw it.
 """
 
 import datetime
@@ -24,6 +25,9 @@
         "order",
     )
 )
+#: Events about work, by its fingerprint: a request may be refused for what other VMs
+#: saw long before it came.
+WORK_EVENTS = frozenset(("instance crashed", "crash written", "cleared of crashes"))
 #: Events of the process itself that can end a request without a line about it.
 PROCESS_EVENTS = frozenset(("started", "draining", "drained", "stopped", "task ended"))
 
@@ -92,13 +96,21 @@
     start, end = own[0].at - margin, own[-1].at + margin
     processes = {line.process for line in own}
     instances = {line.fields.get("instance") for line in own} - {None}
-    return [
+    works = {line.fields.get("fingerprint") for line in own} - {None}
+    near = [
         line
         for line in lines
         if start <= line.at <= end
         and line.process in processes
         and _explains(line, instances)
     ]
+    return near + [
+        line
+        for line in lines
+        if line.at <= end
+        and line.event in WORK_EVENTS
+        and line.fields.get("fingerprint") in works
+    ]
 
 
 def _explains(line, instances):
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -80,6 +80,25 @@
     assert found.render().splitlines()[1].startswith("10:00:00.200000 entry-1")
 
 
+def test_refused_for_what_other_vms_saw():
+    """A client is refused at once, by a VM that never sent its request anywhere. Three
+    engines had ended under the same work, at two other VMs, minutes before."""
+    crash = {"event": "instance crashed", "fingerprint": "f1"}
+    others = [
+        line(10, process="entry-2", instance="e1", crashes=1, **crash),
+        line(20, process="entry-3", instance="e2", crashes=2, **crash),
+        line(30, process="entry-2", instance="e3", crashes=3, **crash),
+        line(40, "instance crashed", instance="e4", fingerprint="f2", crashes=1),
+    ]
+    own = [
+        line(900, "rejected", request="r1", status=503, reason="3 instances crashed"),
+        line(901, "answered", fingerprint="f1", code="QUARANTINED", cause="3", **ENDED),
+    ]
+    found = trace(read_lines([own, others]), "r1")
+    assert [row.fields["instance"] for row in found.related] == ["e1", "e2", "e3"]
+    assert found.render().splitlines()[0].startswith("10:00:00.010000 entry-2")
+
+
 def test_no_log_line_is_none():
     """Tracebacks and half a line at a file's end stand among the lines."""
     for text in ("", "{", "[1]", '{"at":"x"}', '{"at":"2026-01-01T00:00:00Z"}'):
@@ -91,6 +110,7 @@
     the code writes and the page lacks leaves them guessing."""
     modules = "serve serving relay front sends peers membership instances"
     modules += " stage_duty lease route_table watch prefill instance_feed learned"
+    modules += " quarantine quarantine_keeper crash_probe"
     page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
     for name in modules.split():
         code = (ROOT / "src" / "mulberrydock" / f"{name}.py").read_text("utf-8")
