A look-up that instances cut is answered 502 by the entry's front, not 503

503 says that it has not run; sent to two instances that cut their answers, it may have. Found beside the quarantine, whose refusals have to be told from it.

--- a/src/mulberrydock/idempotency.py
+++ b/src/mulberrydock/idempotency.py
@@ -292,6 +292,7 @@
 
     async def _call_any(self, now):
         tried = set()
+        may_have_run = False
         router = self.daemon.services[self.kind]
         for _ in range(2):
             service = router.choose("", tried, Work(), now)
@@ -302,11 +303,15 @@
                 status, body = await self._send(service)
             except UpstreamError as error:
                 router.failed(service, time.monotonic())
+                may_have_run |= error.code != ResultCode.NOT_RUN
                 await self._examine(service, error)
                 if self.daemon.crashes.holds(self.fingerprint):
-                    return _error(502, ResultCode.UPSTREAM_FAILED, str(error))
+                    break
                 continue
             return Outcome(status, ResultCode.OK, body)
+        if may_have_run:
+            message = "no instance answered; one may have run it"
+            return _error(502, ResultCode.UPSTREAM_FAILED, message)
         return _error(503, ResultCode.NO_UPSTREAM, "no instance answered", 1)
 
     async def _examine(self, service, error):
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -160,3 +160,28 @@
         return guard.book.count("work")
 
     assert asyncio.run(run()) == 0
+
+
+@pytest.mark.parametrize(
+    "listening, status, code",
+    [(True, 502, ResultCode.UPSTREAM_FAILED), (False, 503, ResultCode.NO_UPSTREAM)],
+)
+def test_refusal_says_not_run_only_of_what_has_not_run(listening, status, code):
+    """A look-up is sent to two instances and both cut the answer: it may have run, so a
+    503, which promises that it hasn't and won't, would be untrue."""
+
+    async def run():
+        engines = [Engine("e0"), Engine("e1")]
+        for engine in engines:
+            await engine.start()
+        daemon = daemon_of(engines)
+        if not listening:
+            for engine in engines:
+                engine.server.close()
+        made = IdempotentCall(daemon, "app", "status", "GET", "t", "", SOUND, 2.0)
+        outcome = await made.run(asyncio.get_running_loop().time())
+        for engine in engines:
+            engine.server.close()
+        return outcome.status, outcome.code
+
+    assert asyncio.run(run()) == (status, code)
