--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -19,7 +19,7 @@
 from .request import fingerprint
 
 #: Crashes of instances under the same work after which it is sent to none any more.
-CRASHES_BORNE = 3
+CRASH_LIMIT = 3
 #: Seconds for which what a crash cut off may still be served elsewhere before the
 #: crash is told: most are, and need no call to the store. Well below the contact time.
 SETTLE_SECONDS = 1.0
@@ -27,7 +27,7 @@
 #: not, being cut off from the store; up to twice as long, so that not all write.
 HEARD_SECONDS = 1.5
 #: Messages to peers that tell of one crash: single datagrams get lost.
-TELLINGS = 3
+REPEATS = 3
 #: Crashes told in one message, of some 55 bytes each: a datagram bears them beside
 #: the rest, and an engine has some dozens of requests of one VM when it ends.
 CRASHES_A_MESSAGE = 64
@@ -40,8 +40,10 @@
 SERVED_KEPT = 4096
 #: Fingerprints under suspicion that are remembered while the store is away.
 SUSPECTS_KEPT = 4096
-#: Seconds for which crashes too few for a quarantine are kept in the store, and all.
+#: Seconds for which the crashes of work that isn't in quarantine are kept in the store.
 SUSPICION_KEPT_SECONDS = 600.0
+#: Seconds for which those of work in quarantine are kept, a day: what crashes instances
+#: does so until somebody has changed them.
 QUARANTINE_KEPT_SECONDS = 86_400.0
 
 
@@ -72,12 +74,12 @@
 
 
 @attrs.define
-class Untold:
+class Unwritten:
     """A crash that isn't known to be in the store: when to write it, in monotonic
     seconds, and in how many messages to peers it is still told."""
 
     write_at: float
-    tellings: int = 0
+    messages_left: int = 0
 
 
 class Quarantine:
@@ -89,7 +91,7 @@
     def __init__(self):
         # By work, by instance: the Unix time at which it was written.
         self.stored = {}
-        self.untold = collections.OrderedDict()
+        self.unwritten = collections.OrderedDict()
         self.cuts = {}
         self.served = collections.OrderedDict()
         self.removals = set()
@@ -98,11 +100,13 @@
 
     def count(self, work):
         """Return how many instances are known to have crashed under ``work``."""
-        return len(self.stored.get(work, {}).keys() | self.untold.get(work, {}).keys())
+        return len(
+            self.stored.get(work, {}).keys() | self.unwritten.get(work, {}).keys()
+        )
 
     def holds(self, work, now):
         """True when ``work`` must not be sent to any instance."""
-        return self.count(work) >= CRASHES_BORNE and not self._served(work, now)
+        return self.count(work) >= CRASH_LIMIT and not self._served(work, now)
 
     def _served(self, work, now):
         return now - self.served.get(work, -SERVED_SECONDS) < SERVED_SECONDS
@@ -125,7 +129,7 @@
         """This VM saw an instance crash under ``work``."""
         if self._served(work, now):
             return
-        self._add(Crash.of(work, incarnation), now + SETTLE_SECONDS, TELLINGS)
+        self._add(Crash.of(work, incarnation), now + SETTLE_SECONDS, REPEATS)
         logger.warning(
             "instance crashed",
             fingerprint=work,
@@ -143,13 +147,13 @@
             return
         self._add(crash, now + HEARD_SECONDS * (1 + spread), 0)
 
-    def _add(self, crash, write_at, tellings):
+    def _add(self, crash, write_at, messages_left):
         if crash.instance in self.stored.get(crash.work, {}):
             return
-        crashes = self.untold.setdefault(crash.work, {})
-        crashes.setdefault(crash.instance, Untold(write_at, tellings))
-        while len(self.untold) > SUSPECTS_KEPT:
-            self.untold.popitem(last=False)
+        crashes = self.unwritten.setdefault(crash.work, {})
+        crashes.setdefault(crash.instance, Unwritten(write_at, messages_left))
+        while len(self.unwritten) > SUSPECTS_KEPT:
+            self.unwritten.popitem(last=False)
 
     def note_end(self, work, served, now):
         """A request for ``work`` is over; ``served`` when an instance answered it.
@@ -159,16 +163,17 @@
         if served:
             self._clear(work, now)
             return
-        for untold in self.untold.get(work, {}).values():
-            if untold.tellings:
-                untold.write_at = min(untold.write_at, now)
+        for unwritten in self.unwritten.get(work, {}).values():
+            # What was only heard is for the VM that saw it to write first.
+            if unwritten.messages_left:
+                unwritten.write_at = min(unwritten.write_at, now)
 
     def _clear(self, work, now):
         self.served[work] = now
         self.served.move_to_end(work)
         while len(self.served) > SERVED_KEPT:
             self.served.popitem(last=False)
-        self.untold.pop(work, None)
+        self.unwritten.pop(work, None)
         stored = self.stored.pop(work, {})
         self.removals.update(Crash(work, instance) for instance in stored)
         if stored:
@@ -178,18 +183,18 @@
         """Return the crashes that are to be written to the store."""
         return [
             Crash(work, instance)
-            for work, crashes in self.untold.items()
-            for instance, untold in crashes.items()
-            if untold.write_at <= now
+            for work, crashes in self.unwritten.items()
+            for instance, unwritten in crashes.items()
+            if unwritten.write_at <= now
         ]
 
     def take_news(self, now):
         """Return the crashes to tell the peers in the next message."""
         news = []
-        for work, crashes in self.untold.items():
-            for instance, untold in crashes.items():
-                if untold.tellings and untold.write_at <= now:
-                    untold.tellings -= 1
+        for work, crashes in self.unwritten.items():
+            for instance, unwritten in crashes.items():
+                if unwritten.messages_left and unwritten.write_at <= now:
+                    unwritten.messages_left -= 1
                     news.append(Crash(work, instance))
                 if len(news) == CRASHES_A_MESSAGE:
                     return news
@@ -209,10 +214,10 @@
 
     def _store(self, crash, written_at):
         self.stored.setdefault(crash.work, {})[crash.instance] = written_at
-        crashes = self.untold.get(crash.work, {})
+        crashes = self.unwritten.get(crash.work, {})
         crashes.pop(crash.instance, None)
         if not crashes:
-            self.untold.pop(crash.work, None)
+            self.unwritten.pop(crash.work, None)
 
     def _forget(self, crash):
         crashes = self.stored.get(crash.work, {})
@@ -242,7 +247,7 @@
         expired = []
         for work, crashes in self.stored.items():
             kept = SUSPICION_KEPT_SECONDS
-            if len(crashes) >= CRASHES_BORNE:
+            if len(crashes) >= CRASH_LIMIT:
                 kept = QUARANTINE_KEPT_SECONDS
             if all(unix_now - at > kept for at in crashes.values()):
                 expired += [Crash(work, instance) for instance in crashes]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -62,7 +62,7 @@
 #: many calls may reach instances once three crashed and the contact time is over.
 CRASHING = b"crash"
 CRASH_PAUSE = (0.3, 1.2)
-CRASHES_BORNE = 3
+CRASH_LIMIT = 3
 SENDS_AFTER_CRASHES = 3
 #: Seconds for all VMs to know, as in the daemons' settings, and for instances to be
 #: back.
@@ -278,7 +278,7 @@
 
     def _broken_quarantine(self):
         """With all faults over, no daemon sends the crashing request on."""
-        if sum(e.crashes for e in self.fleet.engines.values()) < CRASHES_BORNE:
+        if sum(e.crashes for e in self.fleet.engines.values()) < CRASH_LIMIT:
             return []
         time.sleep(CONTACT_SECONDS)
         before = self._crash_arrivals()
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -17,7 +17,7 @@
 from mulberrydock.exceptions import ResultCode
 from mulberrydock.idempotency import IdempotentCall
 from mulberrydock.metrics import EntryMetrics
-from mulberrydock.quarantine import CRASHES_BORNE, Crash
+from mulberrydock.quarantine import CRASH_LIMIT, Crash
 from mulberrydock.request import fingerprint
 from mulberrydock.routing import Router, Upstream, Work
 from mulberrydock.settings import default_settings_text, parse_settings
@@ -124,9 +124,9 @@
 
     calls, last = asyncio.run(run())
     if code is not None:
-        assert (calls, last) == (CRASHES_BORNE, code)
+        assert (calls, last) == (CRASH_LIMIT, code)
     else:
-        assert calls > 2 * CRASHES_BORNE
+        assert calls > 2 * CRASH_LIMIT
         assert last is not ResultCode.QUARANTINED
 
 
@@ -138,7 +138,7 @@
         await engine.start()
         daemon = daemon_of([engine])
         work = fingerprint("completions", "tenant", CRASHING)
-        for number in range(CRASHES_BORNE):
+        for number in range(CRASH_LIMIT):
             daemon.crashes.book.apply(Crash.of(work, f"x{number}").key, 1000.0)
         code = await completion(daemon, CRASHING)
         engine.server.close()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,7 +14,7 @@
 from mulberrydock import quarantine, records
 from mulberrydock.exceptions import StoreError
 from mulberrydock.quarantine import (
-    CRASHES_BORNE,
+    CRASH_LIMIT,
     HEARD_SECONDS,
     QUARANTINE_KEPT_SECONDS,
     SERVED_SECONDS,
@@ -163,8 +163,8 @@
     book.note_crash(WORK, "a", 1.0)
     assert book.take_news(1.0) == []
     told = [book.take_news(3.0) for _ in range(10)]
-    assert told.count([Crash.of(WORK, "a")]) == quarantine.TELLINGS
-    assert told.count([]) == 10 - quarantine.TELLINGS
+    assert told.count([Crash.of(WORK, "a")]) == quarantine.REPEATS
+    assert told.count([]) == 10 - quarantine.REPEATS
 
 
 def test_a_message_bears_what_many_crashes_leave_behind():
@@ -175,7 +175,7 @@
         book.note_crash(f"w{number}", "a", 1.0)
     told = [book.take_news(3.0) for _ in range(60)]
     assert max(map(len, told)) <= quarantine.CRASHES_A_MESSAGE
-    assert sum(map(len, told)) == 1000 * quarantine.TELLINGS
+    assert sum(map(len, told)) == 1000 * quarantine.REPEATS
     assert book.take_news(3.0) == []
 
 
@@ -192,7 +192,7 @@
     for number in range(20):
         book.note_crash(f"w{number}", "a", 1.0)
         book.note_end(f"s{number}", True, 1.0)
-    assert len(book.untold if bound == "SUSPECTS_KEPT" else book.served) == count
+    assert len(book.unwritten if bound == "SUSPECTS_KEPT" else book.served) == count
 
 
 def test_cuts_of_an_instance_that_lives_on_are_forgotten():
@@ -303,7 +303,7 @@
     assert vm.book.holds(WORK, 3.0)
     store.failing = False
     assert step(vm, 4.0)
-    assert (len(store.values), store.calls) == (CRASHES_BORNE, 2)
+    assert (len(store.values), store.calls) == (CRASH_LIMIT, 2)
     assert step(vm, 5.0) and store.calls == 2
 
 
