--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -220,6 +220,7 @@
             self.unwritten.pop(crash.work, None)
 
     def _forget(self, crash):
+        self.read.discard(crash)
         crashes = self.stored.get(crash.work, {})
         crashes.pop(crash.instance, None)
         if not crashes:
