--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -17,7 +17,7 @@
 from mulberrydock.exceptions import ResultCode
 from mulberrydock.idempotency import IdempotentCall
 from mulberrydock.metrics import EntryMetrics
-from mulberrydock.quarantine import CRASHES_BORNE, Crash
+from mulberrydock.quarantine import CRASH_LIMIT, Crash
 from mulberrydock.request import fingerprint
 from mulberrydock.routing import Router, Upstream, Work
 from mulberrydock.settings import default_settings_text, parse_settings
@@ -124,9 +124,9 @@
 
     calls, last = asyncio.run(run())
     if code is not None:
-        assert (calls, last) == (CRASHES_BORNE, code)
+        assert (calls, last) == (CRASH_LIMIT, code)
     else:
-        assert calls > 2 * CRASHES_BORNE
+        assert calls > 2 * CRASH_LIMIT
         assert last is not ResultCode.QUARANTINED
 
 
@@ -138,7 +138,7 @@
         await engine.start()
         daemon = daemon_of([engine])
         work = fingerprint("completions", "tenant", CRASHING)
-        for number in range(CRASHES_BORNE):
+        for number in range(CRASH_LIMIT):
             daemon.crashes.book.apply(Crash.of(work, f"x{number}").key, 1000.0)
         code = await completion(daemon, CRASHING)
         engine.server.close()
@@ -160,3 +160,28 @@
         return guard.book.count("work")
 
     assert asyncio.run(run()) == 0
+
+
+@pytest.mark.parametrize(
+    "listening, status, code",
+    [(True, 502, ResultCode.UPSTREAM_FAILED), (False, 503, ResultCode.NO_UPSTREAM)],
+)
+def test_refusal_says_not_run_only_of_what_has_not_run(listening, status, code):
+    """A look-up is sent to two instances and both cut the answer: it may have run, so a
+    503, which promises that it hasn't and won't, would be untrue."""
+
+    async def run():
+        engines = [Engine("e0"), Engine("e1")]
+        for engine in engines:
+            await engine.start()
+        daemon = daemon_of(engines)
+        if not listening:
+            for engine in engines:
+                engine.server.close()
+        made = IdempotentCall(daemon, "app", "status", "GET", "t", "", SOUND, 2.0)
+        outcome = await made.run(asyncio.get_running_loop().time())
+        for engine in engines:
+            engine.server.close()
+        return outcome.status, outcome.code
+
+    assert asyncio.run(run()) == (status, code)
