One count of calls made and calls that reached somebody, for sends and prefills

Cause: Serving kept four counters, and the bookkeeping of a call that found nobody listening stood twice, for sends as a method and for prefills inline, alike but for names. Calls holds a pair of them and says what the budget gets back. Behaviour is unchanged: the tables of test_budget.py keep their rows and results, and drive the counts through Calls.

--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -185,8 +185,8 @@
             "fingerprint": serving.request.fingerprint,
             "route": serving.route.name,
             "service": serving.service,
-            "prefills": serving.prefills,
-            "sends": serving.sends,
+            "prefills": serving.prefills.made,
+            "sends": serving.sends.made,
             "first_event": None if first is None else round(first - arrived, 4),
             "seconds": round(time.monotonic() - arrived, 4),
         }
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 
+import attrs
 from loguru import logger
 
 from . import refusal
@@ -38,13 +39,32 @@
     return listener.begun_at is not None and now - listener.begun_at > HARMLESS_SECONDS
 
 
+@attrs.define
+class Calls:
+    """How many calls of one kind a request has made, and how many of them an
+    instance may have got."""
+
+    made: int = 0
+    reached: int = 0
+
+    def begin(self):
+        """Count a call in that is being made."""
+        self.made += 1
+        self.reached += 1
+
+    def not_sent(self):
+        """The call found nobody listening; return the calls that the retry budget
+        had granted for it."""
+        self.reached -= 1
+        return int(self.reached > 0)
+
+
 class Serving:
     """One request on its way; :meth:`run` answers it through ``sink``.
 
-    ``sends`` and ``prefills`` count calls to instances, ``reached`` and
-    ``prefills_reached`` those of them that an instance may have got, ``granted`` those
-    that the retry budget allowed ahead of their making, ``tried`` holds the instances
-    asked so far. ``answer`` is an instance's failure that may be passed on if nothing
+    ``sends`` and ``prefills`` are the :class:`Calls` to instances, ``granted`` how many
+    the retry budget allowed ahead of their making, ``tried`` holds the instances asked
+    so far. ``answer`` is an instance's failure that may be passed on if nothing
     better comes, ``cause`` why the last attempt failed. ``served`` is set once an
     instance has answered the request with success.
     """
@@ -61,10 +81,8 @@
         self.stream = ClientStream(
             relay.wire, sink, EventSplitter(request.last_event_id)
         )
-        self.sends = 0
-        self.reached = 0
-        self.prefills = 0
-        self.prefills_reached = 0
+        self.sends = Calls()
+        self.prefills = Calls()
         self.granted = 0
         self.planned_at = request.arrived
         self.tried = set()
@@ -94,7 +112,7 @@
 
     def _hopeless(self, plan, now):
         """Return seconds to come back after if the first attempt is in vain."""
-        if self.sends or self.prefills:
+        if self.sends.made or self.prefills.made:
             return None
         return refusal.hopeless(plan, self.route.patience, self._left(now))
 
@@ -116,9 +134,9 @@
         """Return the plan of the next attempt, None when there is no other."""
         if self._quarantined(now):
             return None
-        if self.reached > self.route.max_attempts:
+        if self.sends.reached > self.route.max_attempts:
             return None
-        if self.may_have_run and self.reached >= self.route.max_attempts:
+        if self.may_have_run and self.sends.reached >= self.route.max_attempts:
             return None
         plan = self.fleet.plan(self.request, self.route, self.service, self.tried, now)
         self.planned_at = now
@@ -140,8 +158,8 @@
         # A request's first prefill call and its first send are free. What found nobody
         # listening was no call: when engines are lost, their requests would spend the
         # budget on looking for another one, and be refused when they found it.
-        calls = int(self.reached > 0)
-        calls += int(plan.prefill is not None and self.prefills_reached > 0)
+        calls = int(self.sends.reached > 0)
+        calls += int(plan.prefill is not None and self.prefills.reached > 0)
         granted = min(calls, self.granted)
         calls -= granted
         if calls and not self.fleet.budget(self.service).allow(now, calls):
@@ -150,11 +168,6 @@
         self.granted -= granted
         return True
 
-    def not_sent(self):
-        """A call found nobody listening: what the budget granted for it is kept."""
-        self.reached -= 1
-        self.granted += int(self.reached > 0)
-
     def _may_leave(self):
         """True when a silent instance may be left: another one takes over.
 
@@ -174,7 +187,10 @@
         Only a request that may be repeated, and has an attempt left, can go
         elsewhere at all.
         """
-        if not self.route.repeatable or self.reached + 1 >= self.route.max_attempts:
+        if (
+            not self.route.repeatable
+            or self.sends.reached + 1 >= self.route.max_attempts
+        ):
             return None
         return Patience(first, gap, self._may_leave)
 
@@ -280,8 +296,7 @@
         """Send once; False when no whole answer came."""
         target = plan.target
         now = time.monotonic()
-        self.sends += 1
-        self.reached += 1
+        self.sends.begin()
         self.tried.add(target.id)
         options = SendOptions(
             instance=target.record.id,
@@ -294,7 +309,7 @@
             "send",
             request=self.request.id,
             instance=target.id,
-            attempt=self.sends,
+            attempt=self.sends.made,
             prefilled=handle is not None,
             wait=round(plan.wait, 3),
             config=self.fleet.routes.version,
@@ -313,7 +328,7 @@
     async def _failed(self, instance, error, listener):
         not_sent = error.code == ResultCode.NOT_RUN
         if not_sent:
-            self.not_sent()
+            self.granted += self.sends.not_sent()
         else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
@@ -339,16 +354,14 @@
 
     async def _prefill(self, plan):
         """Prefill apart; return the handle, None when the engine gave none."""
-        self.prefills += 1
-        self.prefills_reached += 1
+        self.prefills.begin()
         self.tried.add(plan.prefill.id)
         call = Prefill(self.relay, self.request, self.service, plan)
         try:
             return await call.run(self._left(time.monotonic()))
         except UpstreamError as error:
             if error.code == ResultCode.NOT_RUN:
-                self.prefills_reached -= 1
-                self.granted += int(self.prefills_reached > 0)
+                self.granted += self.prefills.not_sent()
             self.cause = f"prefill at {plan.prefill.id}: {error}"
             return None
 
@@ -388,7 +401,7 @@
         if self.stream.begun:
             self.sink.abort()
             return ResultCode.STREAM_CUT
-        if self.reached:
+        if self.sends.reached:
             self.relay.reject(self.request, self.sink, 504, "deadline")
             return ResultCode.OUTCOME_UNKNOWN
         retry_after = refusal.RETRY_AFTER_SECONDS
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -92,9 +92,9 @@
     serving = Serving(relay, request, route, "llm", None)
     view.budget("llm").allow = lambda now, count=1: False
     for end in ends:
-        serving.reached += 1
+        serving.sends.begin()
         if end == "not sent":
-            serving.not_sent()
+            serving.granted += serving.sends.not_sent()
     assert serving.grant(Plan(None), 0.0) is granted
 
 
@@ -105,9 +105,9 @@
     serving = Serving(relay, request, types.SimpleNamespace(timeout=5.0), "llm", None)
     asked = []
     view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
-    serving.reached = 1
+    serving.sends.begin()
     for _ in range(3):
         assert serving.grant(Plan(None), 0.0)
-        serving.reached += 1
-        serving.not_sent()
+        serving.sends.begin()
+        serving.granted += serving.sends.not_sent()
     assert asked == [1]
