One way to drop a crash from what is kept by work

Cause: the same steps, remove the instance and the work that has no other, stood twice in the quarantine, for what is in the store and for what isn't. Behaviour is unchanged. A docstring of the ports reads right.

--- a/src/mulberrydock/fleet.py
+++ b/src/mulberrydock/fleet.py
@@ -173,7 +173,7 @@
     def draw(self, count):
         """Return ``count`` distinct ports to which nothing is bound.
 
-        :raises OSError: when the block has no so many.
+        :raises OSError: when the block has fewer.
         """
         ports = []
         for port in itertools.islice(self.ports, BLOCK_PORTS):
--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -82,6 +82,14 @@
     messages_left: int = 0
 
 
+def _drop(by_work, crash):
+    """Remove ``crash`` from what is kept by work and instance, if it is there."""
+    crashes = by_work.get(crash.work, {})
+    crashes.pop(crash.instance, None)
+    if not crashes:
+        by_work.pop(crash.work, None)
+
+
 class Quarantine:
     """Crashes by work, those in the store and those that aren't yet.
 
@@ -214,17 +222,11 @@
 
     def _store(self, crash, written_at):
         self.stored.setdefault(crash.work, {})[crash.instance] = written_at
-        crashes = self.unwritten.get(crash.work, {})
-        crashes.pop(crash.instance, None)
-        if not crashes:
-            self.unwritten.pop(crash.work, None)
+        _drop(self.unwritten, crash)
 
     def _forget(self, crash):
         self.read.discard(crash)
-        crashes = self.stored.get(crash.work, {})
-        crashes.pop(crash.instance, None)
-        if not crashes:
-            self.stored.pop(crash.work, None)
+        _drop(self.stored, crash)
 
     def reset(self):
         """A full read of the records follows; what is known holds until its end."""
