A call's body is hashed once

Cause: IdempotentCall computed its fingerprint anew at each use, up to five times a call, over the whole body; it is a field now, as in Request. Behaviour is unchanged.

--- a/src/mulberrydock/idempotency.py
+++ b/src/mulberrydock/idempotency.py
@@ -89,7 +89,10 @@
 
 @attrs.define
 class IdempotentCall:
-    """One call to a service instance, with an idempotency record when needed."""
+    """One call to a service instance, with an idempotency record when needed.
+
+    ``fingerprint`` names the work that the call asks for, by whichever attempt.
+    """
 
     daemon: object
     kind: str
@@ -100,6 +103,11 @@
     body: bytes
     deadline_seconds: float
     attempt: str = attrs.field(factory=lambda: uuid.uuid4().hex)
+    fingerprint: str = attrs.field(init=False)
+
+    @fingerprint.default
+    def _fingerprint(self):
+        return fingerprint(self.method, self.kind, self.route, self.tenant, self.body)
 
     @classmethod
     def for_request(cls, handler, kind, route):
@@ -132,11 +140,6 @@
         }
         return first not in routes
 
-    @property
-    def fingerprint(self):
-        """Name of the work that the call asks for, by whichever attempt."""
-        return fingerprint(self.method, self.kind, self.route, self.tenant, self.body)
-
     async def run(self, now):
         """Make the call and return the :class:`Outcome` for the caller."""
         crashes = self.daemon.crashes
