--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -185,6 +185,8 @@
             "fingerprint": serving.request.fingerprint,
             "route": serving.route.name,
             "service": serving.service,
+            "tokens": serving.request.prompt.tokens,
+            "output": serving.request.prompt.max_output_tokens,
             "prefills": serving.prefills.made,
             "sends": serving.sends.made,
             "first_event": None if first is None else round(first - arrived, 4),
--- /dev/null
+++ b/tests/test_starvation.py
@@ -0,0 +1,89 @@
+"""What callers with the largest prompts get while a pool reads less than is asked.
+
+The load pattern is that of a small office: letters about a hundred documents, most
+of them short and a few of 50,000 tokens, beside short questions and checks, at a pool
+of five engines that lost a prefill engine or gets twice the letters for some seconds.
+In simulated time, without network.
+"""
+
+import random
+
+import pytest
+from engine_pool import EnginePool, served
+
+from mulberrydock.reading_speed import ReadingCost
+from mulberrydock.request import Kind, Prompt, PromptPart, Route, Split
+
+SECONDS = 30.0
+#: Seconds without an event after which the callers leave.
+PATIENCE = 2.4
+#: An engine's memory in tokens, and its reading speed.
+MEMORY = 540_000
+COST = ReadingCost(0.07, 1 / 85_000, 3.2e-5 / 92_100)
+
+
+def route(name, objective, priority):
+    """Return a streaming route."""
+    splits = (Split("llm", 1),)
+    return Route(
+        name,
+        "h",
+        f"/{name}/",
+        Kind.STREAMING,
+        splits,
+        10,
+        objective,
+        0.3,
+        priority,
+        2,
+        True,
+        PATIENCE,
+    )
+
+
+LETTER, QUERY, SLIP = route("l", 0.6, 2), route("q", 0.3, 1), route("s", 0.4, 0)
+#: Requests a second and documents of each, then the (median, spread on a logarithmic
+#: scale, most) tokens of its rules, its documents and its own part.
+KINDS = {
+    LETTER: (8.4, 114, (512, 0.4, 1280), (3800, 0.7, 14600), (2480, 1.4, 54600)),
+    QUERY: (12.4, 167, (119, 0.4, 298), (62, 0.7, 238), (380, 1.0, 3310)),
+    SLIP: (16.3, 98, (341, 0.4, 851), (178, 0.7, 681), (770, 1.3, 6870)),
+}
+
+
+def tokens(rng, size):
+    median, spread, most = size
+    return max(1, min(most, int(median * rng.lognormvariate(0.0, spread))))
+
+
+def arrivals(seed, letters):
+    """Return (moment, route, prompt) rows in order.
+
+    :param letters: multiple of the usual rate of letters, from a third of the
+        time to two thirds of it.
+    """
+    rng, rows = random.Random(seed), []
+    for kind, (rate, documents, rules, shared, own) in KINDS.items():
+        rule = PromptPart(f"{kind.name}-rules", tokens(rng, rules))
+        parts = [
+            PromptPart(f"{kind.name}-doc{n}", tokens(rng, shared))
+            for n in range(documents)
+        ]
+        now = 0.0
+        while now < SECONDS:
+            middle = SECONDS / 3 <= now < 2 * SECONDS / 3
+            times = letters if kind is LETTER and middle else 1.0
+            now += rng.expovariate(rate * times)
+            last = PromptPart(f"{kind.name}-own{now}", tokens(rng, own))
+            prompt = (rule, rng.choice(parts), last)
+            total = sum(part.tokens for part in prompt)
+            rows.append((now, kind, Prompt(total, 30, prompt)))
+    return sorted(rows, key=lambda row: row[0])
+
+
+def by_size(jobs):
+    """Return (all, the largest tenth, the fifth below it) of the letters."""
+    letters = [job for job in jobs if job.route is LETTER]
+    letters.sort(key=lambda job: job.prompt.tokens)
+    tenth = len(letters) // 10
+    return letters, letters[-tenth:], letters[-3 * tenth : -tenth]
