--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -15,6 +15,7 @@
 from mulberrydock.request import Kind, Prompt, PromptPart, Route, Split
 
 SECONDS = 30.0
+SEEDS = range(1, 6)
 #: Seconds without an event after which the callers leave.
 PATIENCE = 2.4
 #: An engine's memory in tokens, and its reading speed.
@@ -87,3 +88,23 @@
     letters.sort(key=lambda job: job.prompt.tokens)
     tenth = len(letters) // 10
     return letters, letters[-tenth:], letters[-3 * tenth : -tenth]
+
+
+# Guards against large prompts that wait behind all others until their callers leave.
+@pytest.mark.parametrize(
+    ("prefills", "decoders", "letters"),
+    [
+        pytest.param(1, 4, 1.0, id="one-prefill-engine-left"),
+        pytest.param(2, 3, 3.0, id="a-burst-of-letters"),
+    ],
+)
+def test_largest_prompts_are_not_starved(prefills, decoders, letters):
+    days = [[], [], []]
+    for seed in SEEDS:
+        pool = EnginePool(prefills, decoders, 8, COST, MEMORY)
+        jobs = pool.run(arrivals(seed, letters), SECONDS + 5)
+        for day, part in zip(days, by_size(jobs)):
+            day.extend(part)
+    everyone, largest, next_largest = days
+    assert served(largest) >= 0.5 * served(everyone)
+    assert served(next_largest) >= 0.5 * served(everyone)
