Large prompts that would wait too long go before the others of their route

Cause: a prompt's urgency at its engine falls with its reading time and is fixed when it is sent. While more is asked than is read, everything shorter that comes later overtakes it until its client leaves after 2.4 s. Only prompts whose reading alone exceeds the objective were spared by lot, to a level that a heavier load does not reach either; those just below them never.

Change: half of the prompts that their size makes less urgent go one step before their route when they would wait for over half of their client's patience.

What the largest gain on Lagos and Montevideo others lose.

--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -33,13 +33,12 @@
 #: each of them that its reading alone takes. The last is that of prompts which
 #: can't be in time wherever they go.
 READING_STEPS = (0.25, 0.5, 1.0)
-#: Share of the prompts beyond the last step that are only as many steps less urgent.
-#: Under a load that exceeds the pool the least urgent are never read; with this
-#: share, prompts of the largest sizes are served at least half as often as the
-#: others. As urgent as their route says, each of them would hold up all short ones
-#: for the second or so that its reading takes.
+#: Share of the long prompts that are more urgent instead when they would wait too
+#: long. With all of them the short ones would be late.
 SPARED_SHARE = 0.5
-SPARED_STEPS = 1
+#: Share of a client's patience beyond which an expected wait is too long: more urgent
+#: prompts that come later are read first and aren't in the estimate.
+SPARED_WAIT_SHARE = 0.5
 #: Least urgent priority that an engine takes.
 PRIORITY_MAX = 9
 #: Seconds that a hop to another data centre costs, and bytes are priced.
@@ -125,20 +124,28 @@
     return int.from_bytes(rank("lot", request_id)) / 2**64
 
 
-def prefill_urgency(reading, objective, priority, drawn=1.0):
+def prefill_urgency(reading, route, drawn, load, cost):
     """Return the priority of a prefill: longer readings are less urgent.
 
-    A long one holds up several short ones that could still be on time.
+    A long one holds up several short ones that could still be on time. Under a load
+    that exceeds the pool it would never be read, so a part of the long ones goes
+    before the others of its route once its client would leave otherwise.
 
     :param reading: seconds that its engine takes for it.
-    :param objective: seconds to the first event, as the route declares.
-    :param priority: that of the request's route, 0 first.
     :param drawn: the request's :func:`lot`.
+    :param load: the :class:`Load` of that engine.
+    :param cost: the pool's :class:`ReadingCost`.
     """
-    size = sum(reading > step * objective for step in READING_STEPS)
-    if size == len(READING_STEPS) and drawn < SPARED_SHARE:
-        size = SPARED_STEPS
-    return min(PRIORITY_MAX, priority + size)
+    priority = min(PRIORITY_MAX, route.priority)
+    size = sum(reading > step * route.latency_objective for step in READING_STEPS)
+    urgency = min(PRIORITY_MAX, priority + size)
+    if urgency == priority or drawn >= SPARED_SHARE:
+        return urgency
+    wait = cost.seconds(load.ahead(urgency)) + reading
+    if wait <= SPARED_WAIT_SHARE * route.patience:
+        return urgency
+    # Among the others of its route it would still lose: they need less time to be read.
+    return max(0, priority - 1)
 
 
 def is_short(reading, objective):
@@ -195,11 +202,11 @@
             cached = kept[instance.id]
             work = pool.cost.work(prompt.tokens - cached, cached)
             reading = pool.cost.seconds(work) / share
+            load = pool.load(instance)
             urgency = min(PRIORITY_MAX, route.priority)
             if share == 1.0:
-                objective = route.latency_objective
-                urgency = prefill_urgency(reading, objective, urgency, drawn)
-            ahead = pool.load(instance).ahead(urgency)
+                urgency = prefill_urgency(reading, route, drawn, load, pool.cost)
+            ahead = load.ahead(urgency)
             queue = pool.cost.seconds(ahead) / share
             wait = pool.cost.overhead + queue + reading + self._distance(instance)
             cost = wait - queue + weight * reading
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 import pytest
 
 from mulberrydock.cache_book import CacheBook
@@ -198,16 +199,24 @@
 def test_longer_readings_are_less_urgent(reading, priority, urgency):
     """A letter that takes 0.6 s to read arrives ahead of five short ones. Read
     first, it would make all of them late and still hardly be in time itself."""
-    assert prefill_urgency(reading, 0.6, priority) == urgency
+    route = attrs.evolve(ROUTE, latency_objective=0.6, priority=priority)
+    assert prefill_urgency(reading, route, 0.0, Load(), COST) == urgency
 
 
-@pytest.mark.parametrize(("reading", "spared"), [(0.5, False), (0.7, True)])
-def test_largest_prompts_are_not_always_last(reading, spared):
-    """A load beyond the pool lasts. Prompts that can't be in time anyway would
-    wait behind all others until their clients leave; about half of them, the
-    same ones at every VM, go right after the short ones, and so are served as well."""
+# Guards against prompts that wait behind all others, for their size, until their
+# callers leave; short prompts and those that still can wait keep their place.
+@pytest.mark.parametrize(
+    ("reading", "waits", "spared"),
+    [(0.7, 0.2, False), (0.7, 0.7, True), (0.2, 1.2, True), (0.1, 9.0, False)],
+)
+def test_half_of_the_prompts_that_wait_too_long_for_their_size_are_spared(
+    reading, waits, spared
+):
+    route = attrs.evolve(ROUTE, latency_objective=0.6, priority=2, patience=2.4)
     drawn = [lot(f"request-{number}") for number in range(400)]
-    urgent = sum(prefill_urgency(reading, 0.6, 2, d) == 3 for d in drawn)
+    load = Load(1, (int(waits / COST.token),))
+    urgencies = [prefill_urgency(reading, route, d, load, COST) for d in drawn]
+    urgent = sum(urgency == 1 for urgency in urgencies)
     assert (160 < urgent < 240) if spared else urgent == 0
 
 
