An engine is taken from reading only where that relieves the pool

Cause: prefills_wanted gave decoding an engine whenever two decoders were over 0.8 busy, whatever that took from reading.

Change: only if the busier stage of the two is less busy afterwards. Two rows of test_stages failed before.

--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -122,6 +122,22 @@
     return MOST_READING_LARGE + (MOST_READING - MOST_READING_LARGE) * small
 
 
+def busiest(prefills, decoders, needs):
+    """Return the utilization of a pool's busier stage; decode engines read what no
+    prefill engine does."""
+    if not prefills:
+        work = needs.reading / IN_PLACE_SHARE + needs.decoding
+        return work / max(1, decoders)
+    return max(needs.reading / prefills, needs.decoding / max(1, decoders))
+
+
+def _relieves(prefills, decoders, needs):
+    """True when one decode engine more, in place of a prefill engine, helps the
+    stage that is short more than it harms the other."""
+    after = busiest(prefills - 1, decoders + 1, needs)
+    return after < busiest(prefills, decoders, needs)
+
+
 def prefills_wanted(prefills, decoders, needs, slots):
     """Return how many of a pool's engines should prefill, as it stands.
 
@@ -132,8 +148,11 @@
     if needs is None:
         return idle_prefills(count, slots)
     spare = spare_decoders(count)
-    if decoders < spare or needs.decoding > MOST_DECODING * decoders:
+    if decoders < spare:
         return max(0, min(prefills - 1, count - spare)) if count > 1 else 0
+    crowded = needs.decoding > MOST_DECODING * decoders
+    if prefills and crowded and _relieves(prefills, decoders, needs):
+        return prefills - 1
     idle = IN_PLACE_SHARE * max(0.0, decoders - needs.decoding)
     reading = needs.reading - min(needs.short, idle)
     can_spare = decoders > spare
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -74,6 +74,10 @@
         # Long answers: engines go back to decoding, and none is taken from it.
         (7, 2, StageNeeds(2.0, 1.9), 6),
         (6, 3, StageNeeds(50.0, 2.0), 6),
+        # Both stages are short: what is taken from reading would be missed more.
+        (1, 2, StageNeeds(2.0, 1.7), 1),
+        (2, 2, StageNeeds(3.0, 1.7), 2),
+        (2, 2, StageNeeds(0.6, 1.9), 1),
         # The last but one decode engine is gone.
         (3, 1, CALM, 2),
         (2, 1, CALM, 1),
