Streams are refused at once while no decode engine has a place

Cause: refusals looked at the wait for the first event only. With two decode engines left 70 to 104 streams ran on each of 64 places; an event came within 0.4 s, but 950 tokens took longer than the 7.2 s that they had.

Change: while no decode engine has a free place, streams are refused with a time to come back, but for the most urgent of the service.

Ruled out: engines out of balance (a suspected engine had 11 streams for some seconds, but from 24 s on both were beyond their places).

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -99,6 +99,15 @@
         """Return those that may be used, by this VM's word and its peers'."""
         return self.suspicion.sound(instances, now, self.loads.witnessed(now))
 
+    def most_urgent(self, route, service):
+        """True when no route of the service is more urgent than ``route``."""
+        config = self.routes.config
+        return not any(
+            other.priority < route.priority
+            for other in config.routes
+            if any(split.service == service for split in other.splits)
+        )
+
     def _spec(self, service):
         config = self.routes.config
         return config.services.get(service) if config else None
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -83,6 +83,10 @@
         """Return the :class:`Load` of one engine."""
         return self.loads.get(instance.id, Load())
 
+    def has_place(self, instance):
+        """True when a decode engine has a place for one more stream."""
+        return self.load(instance).running < max(1, instance.record.slots)
+
 
 @attrs.define(frozen=True)
 class Plan:
@@ -92,7 +96,7 @@
     which ``cached`` tokens needn't be read; ``wait`` estimates the seconds to
     the first token, ``reading`` those of them that the prompt itself takes,
     ``queued`` the work read before it, ``urgency`` the priority at the engine
-    that reads it.
+    that reads it. ``crowded`` is True when no decode engine has a free place.
     """
 
     target: object
@@ -103,6 +107,7 @@
     cached: int = 0
     queued: float = 0.0
     urgency: int = 0
+    crowded: bool = False
 
 
 @attrs.define(frozen=True)
@@ -276,6 +281,11 @@
         """
         if not pool.decoders:
             return None
+        plan = self._cheaper(prompt, route, pool, drawn)
+        return attrs.evolve(plan, crowded=not any(map(pool.has_place, pool.decoders)))
+
+    def _cheaper(self, prompt, route, pool, drawn):
+        """Return the :class:`Plan` that costs less: in place, or handed over."""
         in_place_cost, in_place = self._in_place(prompt, route, drawn, pool)
         if not pool.prefills:
             return in_place
--- a/src/mulberrydock/refusal.py
+++ b/src/mulberrydock/refusal.py
@@ -6,6 +6,8 @@
 when the queue is short or an engine is back.
 """
 
+import attrs
+
 #: Seconds told to a client whose request found no place.
 RETRY_AFTER_SECONDS = 0.5
 #: Seconds told to a client whose service has no instance that could take it: an
@@ -24,20 +26,39 @@
 COME_BACK_SHARE = 0.3
 
 
-def hopeless(plan, patience, left):
-    """Return seconds to come back after, None when ``plan`` may be in time.
+@attrs.define(frozen=True)
+class Refusal:
+    """Why a request is refused, and the seconds after which its client comes back."""
+
+    reason: str
+    come_back: float
 
-    A stream whose first event is expected long after its client has left would
-    only hold up others. One that is late by its own length finds no better
-    time.
+
+def refuse(plan, patience, most_urgent, left):
+    """Return the :class:`Refusal` of a request that ``plan`` can't serve, None when
+    it may be in time.
 
     :param patience: seconds without an event for which the client stays.
+    :param most_urgent: True when no other request of the service is more urgent.
     :param left: seconds until the request's deadline.
     """
-    patience = min(patience, left)
+    if plan.crowded and not most_urgent:
+        # With more streams than places all of them are slower, and the long answers
+        # reach their deadline; the most urgent ones take the places of others.
+        return Refusal("no decode engine has a place", come_back(True, left))
+    return _hopeless(plan, min(patience, left), left)
+
+
+def _hopeless(plan, patience, left):
+    """Refuse a stream whose first event is expected long after its client has left:
+    it would only hold up others.
+
+    One that is late by its own length finds no better time.
+    """
     if plan.wait <= patience * HOPELESS_FACTOR or plan.reading > plan.wait / 2:
         return None
-    return min(plan.wait - patience / 2, left * COME_BACK_SHARE)
+    seconds = min(plan.wait - patience / 2, left * COME_BACK_SHARE)
+    return Refusal(f"expected to wait {plan.wait:.1f} s", seconds)
 
 
 def come_back(found_instance, left):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -110,11 +110,14 @@
         """Return the seconds until the request's deadline."""
         return self.deadline - now
 
-    def _hopeless(self, plan, now):
-        """Return seconds to come back after if the first attempt is in vain."""
+    def _refusal(self, plan, now):
+        """Return the :class:`~mulberrydock.refusal.Refusal` of a request whose first
+        attempt would be in vain, None to make it."""
         if self.sends.made or self.prefills.made:
             return None
-        return refusal.hopeless(plan, self.route.patience, self._left(now))
+        most_urgent = self.fleet.most_urgent(self.route, self.service)
+        left = self._left(now)
+        return refusal.refuse(plan, self.route.patience, most_urgent, left)
 
     async def _attempts(self):
         attempt = self._stream if self.route.kind is Kind.STREAMING else self._call
@@ -122,9 +125,9 @@
             plan = self._next(time.monotonic())
             if plan is None:
                 return self._give_up()
-            come_back = self._hopeless(plan, time.monotonic())
-            if come_back is not None:
-                return self._shed(plan, come_back)
+            refused = self._refusal(plan, time.monotonic())
+            if refused is not None:
+                return self._shed(refused)
             if await attempt(plan):
                 return ResultCode.OK
             if self.may_have_run and not self.route.repeatable:
@@ -389,11 +392,12 @@
         self.relay.reject(self.request, self.sink, 503, self.cause, come_back)
         return ResultCode.NO_UPSTREAM
 
-    def _shed(self, plan, come_back):
-        """Final answer to a request that would wait longer than its client."""
-        reason = f"expected to wait {plan.wait:.1f} s"
-        self.cause = reason
-        self.relay.reject(self.request, self.sink, 503, reason, come_back)
+    def _shed(self, refused):
+        """Final answer to a request that is refused before its first attempt."""
+        self.cause = refused.reason
+        self.relay.reject(
+            self.request, self.sink, 503, refused.reason, refused.come_back
+        )
         return ResultCode.SHED
 
     def _expire(self):
--- a/tests/engine_pool.py
+++ b/tests/engine_pool.py
@@ -204,7 +204,7 @@
         job.vm = vm
         job.plan = vm.placement.plan(job.prompt, job.route, pool, lot(job.name))
         patience, left = job.route.patience, job.route.timeout
-        if refusal.hopeless(job.plan, patience, left) is not None:
+        if refusal.refuse(job.plan, patience, True, left) is not None:
             job.refused = True
             return
         apart = job.plan.tokens if job.plan.prefill else 0.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -231,6 +231,18 @@
     assert (cached.urgency, whole.urgency) == (0, 2)
 
 
+# Guards against streams that are sent to engines whose places are all taken.
+@pytest.mark.parametrize(
+    ("running", "crowded"), [((63, 64), False), ((64, 64), True), ((90, 90), True)]
+)
+@pytest.mark.parametrize("prefills", [0, 2])
+def test_pool_is_crowded_when_no_decode_engine_has_a_place(running, crowded, prefills):
+    decoders = engines(D, 2)
+    loads = {engine.id: Load(count) for engine, count in zip(decoders, running)}
+    known = pool(engines(P, prefills), decoders, loads)
+    assert Placement("dc1").plan(letter(1), ROUTE, known).crowded is crowded
+
+
 def test_plain_calls_go_to_the_instance_with_most_room():
     """Instances of a plain service have six places each. A burst goes to the
     free ones first, in this data centre when they are level."""
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -1,9 +1,17 @@
 """Who is refused at once under a burst, and when clients come back."""
 
+import attrs
 import pytest
 
 from mulberrydock import refusal
+from mulberrydock.fleet_view import FleetView
 from mulberrydock.placement import Plan
+from mulberrydock.request import Kind, Route, RoutingConfig, Split
+
+URGENT = Route(
+    "r", "h", "/", Kind.STREAMING, (Split("llm", 1),), 9, 0.5, 0.3, 0, 2, True
+)
+ROUTES = (URGENT, attrs.evolve(URGENT, priority=1))
 
 
 @pytest.mark.parametrize(
@@ -29,7 +37,22 @@
     one would be read after its client has left; told so at once, the client
     comes back to a shorter queue."""
     plan = Plan(None, None, 0, wait, reading)
-    assert refusal.hopeless(plan, 2.4, left) == pytest.approx(seconds)
+    refused = refusal.refuse(plan, 2.4, False, left)
+    assert (refused and refused.come_back) == pytest.approx(seconds)
+
+
+# Guards against more streams than decode engines have places for: all of them are slow
+# then, and the longest answers are cut at their deadline.
+@pytest.mark.parametrize(
+    ("crowded", "most_urgent", "refused"),
+    [(False, False, False), (True, False, True), (True, True, False)],
+)
+def test_streams_without_a_place_are_refused_but_the_most_urgent(
+    crowded, most_urgent, refused
+):
+    plan = Plan(None, None, 0, 0.3, 0.1, crowded=crowded)
+    answer = refusal.refuse(plan, 2.4, most_urgent, 10.0)
+    assert (answer is not None) is refused
 
 
 @pytest.mark.parametrize(
@@ -47,3 +70,15 @@
     which takes 3 s. A client that comes back after half a second is refused
     again and gives up."""
     assert refusal.come_back(found, left) == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize(
+    ("priority", "service", "expected"),
+    [(0, "llm", True), (1, "llm", False), (1, "other", True)],
+)
+def test_most_urgent_route_of_a_service(priority, service, expected):
+    """Urgency is compared among the routes of one service only."""
+    fleet = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
+    fleet.routes.config = RoutingConfig(1, ROUTES, {}, None)
+    route = attrs.evolve(URGENT, priority=priority)
+    assert fleet.most_urgent(route, service) is expected
