A prefill engine that refuses is left alone, also when it is the only one

Cause: the last prefill engine was under an order to decode. All VMs lost power a moment later, and with it the note to hold that engine; its record still said prefill. A VM passes an engine over after refusals, but goes back to all of them when none is left, so every prompt was sent there first. A first prefill call is free in the retry budget's eyes, yet a refused one counts with the users.

Change: prefill engines that refused their last call are not asked for the time of the suspicion, even when they are the only ones; decode engines read meanwhile. A wrong stage counts as a refusal. Other failures stay as they are.

Evidence: test_budget failed before with 61 calls of one VM in three seconds, 488 of eight; 28 of eight may. Ruled out: a retry budget by too few peers seen (no repeat was granted beyond it; repeats in that window: none).

--- a/src/mulberrydock/exceptions.py
+++ b/src/mulberrydock/exceptions.py
@@ -92,3 +92,7 @@
 
 class ConnectionCut(UpstreamError):
     """The connection ended before the answer did, as when an instance crashes."""
+
+
+class CallRefused(UpstreamError):
+    """An engine answered that it doesn't take a call."""
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -60,7 +60,7 @@
         if answering and answering != instance.record.id:
             self.instances.left(instance, "address reused")
         else:
-            self.suspicion.failed(instance.id, now, unreachable=True)
+            self.suspicion.refused(instance.id, now)
 
     def budget(self, service):
         """Return this VM's retry budget for a service."""
@@ -90,6 +90,8 @@
         """Return the (prefill, decode) engines to choose from, the sound ones
         of each stage where there are any."""
         prefills = [i for i in engines if i.record.stage is Stage.PREFILL]
+        # Decode engines read what no prefill engine takes.
+        prefills = self.suspicion.willing(prefills, now)
         decoders = [i for i in engines if i.record.stage is not Stage.PREFILL]
         witnessed = self.loads.witnessed(now)
         sound = self.suspicion.sound
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -8,7 +8,7 @@
 
 from .connections import WholeAnswer
 from .demand import Demand
-from .exceptions import ConnectionCut, ResultCode, UpstreamError
+from .exceptions import CallRefused, ConnectionCut, ResultCode, UpstreamError
 from .learned import ReadSample
 from .request import SendOptions
 
@@ -102,14 +102,20 @@
         now = time.monotonic()
         # A refused prefill call counts as a repeat, the first as well.
         self.fleet.budget(self.service).spend(now)
+        reason = f"prefill status {answer.status}"
+        marks = wire.read_marks(answer.headers)
         if answer.status == 421:
-            marks = wire.read_marks(answer.headers)
             self.fleet.misdirected(self.engine, marks.instance, now)
-        raise UpstreamError(f"prefill status {answer.status}")
+        elif marks.not_executed:
+            self.fleet.suspicion.refused(self.engine.id, now)
+        else:
+            raise UpstreamError(reason)
+        raise CallRefused(reason)
 
     async def _failed(self, error):
-        unreachable = error.code == ResultCode.NOT_RUN
-        self.fleet.suspicion.failed(self.engine.id, time.monotonic(), unreachable)
+        if not isinstance(error, CallRefused):
+            unreachable = error.code == ResultCode.NOT_RUN
+            self.fleet.suspicion.failed(self.engine.id, time.monotonic(), unreachable)
         logger.warning(
             "prefill failed",
             request=self.request.id,
--- a/src/mulberrydock/suspicion.py
+++ b/src/mulberrydock/suspicion.py
@@ -25,6 +25,7 @@
     failures: int = 0
     suspect_until: float = 0.0
     full_until: float = 0.0
+    refusing: bool = False
 
 
 class Suspicion:
@@ -42,6 +43,7 @@
         standing = self.of(instance_id)
         standing.failures = 0
         standing.suspect_until = 0.0
+        standing.refusing = False
 
     def failed(self, instance_id, now, unreachable=False):
         """A request failed; ``unreachable`` when no connection could be made.
@@ -58,6 +60,22 @@
         standing.suspect_until = now + hold
         return True
 
+    def refused(self, instance_id, now):
+        """The instance refused a call without having begun it, as engines do under
+        a change of stage: the next ones will be refused as well."""
+        self.failed(instance_id, now, unreachable=True)
+        self.of(instance_id).refusing = True
+
+    def willing(self, instances, now):
+        """Return the instances but those that refused the last call, for as long as
+        they are passed over."""
+        return [
+            instance
+            for instance in instances
+            if not self.of(instance.id).refusing
+            or self.of(instance.id).suspect_until <= now
+        ]
+
     def suspects(self, now):
         """Return the ids of the instances that are passed over for failures."""
         return {i for i, s in self.standings.items() if s.suspect_until > now}
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,15 +1,31 @@
 """The retry budget that all entry VMs share, seen from one of them."""
 
+import asyncio
+import time
 import types
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
 from mulberrydock._serve_model import Timing
 from mulberrydock.admission import RetryBudget
+from mulberrydock.exceptions import UpstreamError
 from mulberrydock.fleet_view import BUDGET_SHARE, FleetView
+from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.membership import Membership, Peer
 from mulberrydock.placement import Plan
-from mulberrydock.request import Request
+from mulberrydock.prefill import Prefill
+from mulberrydock.request import (
+    Kind,
+    Prompt,
+    PromptPart,
+    Request,
+    ResponseMarks,
+    Route,
+    RoutingConfig,
+    ServiceSpec,
+    Split,
+)
 from mulberrydock.serve import EntryVm
 from mulberrydock.serving import Serving
 
@@ -24,6 +40,13 @@
     retry_budget_window_seconds=10,
     retry_budget_floor=56,
 )
+VMS = 8
+#: Long prompts a second at one VM, and seconds for which an engine is under change.
+PROMPTS_PER_SECOND = 20
+CHANGE_SECONDS = 3.0
+LETTERS = Route(
+    "r", "h", "/", Kind.STREAMING, (Split("llm", 1),), 10, 0.6, 0.3, 2, 2, True, 2.4
+)
 
 
 @pytest.mark.parametrize(
@@ -111,3 +134,49 @@
         serving.sends.begin()
         serving.granted += serving.sends.not_sent()
     assert asked == [1]
+
+
+class RefusingEngines:
+    """The wire to engines that refuse every call, and what a prefill asks of it."""
+
+    def __init__(self, status):
+        self.status = status
+        self.calls = 0
+        self.fleet = FleetView("dc1", TIMING, lambda: VMS, lambda instance: None)
+        self.wire = self
+        services = {"llm": ServiceSpec("llm", 100, 1000)}
+        self.fleet.routes.accept(RoutingConfig(1, (), services, None))
+        for stage in Stage.PREFILL, Stage.DECODE:
+            record = InstanceRecord(stage.value, "llm", "h:1", "dc1", 64, False, stage)
+            self.fleet.instances.put(record, 0.0)
+
+    async def exchange(self, instance, request, options, listener):
+        self.calls += 1
+        listener.on_headers(self.status, HTTPHeaders())
+
+    def read_marks(self, headers):
+        return ResponseMarks("", "", False, True, None, False)
+
+    async def prefill(self):
+        """Plan a long prompt, and have it read apart if that is the plan."""
+        parts = (PromptPart("own", 20_000),)
+        prompt = Prompt(20_000, 20, parts)
+        request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0, prompt)
+        plan = self.fleet.plan(request, LETTERS, "llm", set(), time.monotonic())
+        if plan.prefill is None:
+            return
+        with pytest.raises(UpstreamError):
+            await Prefill(self, request, "llm", plan).run(5.0)
+
+
+# Guards against first prefill calls, which the budget doesn't grant, piling up at an
+# engine that refuses them all: the only one that prefills, while it changes its stage.
+@pytest.mark.parametrize("status", [503, 421])
+def test_prefill_engine_that_refuses_is_not_asked_by_every_request(monkeypatch, status):
+    engines = RefusingEngines(status)
+    now = 100.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    while now < 100.0 + CHANGE_SECONDS:
+        asyncio.run(engines.prefill())
+        now += 1 / PROMPTS_PER_SECOND
+    assert engines.calls * VMS <= TIMING.retry_budget_floor / 2
