--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -66,6 +66,7 @@
     :param crash_on: a run whose body holds these bytes crashes the process.
     :param on_crash: called with this engine when it crashes.
     :param on_back: called with this engine when it is back after a crash.
+    :param limit: requests a second that its answers name as its limit, None for none.
     :param prefill_gate: prefill calls are answered once this is set.
     :param prefill_refusals: each entry refuses one prefill call; several
         engines may share the list, so that whichever is asked first refuses.
@@ -91,7 +92,9 @@
     on_crash: t.Callable = lambda engine: None
     on_back: t.Callable = lambda engine: None
     crashes: int = 0
+    limit: float | None = None
     arrivals: list = attrs.field(factory=list)
+    arrived_at: list = attrs.field(factory=list)
     listens_at: str = ""
     server: object = None
     readers: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
@@ -191,9 +194,10 @@
 
     async def _serve(self, reader):
         self.arrivals.append(reader.headers.get(wire.ATTEMPT_ID, ""))
+        self.arrived_at.append(time.monotonic())
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         if fault is Fault.REFUSE:
-            reader.respond(503, {wire.NOT_EXECUTED: "1"}, b"")
+            reader.respond(503, {wire.NOT_EXECUTED: "1"} | self._limit(), b"")
             return
         if reader.headers.get(wire.STAGE) == "prefill":
             await self._prefill(reader)
@@ -227,13 +231,17 @@
         if self.prefill_gate is not None:
             await self.prefill_gate.wait()
         body = json.dumps({"kv_handle": handle, "tokens": 10, "version": 1})
-        reader.respond(200, {wire.ATTEMPT_ID: self.prefills[-1]}, body.encode())
+        headers = {wire.ATTEMPT_ID: self.prefills[-1]} | self._limit()
+        reader.respond(200, headers, body.encode())
+
+    def _limit(self):
+        return {} if self.limit is None else {wire.SERVER_LIMIT: str(self.limit)}
 
     def _marks(self, run):
         return {
             wire.ATTEMPT_ID: run.id,
             wire.SIGNATURE: f"signature-of-{self.id}",
-        }
+        } | self._limit()
 
     async def _run(self, reader, run, fault):
         if fault is Fault.HANG:
