The fleet keeps to the requests a second that an instance names

Callers saw: engines that had named a limit of 2.3 and 2.9 requests a second got 25 and 23 in four seconds from VMs that they had told; 19 and 22 were allowed.

Change: answers show the limit, datagrams tell it to all VMs. The first VMs of the instance's rendezvous order, as many as whole requests that it takes in a second, send to it, each from a bucket of one token; all others pass it over. All that an engine gets for requests takes a token in Relay.exchange: sends, resumed streams, repeats, prefills. A new sender waits for a second. Two answers without the header to later requests end it.

Ruled out: an equal share for each VM (195 VMs with one call each exceed it, 8 leave theirs unused), turns by the clock (clocks jump), grants in the store (calls are paid for), a single sender (its own requests are too few).

Evidence: test_server_limit failed before with 80 and 103 requests in four seconds, 11 allowed, and passes. test_rate_limits plays 8 and 195 VMs in simulated time: senders that die or leave, data centres cut from each other, all records lost, VMs that start again; limits of 0, 2.3 and 12.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -8,6 +8,7 @@
 from .peer_loads import LoadBook
 from .placement import FAR_MOVE_FACTOR, Placement, Plan, Pool, is_short, lot
 from .quarantine import Quarantine
+from .rate_limits import RateLimits
 from .reading_speed import IN_PLACE_SHARE
 from .route_table import RouteTable
 from .stages import MOST_DECODING, StageNeeds, bearable_places
@@ -29,13 +30,15 @@
 
     :param timing: the ``[timing]`` settings, for the retry budget.
     :param peers: returns the number of entry VMs, this one included.
+    :param limits: the :class:`RateLimits` of instances, None for a VM of its own.
     """
 
-    def __init__(self, data_centre, timing, peers, on_gone):
+    def __init__(self, data_centre, timing, peers, on_gone, limits=None):
         self.routes = RouteTable()
         self.instances = InstanceRegistry(on_gone)
         self.loads = LoadBook()
         self.suspicion = Suspicion()
+        self.limits = limits or RateLimits()
         self.quarantine = Quarantine()
         self.placement = Placement(data_centre)
         self.learned = Learned(self._capacity)
@@ -46,6 +49,7 @@
     def forget(self, instance_id):
         """Drop what is known of an incarnation that is over."""
         self.suspicion.forget(instance_id)
+        self.limits.forget(instance_id)
         self.loads.forget(instance_id)
         self.learned.cache.forget(instance_id)
 
@@ -84,7 +88,14 @@
     def _fresh(self, service, tried, now):
         excluded = tried | self.loads.held(now)
         serving = self.instances.serving(service)
-        return [i for i in serving if i.id not in excluded]
+        permits = self.limits.permits
+        return [i for i in serving if i.id not in excluded and permits(i.id, now)]
+
+    def limited(self, service, now):
+        """True when an instance of the service takes no request of this VM now, as
+        it has named a limit."""
+        serving = self.instances.serving(service)
+        return not all(self.limits.permits(i.id, now) for i in serving)
 
     def _split(self, engines, now):
         """Return the (prefill, decode) engines to choose from, the sound ones
--- a/src/mulberrydock/peer_groups.py
+++ b/src/mulberrydock/peer_groups.py
@@ -53,6 +53,22 @@
         """True when data centres tell each other only their sums."""
         return len(self.known()) > DIRECT_PEERS
 
+    def senders(self, now):
+        """Return the names of the VMs that may send to instances, this one included
+        unless it leaves.
+
+        A VM whose record is gone may live, as the store loses records in an outage:
+        it counts while it is heard, or for as long as it can't be.
+        """
+        reports, direct = self.book.reports, self.direct()
+        silent = {
+            name
+            for name in self.membership.lapsed
+            if name in direct and not (name in reports and reports[name].heard(now))
+        }
+        own = set() if self.membership.leaving else {self.name}
+        return frozenset((self.known().keys() - silent) | own)
+
     def _first(self, names):
         key = "reporter"
         return sorted(names, key=lambda name: rank(key, name))[:REPORTERS]
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -10,6 +10,27 @@
 from .reading_speed import ReadingCost
 
 
+@attrs.define(frozen=True)
+class LimitNews:
+    """What an instance names as its limit: requests a second, None when it names none
+    any more, and the seconds since an answer showed it."""
+
+    instance: str
+    rate: float | None
+    age: float
+
+    @classmethod
+    def from_row(cls, row):
+        """Read a row of a datagram."""
+        return cls(row.instance, row.rate or None, row.ageMs / 1000)
+
+    @property
+    def row(self):
+        """The row of a datagram."""
+        age_ms = max(0, int(self.age * 1000))
+        return {"instance": self.instance, "rate": self.rate or 0.0, "ageMs": age_ms}
+
+
 @attrs.define(frozen=True)
 class PeerNews:
     """One message.
@@ -18,7 +39,7 @@
     sender's own. ``reads`` maps instance ids to (key, tokens) rows of parts that
     were read there since the last message, ``pools`` are :class:`PoolNews`,
     ``samples`` are :class:`ReadSample`, ``crashes`` are
-    :class:`~mulberrydock.quarantine.Crash`.
+    :class:`~mulberrydock.quarantine.Crash`, ``limits`` are :class:`LimitNews`.
     """
 
     name: str
@@ -28,6 +49,7 @@
     pools: list = attrs.field(factory=list)
     samples: list = attrs.field(factory=list)
     crashes: list = attrs.field(factory=list)
+    limits: list = attrs.field(factory=list)
 
 
 def _pool_row(news):
@@ -92,6 +114,7 @@
         pools=[_pool_row(pool) for pool in news.pools],
         samples=[attrs.asdict(sample) for sample in news.samples],
         crashes=[attrs.asdict(crash) for crash in news.crashes],
+        limits=[limit.row for limit in news.limits],
     )
     # Packed, as traffic between data centres is paid for: 210 instead of
     # 420 bytes with sends to six instances.
@@ -127,4 +150,5 @@
             for row in message.samples
         ],
         [Crash(row.work, row.instance) for row in message.crashes],
+        [LimitNews.from_row(row) for row in message.limits],
     )
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -9,7 +9,7 @@
 from . import peer_messages
 from ._http import split_address
 from .peer_loads import PeerReport
-from .peer_messages import PeerNews
+from .peer_messages import LimitNews, PeerNews
 from .rendezvous import rank
 
 #: Seconds between two messages to each peer. A prefill takes 20 to 150 ms, so
@@ -46,6 +46,8 @@
     :param suspects: returns the instances that this VM passes over at a moment.
     :param quarantine: the :class:`~mulberrydock.quarantine.Quarantine` to tell from
         and to feed, None to tell of no crashes.
+    :param limits: the :class:`~mulberrydock.rate_limits.RateLimits` to tell from and
+        to feed, None to tell of none.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         learned=None,
         suspects=lambda now: frozenset(),
         quarantine=None,
+        limits=None,
     ):
         self.name = name
         self.book = book
@@ -65,9 +68,11 @@
         self.leaving = leaving
         self.suspects = suspects
         self.quarantine = quarantine
+        self.limits = limits
         # Larger after each restart, so that peers take the new count.
         self.sequence = int(time.time() * 1000)
         self.messages = 0
+        self.sums = 0
         # This VM's place among the reporters of its data centre, None if it is none.
         self.place = None
         # Reads in this data centre that the others haven't been told yet.
@@ -92,6 +97,7 @@
         except Exception as error:  # capnp raises its own unlisted types
             logger.warning("peer message refused", source=addr[0], error=repr(error))
             return
+        self._hear_limits(news.limits, now)
         if not news.data_centre:
             self.book.receive(news.name, news.report)
             self._hear(news.name, news, now)
@@ -134,6 +140,22 @@
             spread = rank(crash.work, self.name)[0] / 256
             self.quarantine.hear(crash, spread, now)
 
+    def _hear_limits(self, limits, now):
+        if self.limits is None:
+            return
+        for limit in limits:
+            self.limits.hear(limit.instance, limit.rate, now - limit.age, now)
+
+    def _limit_news(self, now, number):
+        """Return the :class:`LimitNews` of the message of that number."""
+        if self.limits is None:
+            return []
+        everything = number % MESSAGES_A_POOL_REPORT == 0
+        return [
+            LimitNews(limit.instance, limit.rate, now - limit.observed_at)
+            for limit in self.limits.news(now, everything)
+        ]
+
     def _note_reads(self, reads):
         if self.place is None:
             return
@@ -165,16 +187,17 @@
         report = self._report(
             now, self.book.own(), held, self.interval(), self.suspects(now)
         )
-        if self.learned is None:
-            return peer_messages.encode(PeerNews(self.name, report))
         self.messages += 1
+        limits = self._limit_news(now, self.messages)
+        if self.learned is None:
+            return peer_messages.encode(PeerNews(self.name, report, limits=limits))
         reads = self.learned.cache.take_news()
         self._note_reads(reads)
         tell_pools = self.messages % MESSAGES_A_POOL_REPORT == 0
         pools = self.learned.news(now) if tell_pools else []
         samples = self.learned.take_samples()
         crashes = self.quarantine.take_news(now) if self.quarantine else []
-        news = PeerNews(self.name, report, "", reads, pools, samples, crashes)
+        news = PeerNews(self.name, report, "", reads, pools, samples, crashes, limits)
         return peer_messages.encode(news)
 
     def sum_message(self, now):
@@ -185,7 +208,15 @@
         pools = []
         if self.learned is not None:
             pools = self.learned.news(now, self.groups.direct().keys())
-        news = PeerNews(self.name, report, self.groups.data_centre, reads, pools)
+        self.sums += 1
+        news = PeerNews(
+            self.name,
+            report,
+            self.groups.data_centre,
+            reads,
+            pools,
+            limits=self._limit_news(now, self.sums),
+        )
         return peer_messages.encode(news)
 
     def _send_to(self, peers, data):
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -1,6 +1,7 @@
 """Headers and bodies of the platform's clients and engines."""
 
 import json
+import math
 
 import tornado.httputil
 
@@ -118,6 +119,7 @@
             not_executed=NOT_EXECUTED in headers,
             keep_alive_seconds=_keep_alive(headers),
             closing="close" in headers.get("Connection", "").lower(),
+            limit=_limit(headers),
         )
 
     def answer_headers(self, headers):
@@ -192,6 +194,11 @@
     return None
 
 
+def _limit(headers):
+    rate = _number(headers.get(SERVER_LIMIT), math.nan)
+    return rate if math.isfinite(rate) else None
+
+
 def _prompt(headers):
     counts = headers.get(TOKEN_COUNTS, "").split(",")
     tokens = int(_number(counts[0], 0))
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -77,19 +77,29 @@
 
     def exchange(self, instance, request, options, listener):
         """Return the coroutine of one exchange about ``request``."""
+        sent_at = time.monotonic()
+        self.fleet.limits.take(instance.id, sent_at)
         return self.pool(instance).exchange(
             request.method,
             request.target,
             self.wire.upstream_headers(request, options),
             request.body,
             listener,
-            accepts=lambda headers: self._is_answer(request, headers),
+            accepts=lambda headers: self._accept(instance, request, sent_at, headers),
             keep_alive=self._keep_alive,
         )
 
-    def _is_answer(self, request, headers):
-        named = self.wire.read_marks(headers).request_id
-        return not named or named == request.id
+    def _accept(self, instance, request, sent_at, headers):
+        """Return whether an answer is one to ``request``; learn what it names."""
+        marks = self.wire.read_marks(headers)
+        if marks.request_id not in ("", request.id):
+            return False
+        own = marks.instance in ("", instance.record.id)
+        # A refusal needn't come from the part of an instance that names its limit.
+        if own and (marks.limit is not None or not marks.not_executed):
+            now = time.monotonic()
+            self.fleet.limits.observe(instance.id, marks.limit, sent_at, now)
+        return True
 
     def _keep_alive(self, headers):
         marks = self.wire.read_marks(headers)
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -199,7 +199,8 @@
     """What an upstream states about its answer beside status and body.
 
     ``request_id`` is the request that the answer names and ``instance`` the
-    incarnation that gave it, empty when none.
+    incarnation that gave it, empty when none. ``limit`` are the requests a second
+    that it takes from all VMs together, None when it names none.
     """
 
     request_id: str
@@ -208,6 +209,7 @@
     not_executed: bool
     keep_alive_seconds: float | None
     closing: bool
+    limit: float | None = None
 
 
 @attrs.define(frozen=True)
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -88,6 +88,13 @@
   instance @1 :Text;
 }
 
+struct LimitNews {
+  # What an instance names as its limit, told to peers.
+  instance @0 :Text;
+  rate @1 :Float64;        # requests a second, 0 when it names none any more
+  ageMs @2 :UInt32;        # since an answer showed it
+}
+
 struct PeerMessage {
   # Sent several times a second from each entry VM to its peers over UDP. With
   # dataCentre it is the sum of all VMs there, by the one that is named.
@@ -103,4 +110,5 @@
   dataCentre @9 :Text;     # whose sum this is, empty for the sender's own counts
   suspects @10 :List(Text);    # instances that the sender passes over, having failed
   crashes @11 :List(CrashNews);   # that the sender saw; repeated, as datagrams get lost
+  limits @12 :List(LimitNews);   # changed ones in each message, all in some
 }
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -28,6 +28,7 @@
 from .peer_groups import PeerGroups
 from .peers import PeerLink
 from .quarantine_keeper import QuarantineKeeper
+from .rate_limits import RateLimits
 from .relay import Relay
 from .serve_settings import load_serve_settings
 from .stage_duty import StageDuty
@@ -137,6 +138,11 @@
             settings.timing,
             self.membership.count,
             self._on_gone,
+            RateLimits(
+                settings.name,
+                lambda now: self.groups.senders(now),
+                lambda instance_id: self.fleet.instances.named(instance_id) is not None,
+            ),
         )
         self.instance_feed = InstanceFeed(self.fleet.instances)
         self.relay = Relay(self.fleet, wire, self.metrics)
@@ -182,6 +188,7 @@
             self.fleet.learned,
             self.fleet.suspicion.suspects,
             self.fleet.quarantine,
+            self.fleet.limits,
         )
 
     @classmethod
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -8,6 +8,7 @@
 from mulberrydock.peer_groups import PeerGroups
 from mulberrydock.peer_loads import LoadBook
 from mulberrydock.peers import SUM_SECONDS, PeerLink
+from mulberrydock.rate_limits import RateLimits
 from mulberrydock.serve import EntryVm
 
 PORT = 7380
@@ -66,7 +67,8 @@
         membership = Membership(None, EntryVm(name, name, data_centre))
         book = LoadBook()
         groups = PeerGroups(membership, book, data_centre)
-        link = PeerLink(name, book, groups, bool)
+        limits = RateLimits(name, groups.senders)
+        link = PeerLink(name, book, groups, bool, limits=limits)
         link.transport = Transport(self, name)
         self.vms[name] = Vm(name, data_centre, membership, book, groups, link)
 
