A store that comes back from an older copy takes nothing back

By reading: a watch went on from a revision that had been given to another change and missed the newer configuration; the next holder's fencing token could be lower; a lease id was renewed that may be another VM's; crash records that the copy lacked were forgotten; an engine that had left came back with the copy.

Change: the first answer of a new era starts a full read, a new registration and a new term of the duty; tokens are era and revision together; records of departed instances are in doubt for 5 s; crash records are written again.

Evidence: test_store_era (daemons, and each state).

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -13,6 +13,15 @@
 #: Seconds after the store's return within which records that lapsed during
 #: its outage come back if their instance lives (the platform's promise).
 LAPSE_GRACE_SECONDS = 2.0
+#: Seconds for which it is remembered that an instance has left: a store that comes back
+#: from a copy some seconds old still has its record.
+DEPARTED_SECONDS = 60.0
+#: Seconds after the store came back from an older copy for which its record of such an
+#: instance is in doubt. Instances write theirs again, and those of instances that
+#: don't are removed after a few heartbeats.
+DOUBT_SECONDS = 5.0
+#: Instances that have left which are remembered.
+DEPARTED_KEPT = 1000
 
 
 class Stage(enum.Enum):
@@ -102,12 +111,17 @@
     :param on_gone: called with the incarnation's name of an instance that left
         the registry.
 
-    ``ended`` holds names of incarnations that are over.
+    ``ended`` holds names of incarnations that are over, ``departed`` when others were
+    last seen to have left, ``doubted`` records of those that an older copy of the
+    store holds.
     """
 
     def __init__(self, on_gone=lambda instance_id: None):
         self.instances = {}
         self.ended = set()
+        self.departed = {}
+        self.doubted = {}
+        self.doubt_until = None
         # Ids that the full read in progress has brought so far.
         self.read = set()
         self.on_gone = on_gone
@@ -120,6 +134,9 @@
         if record.incarnation in self.ended:
             # A record read late must not bring back what is over.
             return
+        if self._in_doubt(record, now):
+            self.doubted[record.id] = record
+            return
         known = self._same_start(record)
         if known is not None and _older(record, known.record):
             logger.info("older instance record ignored", instance=record.incarnation)
@@ -146,6 +163,31 @@
             known.leaving = True
             logger.info("instance draining", instance=record.incarnation)
 
+    def copy_restored(self, now):
+        """The store came back from an older copy: records in it may be of instances
+        that have left since, and others are yet to be written again."""
+        self.store_lost(now)
+        self.store_back(now)
+        self.doubt_until = now + DOUBT_SECONDS
+        self.departed = {
+            name: at
+            for name, at in self.departed.items()
+            if now - at <= DEPARTED_SECONDS
+        }
+
+    def _in_doubt(self, record, now):
+        if self.doubt_until is None or now >= self.doubt_until:
+            return False
+        return record.incarnation in self.departed
+
+    def _settle_doubts(self, now):
+        """Take the records of those that live after all."""
+        if self.doubt_until is None or now < self.doubt_until:
+            return
+        doubted, self.doubted, self.doubt_until = self.doubted, {}, None
+        for record in doubted.values():
+            self.put(record, now)
+
     def _same_start(self, record):
         """Return what is known of the instance, None if it has started anew.
 
@@ -188,6 +230,7 @@
         Records lapse while the store is away although their instances live;
         those are back within the grace. Any other removal means it leaves.
         """
+        self.doubted.pop(instance_id, None)
         known = self.instances.get(instance_id)
         if known is None:
             return
@@ -196,7 +239,7 @@
                 known.lapsed_at = now
                 logger.info("instance record lapsed", instance=instance_id)
             return
-        self._drop(instance_id, "record removed")
+        self._depart(instance_id, "record removed", now)
 
     def reset(self):
         """A full read of the records follows."""
@@ -226,11 +269,21 @@
 
     def sweep(self, now):
         """Drop lapsed instances whose grace is over."""
+        self._settle_doubts(now)
         if self.unsettled(now):
             return
         for instance_id, instance in list(self.instances.items()):
             if instance.lapsed_at is not None:
-                self._drop(instance_id, "record still missing after the outage")
+                reason = "record still missing after the outage"
+                self._depart(instance_id, reason, now)
+
+    def _depart(self, instance_id, reason, now):
+        """An instance has left by the store's word; it may come back."""
+        self.departed.pop(self.instances[instance_id].id, None)
+        self.departed[self.instances[instance_id].id] = now
+        while len(self.departed) > DEPARTED_KEPT:
+            del self.departed[next(iter(self.departed))]
+        self._drop(instance_id, reason)
 
     def left(self, instance, reason):
         """This VM saw itself that ``instance`` is over or not there."""
--- a/src/mulberrydock/lease.py
+++ b/src/mulberrydock/lease.py
@@ -1,7 +1,7 @@
 """The lease that makes one controller the active one, and its fencing token.
 
-The holder writes ``control/leader`` under a lease; the store version of that
-write is the fencing token, larger for every new holder.
+The holder writes ``control/leader`` under a lease; the store's era and the version of
+that write make the fencing token, larger for every new holder.
 """
 
 import asyncio
@@ -16,6 +16,9 @@
 SAFE_LEASE_SHARE = 0.6
 #: Share of the lease ttl between two renewals.
 RENEW_SHARE = 1 / 3
+#: Versions that one era of the store may give out: a store that comes back from an
+#: older copy counts on from there, and its era is one higher.
+ERA_VERSIONS = 2**32
 
 
 @attrs.define
@@ -79,6 +82,7 @@
         granted = await self.store.grant(self.ttl)
         if granted.is_error():
             return False
+        era = self.store.era or 0
         record = records.encode(
             records.LeaderRecord.new_message(holder=self.name, acquiredAt=time.time())
         )
@@ -95,13 +99,24 @@
             version = read.ok.version
         else:
             version = written.ok
-        self.authority = Authority(granted.ok, version, now, self.clock())
-        logger.info("control active", token=version)
+        if era != (self.store.era or 0):
+            # The store has lost that lease.
+            return False
+        token = era * ERA_VERSIONS + version
+        self.authority = Authority(granted.ok, token, now, self.clock())
+        logger.info("control active", token=token)
         return True
 
+    def forget(self):
+        """The store has lost the lease: its id may be another's by now."""
+        self.authority = Authority()
+
     async def renew(self, now):
         """Renew the lease; drop authority when it has lapsed."""
-        renewed = await self.store.keepalive(self.authority.lease)
+        authority = self.authority
+        renewed = await self.store.keepalive(authority.lease)
+        if self.authority is not authority:
+            return
         if renewed.is_ok() and renewed.ok:
             self.authority.renewed_at = now
         elif renewed.is_ok() or not self.valid(now):
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -106,6 +106,12 @@
             await asyncio.sleep(defaults.STORE_RETRY_SECONDS)
         return False
 
+    def forget_lease(self):
+        """The store has lost the lease, and its id may be another's by now: register
+        anew."""
+        self.lease = 0
+        self.registered = False
+
     async def leave(self):
         """Revoke the lease, which deletes the record."""
         if self.lease:
@@ -131,9 +137,10 @@
             await asyncio.sleep(CHECK_SECONDS)
 
     async def _renew(self):
-        renewed = await self.store.keepalive(self.lease)
+        lease = self.lease
+        renewed = await self.store.keepalive(lease)
         # An outage is not a lapse: keep the lease id and try again.
-        return renewed.is_error() or renewed.ok
+        return lease == self.lease and (renewed.is_error() or renewed.ok)
 
     def apply(self, key, value, version):
         """Take one entry's record, or its removal when ``value`` is None."""
--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -21,12 +21,16 @@
 CALL_TIMEOUT_SECONDS = 0.7
 #: Connections: one a waiting watch and a few for calls.
 CONNECTION_LIMIT = 16
+#: Names how often the store has come back from an older copy of itself.
+STORE_ERA = "Store-Era"
 
 
 class PlatformStore:
     """Calls to the store at ``address`` over kept connections.
 
-    ``on_answer`` is called after each call with True when the store answered it.
+    ``on_answer`` is called after each call with True when the store answered it,
+    ``on_era`` when an answer is the first from a store that came back from an older
+    copy. ``era`` counts these copies.
     """
 
     def __init__(self, address, timeout=CALL_TIMEOUT_SECONDS):
@@ -34,6 +38,8 @@
         self.timeout = timeout
         self.pool = ConnectionPool(address, CONNECTION_LIMIT)
         self.on_answer = lambda answered: None
+        self.on_era = lambda: None
+        self.era = None
 
     async def _call(self, method, path, body=None, timeout=None):
         result = await self._exchange(method, path, body, timeout)
@@ -56,6 +62,8 @@
             )
         except (UpstreamError, asyncio.TimeoutError) as error:
             return Error(StoreError(f"{method} {path}: {error!r}"))
+        if not self._note_era(answer.headers):
+            return Error(StoreError(f"{method} {path}: answer of a lost copy"))
         if answer.status in (429, 500, 502, 503, 504):
             return Error(StoreError(f"{method} {path}: status {answer.status}"))
         try:
@@ -63,6 +71,15 @@
         except ValueError as error:
             return Error(StoreError(f"{method} {path}: {error}"))
 
+    def _note_era(self, headers):
+        """Learn the era of an answer; False when the store has lost it since."""
+        text = headers.get(STORE_ERA, "")
+        era = int(text) if text.isdecimal() else 0
+        known, self.era = self.era, max(era, self.era or 0)
+        if known is not None and era > known:
+            self.on_era()
+        return era == self.era
+
     async def get(self, key):
         """Read ``key``; ``Ok(None)`` when it is absent."""
         result = await self._call("GET", "/kv-key?" + urlencode({"key": key}))
--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -105,6 +105,7 @@
         self.removals = set()
         # Crashes that the full read in progress has brought so far.
         self.read = set()
+        self.copy_old = False
 
     def count(self, work):
         """Return how many instances are known to have crashed under ``work``."""
@@ -232,11 +233,27 @@
         """A full read of the records follows; what is known holds until its end."""
         self.read.clear()
 
-    def loaded(self):
-        """A full read is applied: records that it lacked are removed ones."""
+    def copy_restored(self):
+        """The store came back from an older copy: what the next full read lacks may
+        have been written since, and what it brings may have been removed."""
+        self.copy_old = True
+
+    def loaded(self, spread, now):
+        """A full read is applied: records that it lacked are removed ones, unless the
+        store has lost them.
+
+        :param spread: as in :meth:`hear`.
+        """
         for crash in self._all_stored():
-            if crash not in self.read:
+            lacking = crash not in self.read
+            if lacking:
+                self._forget(crash)
+            if self.copy_old and lacking:
+                self.hear(crash, spread, now)
+            elif self.copy_old and self._served(crash.work, now):
                 self._forget(crash)
+                self.removals.add(crash)
+        self.copy_old = False
 
     def _all_stored(self):
         return [
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -30,6 +30,7 @@
 from .quarantine_keeper import QuarantineKeeper
 from .rate_limits import RateLimits
 from .relay import Relay
+from .rendezvous import rank
 from .serve_settings import load_serve_settings
 from .stage_duty import StageDuty
 from .watch import PROBE_SECONDS, PrefixWatch
@@ -120,6 +121,7 @@
         self.settings = settings
         self.store = store
         store.on_answer = self._on_store_answer
+        store.on_era = self._on_store_era
         self.log_sink = log_sink
         self.metrics = ServeMetrics()
         self.draining = False
@@ -173,6 +175,7 @@
             settings.name,
             lambda: self.lease.valid(boot_seconds()),
         )
+        self.watch = self._watch()
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
             platform.INSTANCE_PREFIX: self._on_instance,
@@ -250,6 +253,19 @@
             logger.warning(event, address=self.settings.store.address)
         self.store_answers = answered
 
+    def _on_store_era(self):
+        """The store came back from a copy some seconds old.
+
+        Leases are gone, and their ids and the revisions are given out again. What the
+        operator and the instances wrote they write again; the rest is ours to repair.
+        """
+        logger.warning("store restored from an older copy", era=self.store.era)
+        self.fleet.instances.copy_restored(time.monotonic())
+        self.fleet.quarantine.copy_restored()
+        self.membership.forget_lease()
+        self.lease.forget()
+        self.watch.invalidate()
+
     def _on_leader(self, key, value, revision):
         self.leader_known = value is not None
 
@@ -265,8 +281,10 @@
         self.fleet.quarantine.reset()
 
     def _on_loaded(self):
-        self.fleet.quarantine.loaded()
-        self.fleet.instances.loaded(time.monotonic())
+        now = time.monotonic()
+        spread = rank("crashes", self.settings.name)[0] / 256
+        self.fleet.quarantine.loaded(spread, now)
+        self.fleet.instances.loaded(now)
         self.membership.loaded()
 
     def watch_pause(self):
@@ -327,7 +345,7 @@
         self._listen()
         await self.peers.open(self.settings.ip, self.settings.listen.peer_ports[0])
         tasks = [
-            asyncio.ensure_future(self._watch().run()),
+            asyncio.ensure_future(self.watch.run()),
             asyncio.ensure_future(self.lease.run()),
             asyncio.ensure_future(self.duty.run()),
             asyncio.ensure_future(self.membership.keep_alive()),
--- a/src/mulberrydock/standin/platform_store.py
+++ b/src/mulberrydock/standin/platform_store.py
@@ -6,22 +6,36 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 
+import attrs
 import tornado.web
 
+from ..platform.store import STORE_ERA
 from .store import StoreState
 
 #: Seconds between two sweeps of expired leases.
 EXPIRY_SECONDS = 0.05
 
 
+@attrs.define(frozen=True)
+class Copy:
+    """The store's data at one moment."""
+
+    items: dict
+    leases: dict
+    revision: int
+    next_lease: int
+
+
 class PlatformStoreState(StoreState):
     """Store data plus the faults that a test switches on.
 
     ``refusing`` answers 503 to every call; ``silent`` answers nothing;
-    ``lose_writes`` counts writes to be done and not answered.
+    ``lose_writes`` counts writes to be done and not answered. ``era`` counts how often
+    it came back from an older copy.
     """
 
     def __init__(self):
@@ -30,6 +44,28 @@
         self.silent = False
         self.lose_writes = 0
         self.compacted_at = 0
+        self.era = 0
+
+    def copy(self):
+        """Return a :class:`Copy` of the data as they are."""
+        return Copy(
+            dict(self.items),
+            copy.deepcopy(self.leases),
+            self.revision,
+            self.next_lease,
+        )
+
+    def restore(self, copied):
+        """Come back from an older copy: what was written since is lost."""
+        self.items = dict(copied.items)
+        self.leases = copy.deepcopy(copied.leases)
+        self.revision = copied.revision
+        self.next_lease = copied.next_lease
+        self.history.clear()
+        self.compacted_at = copied.revision
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def write(self, key, document):
         """Write a document as the operator or an instance does."""
@@ -45,7 +81,7 @@
         self.compacted_at = self.revision
 
     def events_after(self, prefix, after):
-        if after < self.compacted_at:
+        if after < self.compacted_at or after > self.revision:
             return None
         return super().events_after(prefix, after)
 
@@ -72,6 +108,7 @@
 
     async def prepare(self):
         self.state.calls[self.request.path] += 1
+        self.set_header(STORE_ERA, str(self.state.era))
         if self.state.silent:
             await asyncio.sleep(3600)
         if self.state.refusing:
@@ -89,6 +126,8 @@
             self.request.connection.stream.close()
             return
         self.set_status(status)
+        # A watch may have waited through the loss.
+        self.set_header(STORE_ERA, str(self.state.era))
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(document))
 
--- a/src/mulberrydock/standin/store.py
+++ b/src/mulberrydock/standin/store.py
@@ -152,6 +152,9 @@
     :param clock: returns the present time.
     """
 
+    #: This store never comes back from an older copy.
+    era = 0
+
     def __init__(self, state, clock=time.monotonic):
         self.state = state
         self.clock = clock
--- a/src/mulberrydock/store.py
+++ b/src/mulberrydock/store.py
@@ -54,6 +54,9 @@
     :param timeout: seconds of one call.
     """
 
+    #: This store never comes back from an older copy.
+    era = 0
+
     def __init__(self, address, timeout=defaults.STORE_CALL_TIMEOUT_SECONDS):
         self.address = address
         self.timeout = timeout
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -48,6 +48,7 @@
         self.pause = pause
         self.revision = 0
         self.loaded = False
+        self.poll = None
         self.answered = True
         self.paused = False
 
@@ -64,8 +65,10 @@
         """One read or long poll; False when the store did not answer."""
         if not self.loaded:
             return await self._read()
-        batch = await self.store.watch(self.prefix, self.revision, self._wait())
+        batch = await self._poll()
         self.paused = False
+        if not self.loaded:
+            return True
         self.answered = batch.is_ok()
         if batch.is_error():
             return False
@@ -80,11 +83,36 @@
             await asyncio.sleep(self.pause)
         return True
 
+    async def _poll(self):
+        self.poll = asyncio.ensure_future(
+            self.store.watch(self.prefix, self.revision, self._wait())
+        )
+        try:
+            return await self.poll
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return None
+        finally:
+            self.poll.cancel()
+
+    def invalidate(self):
+        """Read everything again: the store's revisions don't go on from those known.
+
+        A poll under way may wait for a revision that was given to another change.
+        """
+        self.loaded = False
+        if self.poll is not None:
+            self.poll.cancel()
+
     async def _read(self):
+        era = self.store.era
         read = await self.store.range(self.prefix)
         if read.is_error():
             return False
         revision, items = read.ok
+        if era is not None and self.store.era != era:
+            return True
         self.on_reset()
         for item in items:
             self.on_item(item.key, item.value, item.version)
--- a/tests/test_configuration_model.py
+++ b/tests/test_configuration_model.py
@@ -99,6 +99,7 @@
     # fails again and again, and it must keep serving version 1 meanwhile.
     class DownStore:
         calls = 0
+        era = 0
 
         async def get(self, key):
             from expression import Error
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -70,7 +70,7 @@
     def apply(book, now):
         book.reset()
         read(*instances)(book, now)
-        book.loaded()
+        book.loaded(0.0, 0.0)
 
     return apply
 
@@ -273,7 +273,7 @@
     fresh.book.reset()
     for key, value in store.values.items():
         fresh.apply(key, value, 1)
-    fresh.book.loaded()
+    fresh.book.loaded(0.0, 0.0)
     return fresh
 
 
--- /dev/null
+++ b/tests/test_store_era.py
@@ -0,0 +1,229 @@
+"""The store comes back from a copy some seconds old, before real daemons.
+
+What was acknowledged since the copy is lost, leases too; revisions and lease ids are
+given out again. The operator and the instances write theirs again.
+"""
+
+import asyncio
+import time
+
+import pytest
+from platform_fleet import LETTER, PlatformFleet, config, until
+
+from mulberrydock.instances import (
+    DOUBT_SECONDS,
+    LAPSE_GRACE_SECONDS,
+    InstanceRecord,
+    InstanceRegistry,
+    Stage,
+)
+from mulberrydock.lease import ERA_VERSIONS, LeaderLease
+from mulberrydock.quarantine import CRASH_LIMIT, HEARD_SECONDS, Crash, Quarantine
+from mulberrydock.standin.platform_store import PlatformStoreState
+from mulberrydock.standin.store import DirectStore
+
+#: Configurations written before the loss: their revisions are given out again.
+VERSIONS = 8
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """A store with a configuration, two decode engines, two daemons."""
+    running = PlatformFleet(tmp_path)
+    running.write("op/config", config(3))
+    for instance_id in "d1", "d2":
+        running.add(instance_id, "llm", "decode")
+    for name in "entry-1", "entry-2":
+        running.start(name)
+    try:
+        for name in "entry-1", "entry-2":
+            running.wait_ready(name)
+        yield running
+    finally:
+        running.stop()
+
+
+def lose(fleet, copied, documents=()):
+    """Let the store come back from ``copied``, where ``documents`` (key, value) are
+    written first and its revisions reach those that the daemons wait beyond."""
+
+    def restore():
+        known = fleet.store.revision
+        fleet.store.restore(copied)
+        for key, document in documents:
+            fleet.store.write(key, document)
+        while fleet.store.revision <= known:
+            fleet.store.write("op/other", {})
+
+    fleet.call(restore)
+
+
+def in_force(fleet, name, version):
+    """True once the daemon has said that a configuration is in force."""
+    events = fleet.events("configuration in force", name)
+    return any(event["version"] == version for event in events)
+
+
+# Guards against a follower that misses changes whose revisions are given out again, and
+# against one that goes back to an older configuration.
+def test_configuration_goes_on_after_the_store_lost_some(fleet):
+    copied = fleet.call(fleet.store.copy)
+    for version in range(4, 4 + VERSIONS):
+        fleet.write("op/config", config(version))
+    last = 3 + VERSIONS
+    for name in fleet.daemons:
+        until(lambda: in_force(fleet, name, last))
+    lose(fleet, copied, [("op/config", config(last + 1))])
+    for name in fleet.daemons:
+        until(lambda: in_force(fleet, name, last + 1))
+        events = fleet.events("configuration in force", name)
+        versions = [event["version"] for event in events]
+        assert versions == sorted(versions)
+
+
+# Guards against VMs that stay without a record, or renew a lease that isn't theirs.
+def test_daemons_register_again_and_serve(fleet):
+    before = {key for key in fleet.store.items if key.startswith("entries/")}
+    copied = fleet.call(fleet.store.copy)
+    for key in before:
+        copied.items.pop(key)
+    copied.leases.clear()
+    lose(fleet, copied)
+
+    def registered():
+        keys = {key for key in fleet.store.items if key.startswith("entries/")}
+        leases = [fleet.store.items[key].lease for key in keys]
+        return keys == before and len(set(leases)) == len(leases)
+
+    until(registered)
+    assert fleet.request(LETTER, "r1").status == 200
+
+
+# Guards against an engine that drains being used again, as the copy says it is ready.
+def test_engine_that_drains_stays_out(fleet):
+    copied = fleet.call(fleet.store.copy)
+    fleet.write("servers/d1", fleet.engines["d1"].record("draining"))
+    for name in fleet.daemons:
+        until(lambda: fleet.events("instance draining", name))
+    lose(fleet, copied)
+    for name in fleet.daemons:
+        until(lambda: fleet.events("store restored from an older copy", name))
+    for number in range(6):
+        assert fleet.request(LETTER, f"r{number}").status == 200
+    assert not fleet.engines["d1"].runs
+
+
+# Guards against a holder that gets a lower fencing token than the one before it.
+def test_fencing_tokens_rise_over_eras():
+    async def go():
+        state = PlatformStoreState()
+        store = DirectStore(state)
+        tokens = []
+        copied = state.copy()
+        for era in range(3):
+            store.era = era
+            lease = LeaderLease(store, f"entry-{era}", 10.0)
+            for _ in range(5 - era):
+                await store.put("other", "x")
+            assert await lease.acquire(time.monotonic())
+            tokens.append(lease.authority.token)
+            state.restore(copied)
+        return tokens
+
+    tokens = asyncio.run(go())
+    assert tokens == sorted(set(tokens))
+    assert [token // ERA_VERSIONS for token in tokens] == [0, 1, 2]
+
+
+# Guards against an authority over a lease that the store has lost while it was taken.
+def test_lease_taken_as_the_store_lost_it_is_none():
+    async def go():
+        store = DirectStore(PlatformStoreState())
+        lease = LeaderLease(store, "entry-1", 10.0)
+        put = store.put
+
+        async def lose(*args, **options):
+            written = await put(*args, **options)
+            store.era += 1
+            return written
+
+        store.put = lose
+        return await lease.acquire(time.monotonic()), lease.authority.token
+
+    assert asyncio.run(go()) == (False, 0)
+
+
+def record(instance_id, draining=False):
+    """Return an instance's record."""
+    return InstanceRecord(
+        instance_id, "s", "h:1", "dc1", 4, draining, Stage.NONE, born=1
+    )
+
+
+# Guards against work for an engine that has left, whose record an older copy holds, and
+# against one that is lost for good because its record came late.
+@pytest.mark.parametrize(
+    ("removed_again", "seconds", "expected"),
+    [
+        (False, 0.1, {"a"}),
+        (False, DOUBT_SECONDS + 0.1, {"a", "b"}),
+        (True, DOUBT_SECONDS + 0.1, {"a"}),
+    ],
+)
+def test_record_of_an_instance_that_left(removed_again, seconds, expected):
+    registry = InstanceRegistry()
+    for name in "a", "b":
+        registry.put(record(name), 0.0)
+    registry.remove("b", 10.0)
+    registry.copy_restored(12.0)
+    registry.reset()
+    for name in "a", "b":
+        registry.put(record(name), 12.1)
+    registry.loaded(12.1)
+    if removed_again:
+        registry.remove("b", 15.0)
+    registry.sweep(12.0 + seconds)
+    assert {i.record.id for i in registry.serving("s")} == expected
+
+
+# Guards against engines that are given up, as the copy is older than their records.
+@pytest.mark.parametrize("back", [True, False])
+def test_instance_that_the_copy_lacks_has_time_to_write_again(back):
+    registry = InstanceRegistry()
+    for name in "a", "b":
+        registry.put(record(name), 0.0)
+    registry.copy_restored(10.0)
+    registry.reset()
+    registry.put(record("a"), 10.1)
+    registry.loaded(10.1)
+    registry.sweep(10.0 + LAPSE_GRACE_SECONDS / 2)
+    assert len(registry.serving("s")) == 2
+    if back:
+        registry.put(record("b"), 11.0)
+    registry.sweep(10.1 + LAPSE_GRACE_SECONDS)
+    assert len(registry.serving("s")) == 1 + back
+
+
+# Guards against crashing work that leaves quarantine as the store lost its crashes, and
+# against cleared work that returns to it.
+@pytest.mark.parametrize("served", [False, True])
+def test_crashes_outlast_an_older_copy(served):
+    book, now = Quarantine(), 100.0
+    crashes = [Crash("w", f"e{number}") for number in range(CRASH_LIMIT)]
+    for crash in crashes:
+        book.apply(crash.key, 1000.0)
+    if served:
+        book.note_end("w", True, now)
+        assert book.removals == set(crashes)
+        book.removals.clear()
+    book.copy_restored()
+    book.reset()
+    for crash in crashes if served else crashes[:1]:
+        book.apply(crash.key, 1000.0)
+    book.loaded(0.5, now)
+    assert book.holds("w", now) is not served
+    if served:
+        assert book.removals == set(crashes)
+        return
+    assert not book.due(now)
+    assert set(book.due(now + 2 * HEARD_SECONDS)) == set(crashes[1:])
