--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -12,8 +12,8 @@
 
 @attrs.define(frozen=True)
 class LimitNews:
-    """What an instance names as its limit: requests a second, None when it names none
-    any more, and the seconds since an answer showed it."""
+    """The limit that an instance declares: requests a second, None when it has none any
+    more, and the seconds since an answer showed it."""
 
     instance: str
     rate: float | None
--- a/src/mulberrydock/rate_limits.py
+++ b/src/mulberrydock/rate_limits.py
@@ -1,11 +1,11 @@
-"""How many requests a second instances take, as they name it, and who may send them.
-
-The load pattern this answers is an instance in need before a fleet of any size. What it
-names holds for all VMs together, and it counts every call, so a share for each VM fails
-in both directions: a hundred VMs with one call each exceed it, and eight equal shares
-lie idle where no requests come. So a few VMs send to it, no more than the calls that it
-takes in a second, and all others pass it over. Who they are follows from the instance
-and the names of the VMs, without a message.
+"""Rate limits that instances declare in their answers, kept by all VMs together.
+
+The load pattern this answers is an overloaded instance before a fleet of any size.
+Its limit holds for all VMs together and counts every call. An equal share for each VM
+fails in both directions: a hundred VMs with one call each exceed it, and eight shares
+lie idle where no requests come. So a few VMs send to the instance, no more than the
+calls that it takes in a second, and all others pass it over. Which ones follows by
+rendezvous hashing from the instance's id and the names of the VMs, without a message.
 """
 
 import math
@@ -15,16 +15,16 @@
 
 from .rendezvous import rank
 
-#: Least rate that is kept to, in requests a second: with none at all nobody would
-#: learn that the instance is well again.
+#: Lowest rate in requests a second: with none at all no answer would show that the
+#: limit is over.
 LEAST_RATE = 0.1
-#: Answers in a row without a limit after which it is over: one may come from before
-#: the limit was named.
+#: Answers in a row without a limit after which it is over: one may have been begun
+#: before the limit was declared.
 CLEAR_ANSWERS = 2
 #: Seconds for which a VM waits once it finds itself among the senders: another VM may
 #: not have noticed yet that it is none any more.
 TAKEOVER_SECONDS = 1.0
-#: Seconds between two looks at the names of the VMs.
+#: Seconds between two looks at the members of the fleet.
 MEMBERS_SECONDS = 0.5
 #: Seconds for which a change is told in every message: datagrams get lost.
 NEWS_SECONDS = 1.5
@@ -37,9 +37,9 @@
 
 @attrs.define
 class RateLimit:
-    """What an instance was last seen to name.
+    """The limit that an instance was last seen to declare.
 
-    ``rate`` is in requests a second, None when it names none any more; ``observed_at``
+    ``rate`` is in requests a second, None when it has none any more; ``observed_at``
     is when an answer showed it and ``changed_at`` when this VM learned the rate, both
     monotonic seconds. ``clear_answers`` counts answers without a limit since then.
     """
@@ -124,7 +124,7 @@
     def observe(self, instance, rate, sent_at, now):
         """An instance answered this VM.
 
-        :param rate: requests a second that the answer names, None when it names none.
+        :param rate: requests a second that the answer declares, None when it has none.
         :param sent_at: when the request was sent; an answer to one that is older than
             the limit doesn't end it.
         """
@@ -137,7 +137,7 @@
                 self._set(instance, None, now, now)
 
     def hear(self, instance, rate, observed_at, now):
-        """Another VM tells what an instance named.
+        """Another VM tells what an instance declared.
 
         :param rate: as in :meth:`observe`.
         """
@@ -154,7 +154,8 @@
         changed = known is None or _differ(known.rate, rate)
         changed_at = now if changed else known.changed_at
         self.limits[instance] = RateLimit(instance, rate, observed_at, changed_at)
-        self.senders.pop(instance, None)
+        if known is None or known.rate != rate:
+            self.senders.pop(instance, None)
         if changed:
             logger.warning("instance limit", instance=instance, rate=rate)
 
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -90,12 +90,12 @@
         )
 
     def _accept(self, instance, request, sent_at, headers):
-        """Return whether an answer is one to ``request``; learn what it names."""
+        """Return whether an answer is one to ``request``; learn a limit from it."""
         marks = self.wire.read_marks(headers)
         if marks.request_id not in ("", request.id):
             return False
         own = marks.instance in ("", instance.record.id)
-        # A refusal needn't come from the part of an instance that names its limit.
+        # A refusal without a limit doesn't show that the limit is over.
         if own and (marks.limit is not None or not marks.not_executed):
             now = time.monotonic()
             self.fleet.limits.observe(instance.id, marks.limit, sent_at, now)
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -200,7 +200,7 @@
 
     ``request_id`` is the request that the answer names and ``instance`` the
     incarnation that gave it, empty when none. ``limit`` are the requests a second
-    that it takes from all VMs together, None when it names none.
+    that it takes from all VMs together, None without a limit.
     """
 
     request_id: str
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -89,9 +89,9 @@
 }
 
 struct LimitNews {
-  # What an instance names as its limit, told to peers.
+  # The rate limit that an instance declares, told to peers.
   instance @0 :Text;
-  rate @1 :Float64;        # requests a second, 0 when it names none any more
+  rate @1 :Float64;        # requests a second, 0 when it has none any more
   ageMs @2 :UInt32;        # since an answer showed it
 }
 
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -66,7 +66,7 @@
     :param crash_on: a run whose body holds these bytes crashes the process.
     :param on_crash: called with this engine when it crashes.
     :param on_back: called with this engine when it is back after a crash.
-    :param limit: requests a second that its answers name as its limit, None for none.
+    :param limit: rate limit that its answers declare, in requests a second.
     :param prefill_gate: prefill calls are answered once this is set.
     :param prefill_refusals: each entry refuses one prefill call; several
         engines may share the list, so that whichever is asked first refuses.
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,7 +1,7 @@
-"""What a fleet sends to an instance that names a limit, in simulated time.
+"""What a fleet sends to an instance that declares a rate limit, in simulated time.
 
-The load pattern is that of an instance in need: more is asked of it than it takes, by
-8 or by 195 VMs, each of which has another request for it at any moment.
+The load pattern is that of an overloaded instance: more is asked of it than it takes,
+by 8 or by 195 VMs, each of which has another request for it at any moment.
 """
 
 import random
@@ -11,8 +11,8 @@
 
 from mulberrydock.rate_limits import CLEAR_ANSWERS, TAKEOVER_SECONDS, RateLimits
 
-#: Seconds from the first naming until it must be kept, those of a window, and the
-#: requests in it beyond one and a half times the limit.
+#: Seconds from the first answer with it until it must be kept, those of a window, and
+#: the requests in it beyond one and a half times the limit.
 CONTACT_SECONDS = 3.0
 WINDOW_SECONDS = 4.0
 SLACK = 5
@@ -27,8 +27,8 @@
 
 
 @attrs.define
-class NeedyInstance:
-    """Names its limit from the first request on; ``told`` is when each VM first got
+class LimitedInstance:
+    """Declares its limit from the first request on; ``told`` is when each VM first got
     an answer of it, ``counted`` are the moments of requests from VMs told before."""
 
     rate: float
@@ -130,17 +130,17 @@
 # many to keep it, or that is exceeded while VMs come and go.
 @pytest.mark.parametrize(("sizes", "rate", "event"), SMALL_PLAYS + LARGE_PLAYS)
 def test_fleet_keeps_to_a_limit(peer_fleet, sizes, rate, event):
-    fleet, rng, instance = peer_fleet(**sizes), random.Random(3), NeedyInstance(rate)
+    fleet, rng, instance = peer_fleet(**sizes), random.Random(3), LimitedInstance(rate)
     play(fleet, instance, SECONDS / 2, rng)
     event(fleet)
     play(fleet, instance, SECONDS / 2, rng)
     assert instance.most() <= 1.5 * rate * WINDOW_SECONDS + SLACK
 
 
-# Guards against an instance in need that nobody uses, as the few that may don't know.
+# Guards against a limited instance that nobody uses, as the few that may don't know.
 @pytest.mark.parametrize("event", [nothing, senders_leave, vms_start_again])
 def test_what_an_instance_takes_is_used(peer_fleet, event):
-    fleet, rng, instance = peer_fleet(**SMALL), random.Random(4), NeedyInstance(2.3)
+    fleet, rng, instance = peer_fleet(**SMALL), random.Random(4), LimitedInstance(2.3)
     play(fleet, instance, SECONDS / 2, rng)
     event(fleet)
     play(fleet, instance, SECONDS / 2, rng)
@@ -150,8 +150,8 @@
 
 # Guards against a limit that is believed for ever, or that one old answer ends.
 @pytest.mark.parametrize("sizes", [SMALL, LARGE], ids=["8-vms", "195-vms"])
-def test_limit_ends_for_all_when_the_instance_names_none(peer_fleet, sizes):
-    fleet, rng, instance = peer_fleet(**sizes), random.Random(5), NeedyInstance(2.3)
+def test_limit_ends_for_all_when_the_instance_declares_none(peer_fleet, sizes):
+    fleet, rng, instance = peer_fleet(**sizes), random.Random(5), LimitedInstance(2.3)
     play(fleet, instance, SECONDS / 2, rng)
     instance.rate = None
     play(fleet, instance, SECONDS / 2, rng)
@@ -162,7 +162,7 @@
 @pytest.mark.parametrize(
     ("answers", "limited"),
     [
-        # (rate named, seconds at which the request was sent and answered)
+        # (rate declared, seconds at which the request was sent and answered)
         ([(2.0, 0.0, 1.0)], True),
         ([(2.0, 0.0, 1.0)] + [(None, 2.0, 3.0)] * (CLEAR_ANSWERS - 1), True),
         ([(2.0, 0.0, 1.0)] + [(None, 2.0, 3.0)] * CLEAR_ANSWERS, False),
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -1,4 +1,4 @@
-"""An engine names a limit: what all entry VMs together may send it.
+"""An engine declares a rate limit: what all entry VMs together send it.
 
 Real daemon processes; the store and the engines are our stand-ins.
 """
@@ -8,10 +8,10 @@
 import pytest
 from platform_fleet import LETTER, QUERY, PlatformFleet, config, route
 
-#: Requests a second that the engine in need takes, and seconds for which it says so.
+#: Requests a second that the overloaded engine takes, and seconds of the test.
 LIMIT = 1.0
 SECONDS = 8.0
-#: Seconds from the first naming until it is kept: the contact time of the settings.
+#: Seconds from the first answer with it until it is kept, the contact time.
 CONTACT_SECONDS = 2.2
 #: Seconds of a window, and requests in it beyond one and a half times the limit.
 WINDOW_SECONDS = 4.0
@@ -48,14 +48,14 @@
     )
 
 
-# Guards against a limit that each entry VM ignores, or keeps to on its own: an engine
-# in need then gets many times what it takes.
+# Guards against a limit that each entry VM ignores, or keeps on its own: the engine
+# then gets many times what it takes.
 @pytest.mark.parametrize(
     ("limited", "tokens"),
     [("d1", "100,10"), ("p1", "30000,10")],
     ids=["decode", "prefill"],
 )
-def test_fleet_keeps_to_the_limit_that_an_engine_names(fleet, limited, tokens):
+def test_fleet_keeps_the_limit_of_an_engine(fleet, limited, tokens):
     engine = fleet.engines[limited]
     engine.limit = LIMIT
     first = time.monotonic()
