--- /dev/null
+++ b/src/mulberrydock/pages.py
@@ -0,0 +1,59 @@
+"""The pages of an entry VM: whether it is ready, which VMs to use, its metrics."""
+
+import time
+
+import tornado.web
+
+from . import platform
+
+#: Seconds for which clients may keep an answer of the directory. A third of
+#: the clients keeps it three times as long, and a stopping VM takes requests
+#: that long, so it has to be well inside the share of the grace below.
+ANSWER_TTL_SECONDS = 1.0
+
+
+class _Page(tornado.web.RequestHandler):
+    def initialize(self, daemon):
+        self.daemon = daemon
+
+
+class ReadyPage(_Page):
+    """Answers 200 while clients may be sent to this VM, 503 otherwise."""
+
+    def get(self):
+        self.set_status(200 if self.daemon.ready else 503)
+
+
+class ResolvePage(_Page):
+    """Tells a client which entry VMs to use."""
+
+    def get(self):
+        daemon = self.daemon
+        now = time.monotonic()
+        data_centre = self.get_query_argument(platform.RESOLVE_DATA_CENTRE, "")
+        addresses = daemon.directory.addresses(daemon.draining, now, data_centre)
+        ttl = min(ANSWER_TTL_SECONDS, daemon.settings.timing.answer_ttl_seconds)
+        self.set_header("Content-Type", "application/json")
+        self.finish(platform.resolve_body(addresses, ttl))
+
+
+class MetricsPage(_Page):
+    """The metrics in Prometheus text format."""
+
+    def get(self):
+        self.daemon.metrics.log_dropped.set(self.daemon.log_sink.dropped)
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self.daemon.metrics.render())
+
+
+def make_pages(daemon):
+    """Return the application of a :class:`~mulberrydock.serve.ServeDaemon`'s pages."""
+    args = {"daemon": daemon}
+    return tornado.web.Application(
+        [
+            (platform.READY_PATH, ReadyPage, args),
+            (platform.RESOLVE_PATH, ResolvePage, args),
+            (r"/metrics", MetricsPage, args),
+        ],
+        log_function=lambda handler: None,
+    )
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -24,9 +24,7 @@
 WITNESSES = 2
 #: Share of the longest prompt that counts as unread when a more urgent one
 #: arrives. Half of it is, on average, if it is being prefilled; but a short
-#: prompt that is kept away from where long ones wait leaves the engine to them:
-#: four heavy and calm days were worth 0.678 with a half and 0.690 with the
-#: whole, one play each, without processor time.
+#: prompt that is kept away from where long ones wait leaves the engine to them.
 STARTED_SHARE = 1.0
 
 
@@ -53,8 +51,7 @@
 
         Engines read the most urgent prompt first but finish the one that they
         have begun: a short urgent prompt behind a long one waits for it. Which
-        one that is isn't known here, so the longest counts; counting those of
-        the next level alone cost heavy days 0.01 to 0.03 of their worth.
+        one that is isn't known here, so the longest counts.
         """
         later = sum(self.prefill[urgency + 1 :])
         begun = min(self.longest, later) * STARTED_SHARE
--- a/src/mulberrydock/refusal.py
+++ b/src/mulberrydock/refusal.py
@@ -18,8 +18,7 @@
 #: within the time that it has.
 QUARANTINE_RETRY_SECONDS = 3600.0
 #: Multiple of a client's patience that the wait must exceed before a stream is
-#: refused: nine of ten waits are over in twice the estimate, and with 1 the
-#: heaviest days lost 0.01 to 0.03 of their worth.
+#: refused: estimates are rough, and a refused client may not come back.
 HOPELESS_FACTOR = 2.0
 #: Share of its time left after which a client still comes back (a third), less
 #: a little, as it has been on its way.
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -11,7 +11,6 @@
 
 import attrs
 import tornado.httpserver
-import tornado.web
 from loguru import logger
 
 from . import defaults, platform
@@ -25,6 +24,7 @@
 from .lease import LeaderLease
 from .membership import Membership
 from .metrics import ServeMetrics
+from .pages import make_pages
 from .peer_groups import PeerGroups
 from .peers import PeerLink
 from .quarantine_keeper import QuarantineKeeper
@@ -55,10 +55,6 @@
 #: Seconds beyond the pause of the watch until a VM's taking of the duty is known
 #: to the next in turn: four calls to the store and a busy VM.
 DUTY_TURN_MARGIN_SECONDS = 0.3
-#: Seconds for which clients may keep an answer of the directory. A third of
-#: the clients keeps it three times as long, and a stopping VM takes requests
-#: that long, so it has to be well inside the share of the grace below.
-ANSWER_TTL_SECONDS = 1.0
 #: Share of the grace period in which a stopping VM still takes requests (3.2 s
 #: of the users' 8): a request taken later could be cut when the grace ends.
 ACCEPT_SHARE = 0.4
@@ -82,38 +78,6 @@
     data_centre: str
 
 
-class _ReadyHandler(tornado.web.RequestHandler):
-    def initialize(self, daemon):
-        self.daemon = daemon
-
-    def get(self):
-        self.set_status(200 if self.daemon.ready else 503)
-
-
-class _ResolveHandler(tornado.web.RequestHandler):
-    def initialize(self, daemon):
-        self.daemon = daemon
-
-    def get(self):
-        daemon = self.daemon
-        now = time.monotonic()
-        data_centre = self.get_query_argument(platform.RESOLVE_DATA_CENTRE, "")
-        addresses = daemon.directory.addresses(daemon.draining, now, data_centre)
-        ttl = min(ANSWER_TTL_SECONDS, daemon.settings.timing.answer_ttl_seconds)
-        self.set_header("Content-Type", "application/json")
-        self.finish(platform.resolve_body(addresses, ttl))
-
-
-class _MetricsHandler(tornado.web.RequestHandler):
-    def initialize(self, daemon):
-        self.daemon = daemon
-
-    def get(self):
-        self.daemon.metrics.log_dropped.set(self.daemon.log_sink.dropped)
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(self.daemon.metrics.render())
-
-
 class ServeDaemon:
     """State of one entry VM's process. Build it with :meth:`from_settings`."""
 
@@ -294,9 +258,7 @@
     def _watch(self):
         # One watch for all keys: a watch counts as a call each time it is
         # answered, and this process needs every prefix. It waits for as long
-        # as a lost one may stay unnoticed: with that, and the pause, calm days
-        # take 27 to 35 in 100 fewer calls than with 1.2 s (543 to 394 and 655
-        # to 424, 461 and 474), 0.002 of their worth.
+        # as a lost one may stay unnoticed.
         silent = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
         return PrefixWatch(
             self.store,
@@ -315,20 +277,12 @@
 
     def _listen(self):
         listen = self.settings.listen
-        args = {"daemon": self}
         self.front_server = tornado.httpserver.HTTPServer(
             self.front, idle_connection_timeout=CLIENT_IDLE_SECONDS
         )
         host, port = split_address(listen.front)
         self.front_server.listen(port, address=host)
-        pages = tornado.web.Application(
-            [
-                (platform.READY_PATH, _ReadyHandler, args),
-                (platform.RESOLVE_PATH, _ResolveHandler, args),
-                (r"/metrics", _MetricsHandler, args),
-            ],
-            log_function=lambda handler: None,
-        )
+        pages = make_pages(self)
         server = tornado.httpserver.HTTPServer(pages)
         for address in {listen.ready, listen.directory}:
             host, port = split_address(address)
