A share of a limit ends with the limit

Found by reading: a sender's bucket was kept when the limit was over, and every request sent meanwhile took a token of it. When the instance declared a limit again, the bucket was in debt by all of them, and for 100 requests at two a second nobody sent there for 50 s. The new test failed before.

--- a/src/mulberrydock/rate_limits.py
+++ b/src/mulberrydock/rate_limits.py
@@ -156,6 +156,8 @@
         self.limits[instance] = RateLimit(instance, rate, observed_at, changed_at)
         if known is None or known.rate != rate:
             self.senders.pop(instance, None)
+        if rate is None:
+            self.shares.pop(instance, None)
         if changed:
             logger.warning("instance limit", instance=instance, rate=rate)
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -198,3 +198,19 @@
     limits.forget("e1")
     limits.hear("e1", 2.0, 0.5, 1.0)
     assert limits.news(1.0, True) == []
+
+
+# Guards against an instance that is never used again, as its bucket went on paying for
+# requests while it had no limit.
+def test_requests_between_two_limits_are_not_counted():
+    limits = RateLimits("entry-1")
+    limits.observe("e1", 2.0, 0.0, 0.0)
+    assert limits.permits("e1", TAKEOVER_SECONDS) is False
+    assert limits.permits("e1", 2 * TAKEOVER_SECONDS)
+    for _ in range(CLEAR_ANSWERS):
+        limits.observe("e1", None, 3.0, 4.0)
+    for _ in range(100):
+        limits.take("e1", 5.0)
+    limits.observe("e1", 2.0, 6.0, 6.0)
+    limits.permits("e1", 6.0)
+    assert limits.permits("e1", 6.0 + TAKEOVER_SECONDS)
