A VM that leaves is no sender of a limited instance any more

Found by reading: it counted itself among the members in its own view, while its peers, told that it leaves, had chosen another one; until it ended both sent. The new test failed before.

--- a/src/mulberrydock/rate_limits.py
+++ b/src/mulberrydock/rate_limits.py
@@ -101,7 +101,8 @@
     """The limits of instances, by id, and this VM's shares of them.
 
     :param name: this VM's name.
-    :param members: returns the names of the VMs that may send, at a moment.
+    :param members: returns the names of the VMs that may send, at a moment, this one's
+        among them unless it leaves; None when there is no other VM.
     :param is_known: whether an instance isn't gone. VMs that learn of its end at
         different moments would else tell each other its limit for ever.
     """
@@ -109,11 +110,11 @@
     def __init__(
         self,
         name="",
-        members=lambda now: frozenset(),
+        members=None,
         is_known=lambda instance: True,
     ):
         self.name = name
-        self.find_members = members
+        self.find_members = members or (lambda now: frozenset((name,)))
         self.is_known = is_known
         self.members = frozenset()
         self.members_at = -math.inf
@@ -199,7 +200,7 @@
 
     def _senders(self, limit, now):
         if now - self.members_at >= MEMBERS_SECONDS:
-            members = frozenset(self.find_members(now)) | {self.name}
+            members = self.find_members(now)
             if members != self.members:
                 self.senders.clear()
             self.members, self.members_at = members, now
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -172,10 +172,9 @@
 )
 def test_answers_that_show_a_limit_and_its_end(answers, limited):
     """Requests overlap: an answer to one that was sent before says nothing."""
-    limits = RateLimits("other", lambda now: {"entry-1"})
+    limits = RateLimits("other", lambda now: frozenset(("entry-1",)))
     for rate, sent_at, now in answers:
         limits.observe("e1", rate, sent_at, now)
-    limits.name = "entry-9"
     assert limits.permits("e1", 3.1) is not limited
 
 
@@ -214,3 +213,14 @@
     limits.observe("e1", 2.0, 6.0, 6.0)
     limits.permits("e1", 6.0)
     assert limits.permits("e1", 6.0 + TAKEOVER_SECONDS)
+
+
+# Guards against a VM that leaves and goes on sending beside the one that takes its place.
+def test_vm_that_leaves_sends_no_more():
+    members = {"entry-1"}
+    limits = RateLimits("entry-1", lambda now: frozenset(members))
+    limits.observe("e1", 2.0, 0.0, 0.0)
+    limits.permits("e1", 0.0)
+    assert limits.permits("e1", TAKEOVER_SECONDS)
+    members.clear()
+    assert not limits.permits("e1", 2 * TAKEOVER_SECONDS)
