--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -215,7 +215,7 @@
     assert limits.permits("e1", 6.0 + TAKEOVER_SECONDS)
 
 
-# Guards against a VM that leaves and goes on sending beside the one that takes its place.
+# Guards against a VM that leaves and goes on sending beside the one in its place.
 def test_vm_that_leaves_sends_no_more():
     members = {"entry-1"}
     limits = RateLimits("entry-1", lambda now: frozenset(members))
