Teams by API key: each run names its team, no key leaves the front

Change: the configuration's tenants become teams. A request needs a known key unless its route is public; a key that is presented must be known on public routes too. The Authorization header is kept apart from the headers that are passed on and is dropped once teams are declared; the team's name is set by this system only. A team's priority goes before its route's. A VM that the store doesn't answer says 503 to an unknown key instead of 401, as clients don't retry after 401. Unreadable teams refuse the whole version, so the last one stays in force. A stream whose key is removed goes on; only new requests are refused. A key of two teams belongs to the first.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -43,6 +43,8 @@
     :param on_removed: called with the incarnation of each instance that is removed.
     :param limits: the :class:`~mulberrydock.rate_limits.RateLimits` of the
         instances, None for a VM without peers.
+
+    ``configuration_current`` is False while this VM couldn't hear of a new version.
     """
 
     def __init__(self, data_centre, timing, vm_count, on_removed, limits=None):
@@ -57,6 +59,7 @@
         self.timing = timing
         self.vm_count = vm_count
         self.retry_budgets = {}
+        self.configuration_current = True
 
     def forget(self, instance_id):
         """Drop all state of a terminated incarnation."""
@@ -129,15 +132,6 @@
             instances, now, self.loads.suspected_by_peers(now)
         )
 
-    def is_most_urgent(self, route, service):
-        """Return whether no route of the service has priority over ``route``."""
-        config = self.routes.config
-        return not any(
-            other.priority < route.priority
-            for other in config.routes
-            if any(split.service == service for split in other.splits)
-        )
-
     def _spec(self, service):
         config = self.routes.config
         return config.services.get(service) if config else None
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -6,6 +6,7 @@
 from ..exceptions import SettingsError, UpstreamError
 from ..instances import EngineReport, InstanceRecord, Stage
 from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
+from ..teams import Team
 
 #: Prefix watched for the operator's configuration, which is a single key.
 CONFIG_PREFIX = "op/"
@@ -42,6 +43,7 @@
             routes=tuple(_route(row) for row in document["routes"]),
             services=services,
             limits=_limits(document.get("limits") or {}),
+            teams=_teams(document["tenants"]) if "tenants" in document else None,
         )
     except (AttributeError, *DECODE_ERRORS) as error:
         raise SettingsError(f"{key}: invalid configuration: {error!r}") from error
@@ -66,6 +68,7 @@
         priority=int(row.get("priority", 0)),
         max_attempts=int(row.get("max_attempts", 1)),
         resumable=bool(row.get("resumable", False)),
+        public=bool(row.get("public", False)),
     )
 
 
@@ -92,6 +95,25 @@
     )
 
 
+def _teams(rows):
+    # The platform calls a team a tenant.
+    return tuple(
+        Team(
+            name=_text(row["name"], "tenant name"),
+            keys=tuple(_key(key) for key in row["api_keys"]),
+            priority=None if row.get("priority") is None else int(row["priority"]),
+        )
+        for row in rows
+    )
+
+
+def _key(value):
+    # The error must not contain the value.
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"api_keys: expected non-empty strings, got {type(value)}")
+    return value
+
+
 def _limits(row):
     return RequestLimits(
         max_header_bytes=int(row.get("max_header_bytes", 16384)),
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -18,6 +18,7 @@
 from .documents import read_report
 
 ATTEMPT_ID = "X-Mulberrydock-Attempt-Id"
+AUTHORIZATION = "Authorization"
 DEADLINE = "X-Mulberrydock-Deadline-Ms"
 EXPECT_INSTANCE = "X-Mulberrydock-Expect-Instance"
 INSTANCE_ID = "X-Mulberrydock-Instance-Id"
@@ -29,6 +30,7 @@
 SERVER_LIMIT = "Server-Limit"
 SIGNATURE = "X-Mulberrydock-Response-Signature"
 STAGE = "X-Mulberrydock-Stage"
+TEAM = "X-Mulberrydock-Tenant"
 TOKEN_COUNTS = "X-Mulberrydock-Token-Counts"
 
 #: Removed from client requests: only this system may set them, since a client's
@@ -44,6 +46,7 @@
         PRIORITY,
         SIGNATURE,
         STAGE,
+        TEAM,
         "X-Mulberrydock-Expect-Version",
         INSTANCE_ID,
         "X-Mulberrydock-Kv-Backup",
@@ -54,6 +57,8 @@
         "Wait-Ms",
     )
 )
+#: Not passed on as the client sent it, as it may hold an API key.
+CREDENTIAL_HEADERS = frozenset((AUTHORIZATION.lower(),))
 #: Hop-by-hop headers (RFC 9110, section 7.6.1) and message framing; not forwarded.
 HOP_HEADERS = frozenset(
     (
@@ -91,12 +96,13 @@
             method=start_line.method,
             target=start_line.path,
             host=headers.get("Host", ""),
-            headers=_end_to_end(headers, SYSTEM_HEADERS),
+            headers=_end_to_end(headers, SYSTEM_HEADERS | CREDENTIAL_HEADERS),
             body=body,
             arrived=now,
             deadline=now + _number(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000,
             prompt=_prompt(headers),
             last_event_id=int(_number(headers.get(LAST_EVENT_ID), 0)),
+            authorization=tuple(headers.get_list(AUTHORIZATION)),
         )
 
     def upstream_headers(self, request, options):
@@ -104,6 +110,10 @@
         headers["Host"] = request.host
         for name, value in request.headers:
             headers.add(name, value)
+        for value in request.authorization:
+            headers.add(AUTHORIZATION, value)
+        if request.team:
+            headers[TEAM] = request.team
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(request.body))
         headers[DEADLINE] = str(max(1, options.deadline_ms))
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import attrs
 from loguru import logger
 
 from .connections import BufferedResponse, ConnectionPool
@@ -10,6 +11,7 @@
 from .exceptions import ResultCode, UpstreamError
 from .refusal import RETRY_AFTER_SECONDS
 from .serving import RequestLifecycle
+from .teams import KeyProblem
 
 #: Seconds for a call that releases an unused KV handle.
 RELEASE_TIMEOUT_SECONDS = 1.0
@@ -62,6 +64,9 @@
         if not request.id:
             self.reject(request, sink, 400, "no request id")
             return
+        route = self.authenticate(request, route, sink)
+        if route is None:
+            return
         service = routes.service_for(route)
         lifecycle = RequestLifecycle(self, request, route, service, sink)
         try:
@@ -75,6 +80,39 @@
             )
         self._log_end(lifecycle, code)
 
+    def authenticate(self, request, route, sink):
+        """Find the team that sent ``request`` and remove its key.
+
+        :returns: the route with the team's priority, None if the request was refused.
+        """
+        routes = self.fleet.routes
+        result = routes.authenticate(request, route)
+        if result.is_error():
+            self._reject_credentials(request, sink, result.error)
+            return None
+        if routes.teams is not None:
+            # The key must not reach an instance.
+            request.authorization = ()
+        team = result.ok
+        if team is None:
+            return route
+        request.team = team.name
+        if team.priority is None:
+            return route
+        return attrs.evolve(route, priority=team.priority)
+
+    def _reject_credentials(self, request, sink, problem):
+        """Refuse a request that isn't authenticated.
+
+        A VM that the store doesn't answer may lack keys that were added since: it sends
+        the client elsewhere, as clients don't retry after 401.
+        """
+        if problem is KeyProblem.UNKNOWN and not self.fleet.configuration_current:
+            reason = "API key not known here, configuration may be outdated"
+            self.reject(request, sink, 503, reason, RETRY_AFTER_SECONDS)
+        else:
+            self.reject(request, sink, 401, problem.value)
+
     def exchange(self, instance, request, options, listener):
         """Return the coroutine that sends ``request`` to ``instance`` once."""
         sent_at = time.monotonic()
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -38,7 +38,8 @@
     ``timeout``, ``latency_objective`` and ``gap_objective`` are seconds;
     ``client_idle_timeout`` is the time, in seconds without an event, after which
     clients give a stream up; ``priority`` is 0 for the most urgent; ``max_attempts``
-    bounds the instances that one request may be sent to.
+    bounds the instances that one request may be sent to. A ``public`` route requires no
+    API key.
     """
 
     name: str
@@ -53,6 +54,7 @@
     max_attempts: int
     resumable: bool
     client_idle_timeout: float = math.inf
+    public: bool = False
 
     @property
     def retryable(self):
@@ -95,12 +97,16 @@
 
 @attrs.define(frozen=True)
 class RoutingConfig:
-    """One version of the declared routes and services."""
+    """One version of the declared routes, services and teams.
+
+    ``teams`` is None when clients need no API keys.
+    """
 
     version: int
     routes: tuple
     services: dict
     limits: RequestLimits
+    teams: tuple | None = None
 
 
 @attrs.define(frozen=True)
@@ -159,8 +165,10 @@
     """One attempt of a client, with its complete body.
 
     ``arrived`` and ``deadline`` are monotonic seconds; ``headers`` are the end-to-end
-    headers to pass on, in order, as (name, value) pairs. ``fingerprint`` is the same
-    for all attempts at the same work.
+    headers to pass on, in order, as (name, value) pairs. ``authorization`` holds the
+    values of its ``Authorization`` headers, which are passed on only where clients need
+    no API key; ``team`` is the name of the team that sent it, empty if none did.
+    ``fingerprint`` is the same for all attempts at the same work.
     """
 
     id: str
@@ -173,6 +181,8 @@
     deadline: float
     prompt: Prompt = Prompt()
     last_event_id: int = 0
+    authorization: tuple = attrs.field(default=(), repr=False)
+    team: str = ""
     fingerprint: str = attrs.field(init=False)
 
     @fingerprint.default
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -2,7 +2,10 @@
 
 import random
 
+from expression import Ok
+
 from .request import RoutingConfig
+from .teams import TeamDirectory
 
 
 class RouteTable:
@@ -17,6 +20,8 @@
     def __init__(self, seed=None):
         self.config: RoutingConfig | None = None
         self.by_host = {}
+        self.teams: TeamDirectory | None = None
+        self.most_urgent = {}
         self.random = random.Random(seed)
 
     @property
@@ -35,6 +40,10 @@
             routes.sort(key=lambda r: len(r.path_prefix), reverse=True)
         self.config = config
         self.by_host = by_host
+        self.teams = None
+        if config.teams is not None:
+            self.teams = TeamDirectory.from_teams(config.teams)
+        self.most_urgent = _most_urgent(config)
         return True
 
     def match(self, host, path):
@@ -45,9 +54,39 @@
                 return route
         return None
 
+    def authenticate(self, request, route):
+        """Find the team of a request whose route requires it.
+
+        :returns: ``Ok(Team)``, or ``Ok(None)`` when no team is needed, or
+            ``Error(KeyProblem)``.
+        """
+        if self.teams is None:
+            return Ok(None)
+        return self.teams.authenticate(request.authorization, route.public)
+
+    def is_most_urgent(self, priority, service):
+        """Return whether no request to ``service`` can have priority over this one."""
+        return priority <= self.most_urgent.get(service, priority)
+
     def service_for(self, route):
         """Return the service's name for one request, chosen at random by weight."""
         if len(route.splits) == 1:
             return route.splits[0].service
         weights = [split.weight for split in route.splits]
         return self.random.choices(route.splits, weights)[0].service
+
+
+def _most_urgent(config):
+    """Return the most urgent priority that a request may have, by service.
+
+    A team's priority goes before its route's; a request without a team, or of a team
+    that has none, has that of its route.
+    """
+    teams = config.teams or ()
+    overrides = [team.priority for team in teams if team.priority is not None]
+    most_urgent = {}
+    for route in config.routes:
+        for split in route.splits:
+            known = most_urgent.get(split.service, route.priority)
+            most_urgent[split.service] = min(known, route.priority, *overrides)
+    return most_urgent
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -227,6 +227,7 @@
             event = "store answers" if answered else "store lost"
             logger.warning(event, address=self.settings.store.address)
         self.store_available = answered
+        self.fleet.configuration_current = answered
 
     def _on_store_era(self):
         """Recover from the store's restoration from a copy some seconds old.
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -132,7 +132,9 @@
         """
         if self.sends.made or self.prefills.made:
             return None
-        most_urgent = self.fleet.is_most_urgent(self.route, self.service)
+        most_urgent = self.fleet.routes.is_most_urgent(
+            self.route.priority, self.service
+        )
         seconds_left = self._seconds_left(now)
         return refusal.refuse(
             plan, self.route.client_idle_timeout, most_urgent, seconds_left
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -99,6 +99,30 @@
     assert run.headers[wire.TOKEN_COUNTS] == "100,10"
 
 
+def test_keys_added_and_removed_by_a_version_are_in_force(fleet):
+    """Guards against a removed key that still runs, and a new one that is refused."""
+
+    def status(request_id, key):
+        authorization = {"Authorization": f"Bearer {key}", wire.TEAM: "forged"}
+        return fleet.request(IDEMPOTENT_PATH, request_id, **authorization).status
+
+    for version, name, keys in ((4, "t1", ["old"]), (6, "t2", ["new"])):
+        teams = [{"name": name, "api_keys": keys}]
+        fleet.write("op/config", config(version) | {"tenants": teams})
+        wait_until(
+            lambda: fleet.log_records("configuration in force")[-1]["version"]
+            == version
+        )
+        assert status(f"v{version}", keys[0]) == 200
+        (run,) = runs(fleet, f"v{version}")
+        assert run.headers[wire.TEAM] == name
+        assert wire.AUTHORIZATION not in run.headers
+    assert status("removed", "old") == 401
+    assert fleet.request(IDEMPOTENT_PATH, "none").status == 401
+    assert not runs(fleet, "removed") + runs(fleet, "none")
+    assert "Bearer" not in fleet.log()
+
+
 @pytest.mark.parametrize("fault", [Fault.CUT, Fault.CUT_MID_EVENT, Fault.STALL])
 def test_interrupted_stream_is_resumed_on_another_engine(fleet, fault):
     """An engine closes a resumable stream early, dies inside an event, or stops
