Usage by team is reported once a window, by the leader

Cause: no usage was reported.

Change: each VM counts the requests of each team when they begin at an instance (a stream at its first event, a plain request when it was sent, unless the instance states that it didn't execute it) and sends counts that only grow to the leader and to the two VMs that would take its place, twice a second. The leader decides a window once all VMs have counted it, at 0.6 of the time until it is due at the latest, writes the decision to the store under a condition and only then sends it; a successor sends the same. All VMs keep the decisions that they see, as the store may be restored from an older copy. The time of day is the median over 31 s against the time since boot.

--- a/src/mulberrydock/_serve_model.py
+++ b/src/mulberrydock/_serve_model.py
@@ -24,6 +24,16 @@
     least_lease_seconds: float = attrs.field(default=1.0)
 
 
+@attrs.define(kw_only=True)
+class Duties:
+    """Where usage is reported and engines are ordered, by one VM at a time. Seconds."""
+
+    address: str = attrs.field(default="")
+    names: list[str] = attrs.field(factory=lambda: [])
+    usage_window_seconds: float = attrs.field(default=60.0)
+    usage_due_seconds: float = attrs.field(default=60.0)
+
+
 @attrs.define(kw_only=True)
 class Timing:
     """Limits that the platform sets, in seconds unless the name says otherwise."""
@@ -50,9 +60,11 @@
     listen: Listen = attrs.field()
     store: PlatformStoreSettings = attrs.field()
     timing: Timing = attrs.field()
+    duties: Duties = attrs.field(factory=Duties)
 
 
 attrs.resolve_types(Listen)
 attrs.resolve_types(PlatformStoreSettings)
+attrs.resolve_types(Duties)
 attrs.resolve_types(Timing)
 attrs.resolve_types(ServeSettings)
--- a/src/mulberrydock/defaults.py
+++ b/src/mulberrydock/defaults.py
@@ -15,6 +15,8 @@
 IDEMPOTENCY_PREFIX = "idempotency/"
 #: Prefix of the records of instances that crashed while running a request.
 CRASH_PREFIX = "crashes/"
+#: Store key of the usage reports that the leader has decided.
+USAGE_KEY = "control/usage"
 
 #: Time to live of an entry's registration lease.
 ENTRY_LEASE_TTL_SECONDS = 6.0
--- a/src/mulberrydock/directory.py
+++ b/src/mulberrydock/directory.py
@@ -51,11 +51,15 @@
         )
         return sorted(address for _, address in rows[:count])
 
-    def takeover_rank(self, now):
-        """Return how many live VMs come before this one in acquiring the leader lease.
+    def takeover_order(self, now):
+        """Return the names of the live VMs in the order of acquiring the leader lease.
 
         VMs that know the same live peers agree on the order.
         """
+        names = [*self.groups.live_peers(now), self.groups.name]
         # "duty" is the hash key that stands for the leader lease.
-        own = rank("duty", self.groups.name)
-        return sum(rank("duty", name) < own for name in self.groups.live_peers(now))
+        return sorted(names, key=lambda name: rank("duty", name))
+
+    def takeover_rank(self, now):
+        """Return how many live VMs come before this one in :meth:`takeover_order`."""
+        return self.takeover_order(now).index(self.groups.name)
--- a/src/mulberrydock/lease.py
+++ b/src/mulberrydock/lease.py
@@ -83,6 +83,14 @@
         """Return whether this controller may send orders at ``now``."""
         return self.authority.valid(now, self.ttl)
 
+    def may_act(self, now):
+        """Return whether this controller may act as the only one at ``now``.
+
+        It waits for the duration of a lease first: what its predecessor sent has
+        arrived by then.
+        """
+        return self.valid(now) and now - self.authority.acquired_at >= self.ttl
+
     async def acquire(self, now):
         """Try to become the leader; return whether this controller holds the lease."""
         granted = await self.store.grant(self.ttl)
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -2,12 +2,13 @@
 
 import attrs
 
-from . import records
+from . import records, usage_records
 from .demand import Demand
 from .estimates import PoolUpdate, PrefillSample
 from .peer_loads import Load, PeerReport
 from .prefill_cost import PrefillCost
 from .quarantine import Crash
+from .usage import UsageUpdate
 
 
 @attrs.define(frozen=True)
@@ -56,6 +57,14 @@
     limits: list = attrs.field(factory=list)
 
 
+@attrs.define(frozen=True)
+class UsageMessage:
+    """A message that holds the usage counts of the VM ``name`` and nothing else."""
+
+    name: str
+    update: UsageUpdate
+
+
 def _pool_row(update):
     row = {
         "service": update.service,
@@ -125,13 +134,23 @@
     return message.to_bytes_packed()
 
 
+def encode_usage(message):
+    """Encode a :class:`UsageMessage` as the bytes of a datagram."""
+    return records.PeerMessage.new_message(
+        name=message.name, usage=usage_records.update_row(message.update)
+    ).to_bytes_packed()
+
+
 def decode(data, now):
-    """Decode the :class:`PeerUpdate` in a datagram that arrived at ``now``.
+    """Decode the datagram that arrived at ``now``.
 
+    :returns: a :class:`PeerUpdate` or a :class:`UsageMessage`.
     :raises Exception: one of capnp's undocumented types, when ``data`` is no valid
         message.
     """
     message = records.PeerMessage.from_bytes_packed(data)
+    if message._has("usage"):
+        return UsageMessage(message.name, usage_records.decode_update(message.usage))
     report = PeerReport(
         message.sequence,
         now,
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -9,7 +9,7 @@
 from . import peer_messages
 from ._http import split_address
 from .peer_loads import PeerReport
-from .peer_messages import LimitUpdate, PeerUpdate
+from .peer_messages import LimitUpdate, PeerUpdate, UsageMessage
 from .rendezvous import rank
 
 #: Seconds between two messages to each peer. A prefill takes 20 to 150 ms, so counts
@@ -50,6 +50,8 @@
         no crashes.
     :param limits: the :class:`~mulberrydock.rate_limits.RateLimits`, None to send no
         rate limits.
+    :param usage: the :class:`~mulberrydock.usage.UsageLedger` to which received counts
+        are added, None to ignore them.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         suspects=lambda now: frozenset(),
         quarantine=None,
         limits=None,
+        usage=None,
     ):
         self.name = name
         self.tracker = tracker
@@ -71,6 +74,7 @@
         self.suspects = suspects
         self.quarantine = quarantine
         self.limits = limits
+        self.usage = usage
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -102,6 +106,10 @@
         except Exception as error:  # capnp raises undocumented types
             logger.warning("peer message refused", source=addr[0], error=repr(error))
             return
+        if isinstance(update, UsageMessage):
+            if self.usage is not None:
+                self.usage.receive(update.name, update.update)
+            return
         self._apply_limits(update.limits, now)
         if not update.data_centre:
             self.tracker.receive(update.name, update.report)
@@ -121,7 +129,7 @@
         self._apply_estimates(f"data centre {update.data_centre}", update, now)
         if self._should_relay(update.data_centre, now):
             self.relayed_at[update.data_centre] = now
-            self._send_to(self.groups.direct_peers().values(), data)
+            self.send_to(self.groups.direct_peers().values(), data)
 
     def _should_relay(self, data_centre, now):
         """Return whether this VM is to relay a data centre's sum."""
@@ -232,14 +240,15 @@
         )
         return peer_messages.encode(update)
 
-    def _send_to(self, peers, data):
+    def send_to(self, peers, data):
+        """Send ``data`` to each of ``peers``."""
         for peer in peers:
             self.transport.sendto(data, split_address(peer.peer_address))
 
     def send(self):
         """Send one message to every direct peer."""
         data = self.message(time.monotonic())
-        self._send_to(self.groups.direct_peers().values(), data)
+        self.send_to(self.groups.direct_peers().values(), data)
 
     def send_sum(self, now):
         """Send the data centre's sum to the others if this VM is a reporter."""
@@ -247,7 +256,7 @@
         if self.reporter_rank is None:
             self.local_prefills.clear()
             return
-        self._send_to(self.groups.remote_reporters(), self.sum_message(now))
+        self.send_to(self.groups.remote_reporters(), self.sum_message(now))
 
     async def _send_sums(self):
         while True:
--- a/src/mulberrydock/platform/__init__.py
+++ b/src/mulberrydock/platform/__init__.py
@@ -11,6 +11,7 @@
     read_config,
     read_instance,
 )
+from .duties import SCALING_DUTY, USAGE_DUTY, DutyOutcome, PlatformDuties
 from .store import PlatformStore
 from .wire import PlatformWire, resolve_body
 
@@ -28,7 +29,11 @@
     "READY_PATH",
     "RESOLVE_DATA_CENTRE",
     "RESOLVE_PATH",
+    "SCALING_DUTY",
     "SETTINGS_VARIABLE",
+    "USAGE_DUTY",
+    "DutyOutcome",
+    "PlatformDuties",
     "PlatformStore",
     "PlatformWire",
     "instance_id",
--- a/src/mulberrydock/records.py
+++ b/src/mulberrydock/records.py
@@ -19,6 +19,7 @@
 PlanRecord = messages.PlanRecord
 PeerMessage = messages.PeerMessage
 CrashRecord = messages.CrashRecord
+UsageDecisions = messages.UsageDecisions
 
 
 def encode(message):
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -23,12 +23,15 @@
     :param fleet: a :class:`~mulberrydock.fleet_view.FleetView`.
     :param wire: a :class:`~mulberrydock.ports.Wire`.
     :param metrics: a :class:`~mulberrydock.metrics.ServeMetrics`.
+    :param on_begin: called with a team and the seconds since its request began at an
+        instance, once for each request of a team.
     """
 
-    def __init__(self, fleet, wire, metrics):
+    def __init__(self, fleet, wire, metrics, on_begin=lambda team, age: None):
         self.fleet = fleet
         self.wire = wire
         self.metrics = metrics
+        self.on_begin = on_begin
         self.connection_pools = {}
         self.crash_probe = CrashProbe(self.connection_pool)
         self.background_tasks = set()
@@ -113,6 +116,11 @@
         else:
             self.reject(request, sink, 401, problem.value)
 
+    def record_begin(self, request, begun_at):
+        """Record that an instance began to run ``request`` (monotonic seconds)."""
+        if request.team:
+            self.on_begin(request.team, time.monotonic() - begun_at)
+
     def exchange(self, instance, request, options, listener):
         """Return the coroutine that sends ``request`` to ``instance`` once."""
         sent_at = time.monotonic()
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -98,6 +98,26 @@
   ageMs @2 :UInt32;        # since the response that declared it
 }
 
+struct UsageRecord {
+  # The requests of one window that began at the instances, by team.
+  window @0 :UInt64;       # number of the window since 1970
+  teams @1 :List(Text);
+  counts @2 :List(UInt32); # in the order of the teams
+}
+
+struct UsageDecisions {
+  # The usage reports of the last windows as decided by the leader: what is sent to the
+  # platform never differs from this.
+  windows @0 :List(UsageRecord);
+}
+
+struct UsageNews {
+  # The counts of one VM for some windows, as sent to the VM that reports them.
+  startedAtMs @0 :UInt64;    # identifies the sender's incarnation; Unix time
+  countedUntil @1 :Float64;  # Unix time in seconds up to which the counts are complete
+  windows @2 :List(UsageRecord);
+}
+
 struct PeerMessage {
   # Sent by each entry VM to its peers over UDP, several times a second. With dataCentre
   # set, it holds the sum over all VMs of that data centre, computed by the VM `name`.
@@ -114,4 +134,5 @@
   suspects @10 :List(Text);    # instances the sender avoids because they failed
   crashes @11 :List(CrashNews);   # seen by the sender; repeated as datagrams may be lost
   limits @12 :List(LimitNews);   # changed ones in every message, all of them in some
+  usage @13 :UsageNews;    # when set, the message holds nothing else but the name
 }
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -147,13 +147,15 @@
 class ClientStream:
     """The client's side of a streamed response, across the runs of several engines.
 
-    The headers are those of the first engine that sent an event. ``first_event_at`` is
-    when the first event was passed on, monotonic seconds.
+    The headers are those of the first engine that sent an event. ``on_begin`` is called
+    without arguments at the first event; ``first_event_at`` is when that was passed on,
+    monotonic seconds.
     """
 
     wire: object
     sink: object
     splitter: object
+    on_begin: t.Callable = lambda: None
     first_event_at: float | None = None
 
     @property
@@ -165,5 +167,6 @@
         """Pass whole events on, preceded by the headers on the first call."""
         if not self.has_started:
             self.first_event_at = time.monotonic()
+            self.on_begin()
             self.sink.begin(status, self.wire.response_headers(headers))
         return self.sink.write(events)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -13,7 +13,7 @@
 import tornado.httpserver
 from loguru import logger
 
-from . import defaults, platform
+from . import defaults, platform, records
 from ._http import split_address
 from .clock import boot_seconds
 from .directory import Directory
@@ -33,6 +33,10 @@
 from .rendezvous import rank
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
+from .usage import UsageCounter, UsageLedger
+from .usage_exchange import SUCCESSORS, UsageExchange
+from .usage_reporter import UsageReporter
+from .wall_clock import WallClock
 from .watch import RECOVERY_POLL_SECONDS, PrefixWatch
 
 #: Seconds before the end of the contact time by which a watch whose connection failed
@@ -98,6 +102,7 @@
         self.store_available = None
         self.stop = asyncio.Event()
         self.leader_exists = False
+        self.leader = ""
         peer_port = settings.listen.peer_ports[0]
         self.membership = Membership(
             store,
@@ -118,7 +123,10 @@
             ),
         )
         self.instance_feed = InstanceFeed(self.fleet.instances)
-        self.relay = Relay(self.fleet, wire, self.metrics)
+        self.wall_clock = WallClock()
+        self.usage_counter = UsageCounter(settings.duties.usage_window_seconds)
+        self.usage_ledger = UsageLedger()
+        self.relay = Relay(self.fleet, wire, self.metrics, self._on_begin)
         self.front = Front(self.relay, wire, time.monotonic)
         self.groups = PeerGroups(
             self.membership, self.fleet.loads, settings.data_centre
@@ -165,7 +173,56 @@
             self.fleet.suspicion.suspects,
             self.fleet.quarantine,
             self.fleet.limits,
+            self.usage_ledger,
         )
+        self.duty_tasks = self._duty_tasks(settings.duties)
+
+    def _duty_tasks(self, duties):
+        """Return what this VM has to run for the duties that the settings name."""
+        if not duties.address:
+            return []
+        platform_duties = platform.PlatformDuties(duties.address)
+        tasks = []
+        if platform.USAGE_DUTY in duties.names:
+            tasks += self._usage_tasks(duties, platform_duties)
+        return tasks
+
+    def _usage_tasks(self, duties, platform_duties):
+        reporter = UsageReporter(
+            self.usage_counter,
+            self.usage_ledger,
+            self.store,
+            platform_duties,
+            self.lease,
+            self.settings.name,
+            duties.usage_due_seconds,
+            self.wall_clock,
+        )
+        self.handlers[defaults.USAGE_KEY] = reporter.apply
+        exchange = UsageExchange(
+            self.settings.name,
+            int(time.time() * 1000),
+            self.usage_counter,
+            self.usage_ledger,
+            self._usage_receivers,
+            self.membership.count_vms,
+            self.peers.send_to,
+            self.wall_clock,
+        )
+        return [exchange, reporter]
+
+    def _usage_receivers(self):
+        """Return the VMs that report the usage or would do so next, by name."""
+        now = time.monotonic()
+        peers = self.groups.known_peers()
+        successors = self.directory.takeover_order(now)[:SUCCESSORS]
+        return {
+            name: peers[name] for name in (*successors, self.leader) if name in peers
+        }
+
+    def _on_begin(self, team, age):
+        began_at = self.wall_clock.unix(boot_seconds()) - age
+        self.usage_counter.record(team, began_at)
 
     @classmethod
     def from_settings(cls, settings, log_sink):
@@ -245,6 +302,12 @@
 
     def _on_leader(self, key, value, revision):
         self.leader_exists = value is not None
+        self.leader = ""
+        if value is not None:
+            try:
+                self.leader = records.decode(records.LeaderRecord, value).holder
+            except Exception as error:  # capnp and base64 raise their own types
+                logger.warning("leader record refused", key=key, error=repr(error))
 
     def _on_item(self, key, value, revision):
         for prefix, handler in self.handlers.items():
@@ -322,6 +385,7 @@
             asyncio.ensure_future(self.peers.run()),
             asyncio.ensure_future(self.quarantine.run()),
             asyncio.ensure_future(self._sweep()),
+            *(asyncio.ensure_future(duty.run()) for duty in self.duty_tasks),
         ]
         for task in tasks:
             task.add_done_callback(self._on_task_end)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -47,11 +47,18 @@
 class CallCounter:
     """Counts a request's calls of one kind.
 
-    ``made`` are all calls, ``maybe_received`` those that an instance may have received.
+    ``made`` are all calls, ``maybe_received`` those that an instance may have received,
+    ``rejected`` those that it stated not to have executed.
     """
 
     made: int = 0
     maybe_received: int = 0
+    rejected: int = 0
+
+    @property
+    def maybe_executed(self):
+        """The number of calls that an instance may have executed."""
+        return self.maybe_received - self.rejected
 
     def record_call(self):
         """Record a call that is about to be made."""
@@ -75,7 +82,8 @@
     ``reserved_retries`` is the number of calls that the retry budget has granted and
     that were not made yet, ``tried`` the ids of the instances called so far.
     ``error_response`` is an instance's failure that is passed on if no attempt gives
-    better, ``cause`` says why the last attempt failed. ``served`` is True once an
+    better, ``cause`` says why the last attempt failed. ``begun_at`` is when a
+    plain request began at an instance, None before. ``served`` is True once an
     instance has answered with success.
     """
 
@@ -89,7 +97,10 @@
         self.sink = sink
         self.deadline = min(request.deadline, request.arrived + route.timeout)
         self.stream = ClientStream(
-            relay.wire, sink, EventSplitter(request.last_event_id)
+            relay.wire,
+            sink,
+            EventSplitter(request.last_event_id),
+            lambda: relay.record_begin(request, time.monotonic()),
         )
         self.sends = CallCounter()
         self.prefills = CallCounter()
@@ -97,6 +108,7 @@
         self.planned_at = request.arrived
         self.tried = set()
         self.may_have_run = False
+        self.begun_at = None
         self.served = False
         self.error_response = None
         self.cause = "no instance serves the route"
@@ -118,6 +130,13 @@
                 return await self._attempts()
         except TimeoutError:
             return self._expire()
+        finally:
+            self._record_plain_begin()
+
+    def _record_plain_begin(self):
+        """Record the begin of a plain request that an instance ran or may have run."""
+        if self.begun_at is not None and self.sends.maybe_executed:
+            self.relay.record_begin(self.request, self.begun_at)
 
     def _seconds_left(self, now):
         """Return the seconds until the request's deadline."""
@@ -239,6 +258,8 @@
             PLAIN_RESPONSE_TIMEOUT_SECONDS, PLAIN_RESPONSE_TIMEOUT_SECONDS
         )
         in_flight_send = self.fleet.loads.begin(plan.target.id, 0)
+        if not self.sends.maybe_executed:
+            self.begun_at = time.monotonic()
         if not await self._send(plan, response, in_flight_send, timeouts):
             return False
         return self._deliver_buffered(
@@ -326,10 +347,12 @@
         """
         now = time.monotonic()
         if status == 421:
+            self.sends.rejected += 1
             self.fleet.record_misdirected(instance, metadata.instance, now)
             self.cause = f"{instance.id} is not at its address or in its stage"
             return False
         if metadata.not_executed:
+            self.sends.rejected += 1
             self.fleet.suspicion.record_no_slot(instance.id, now)
             self.cause = f"{instance.id} refused"
             return False
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -57,7 +57,7 @@
     fleet.run(3.0)
     relays = collections.Counter()
     for name, vm in fleet.vms.items():
-        send_to = vm.link._send_to
+        send_to = vm.link.send_to
 
         def count(peers, data, name=name, send_to=send_to):
             peers = list(peers)
@@ -66,7 +66,7 @@
             relays[fleet.vms[name].data_centre] += bool(update.data_centre and remote)
             send_to(peers, data)
 
-        vm.link._send_to = count
+        vm.link.send_to = count
     fleet.run(4 * SUM_INTERVAL_SECONDS)
     assert set(relays) == set(LARGE)
     assert max(relays.values()) <= 4 * 5
