Engines are ordered by need, reclaimable ones spread over the data centres

Change: the leader orders, for each service with autoscale, the engines that the peak demand of the last two minutes needs at half utilization, as reclaimable ones, so many in each data centre that the loss of one leaves enough. The others are given up once the reclaimable ones serve, and ordered again for what is missing after a second. The number that the pool had at first counts as a past demand. An order is sent when its count changes, while it isn't confirmed, and when the engines that registered differ from it for longer than a start takes.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -38,7 +38,7 @@
 
     ``address`` is ``host:port``; ``slots`` is the number of requests that it serves at
     once; ``started_at_ms`` is the Unix time of its start in milliseconds, None if the
-    record has none.
+    record has none. The platform may take back a ``reclaimable`` one.
     """
 
     id: str
@@ -49,6 +49,7 @@
     draining: bool
     stage: Stage = Stage.NONE
     started_at_ms: int | None = None
+    reclaimable: bool = False
 
     @property
     def incarnation(self):
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -6,6 +6,7 @@
 from ..exceptions import SettingsError, UpstreamError
 from ..instances import EngineReport, InstanceRecord, Stage
 from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
+from ..scaling import AutoscaleSpec
 from ..teams import Team
 
 #: Prefix watched for the operator's configuration, which is a single key.
@@ -92,6 +93,20 @@
         kv_tokens=int(engine.get("kv_tokens", 0)),
         slots=int(engine.get("slots", 0)),
         transfer_seconds_per_token=bits / (link * 1e6) if link > 0 else 0.0,
+        autoscale=_autoscale(row.get("autoscale")),
+    )
+
+
+def _autoscale(row):
+    if not row:
+        return None
+    spot_price = row.get("spot_price")
+    return AutoscaleSpec(
+        minimum=int(row["min"]),
+        maximum=int(row["max"]),
+        boot_seconds=float(row["boot_timeout_s"]),
+        prices={name: float(price) for name, price in row["zone_prices"].items()},
+        reclaimable_price=None if spot_price is None else float(spot_price),
     )
 
 
@@ -147,6 +162,7 @@
             draining=_draining(row["state"]),
             stage=_stage(row.get("stage")),
             started_at_ms=_started_at_ms(row),
+            reclaimable=bool(row.get("spot", False)),
         )
     except DECODE_ERRORS as error:
         raise SettingsError(f"{key}: invalid instance record: {error!r}") from error
--- a/src/mulberrydock/platform/duties.py
+++ b/src/mulberrydock/platform/duties.py
@@ -50,7 +50,7 @@
     async def order_engines(self, holder, token, order):
         """Order a number of engines; return a :class:`DutyOutcome`.
 
-        :param order: the service, data centre, count and kind that are wanted.
+        :param order: an :class:`~mulberrydock.scaling.EngineOrder`.
         """
         body = {
             "service": order.service,
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from .scaling import AutoscaleSpec
+
 #: Bytes of a fingerprint: enough that among millions of requests no two collide by
 #: chance.
 FINGERPRINT_BYTES = 12
@@ -71,7 +73,9 @@
     ``kv_tokens`` is the size of an engine's KV cache in tokens, 0 for a plain
     application service; ``slots`` is the number of requests that an engine runs at
     once; ``transfer_seconds_per_token`` is the time that the KV cache of one token
-    takes on an engine's link.
+    takes on an engine's link. ``autoscale`` is the
+    :class:`~mulberrydock.scaling.AutoscaleSpec` of a service whose engines are ordered
+    by need, None if their number is given.
     """
 
     name: str
@@ -79,6 +83,7 @@
     kv_tokens: int = 0
     slots: int = 0
     transfer_seconds_per_token: float = 0.0
+    autoscale: AutoscaleSpec | None = None
 
     @property
     def is_engine_pool(self):
--- /dev/null
+++ b/src/mulberrydock/scale_controller.py
@@ -0,0 +1,90 @@
+"""Orders the engines that each pool needs, from one VM at a time."""
+
+import asyncio
+import collections
+import time
+
+import attrs
+from loguru import logger
+
+from .clock import boot_seconds
+from .platform import DutyOutcome
+from .scaling import OrderBook, PoolScaler
+
+#: Seconds between two passes over the pools.
+POLL_INTERVAL_SECONDS = 0.5
+
+
+@attrs.define
+class ScaleController:
+    """Decides the engines of each pool, and orders them while this VM is the leader.
+
+    :param fleet: the :class:`~mulberrydock.fleet_view.FleetView`.
+    :param platform: a :class:`~mulberrydock.platform.PlatformDuties`.
+    :param lease: a :class:`~mulberrydock.lease.LeaderLease`.
+    :param name: this VM's name, stated in each order.
+    :param clock: returns the seconds since boot.
+    """
+
+    fleet: object
+    platform: object
+    lease: object
+    name: str
+    clock: object = boot_seconds
+    scalers: dict = attrs.field(factory=dict)
+    book: OrderBook = attrs.field(factory=OrderBook)
+
+    async def run_pass(self, now):
+        """Decide for each pool, and send the orders that are due.
+
+        The other VMs decide as well, so that a new leader knows the past demand.
+        """
+        config = self.fleet.routes.config
+        if config is None or self.fleet.instances.records_incomplete(now):
+            return
+        may_act = self.lease.may_act(self.clock())
+        if not may_act:
+            self.book.forget()
+        for service in config.services.values():
+            if service.autoscale is None:
+                continue
+            scaler = self.scalers.setdefault(service.name, PoolScaler())
+            engines = self.fleet.instances.serving(service.name)
+            needs = self.fleet.stage_needs(service, now)
+            orders = scaler.decide(service.name, service.autoscale, engines, needs, now)
+            if may_act:
+                await self._send_due(orders, service.autoscale, engines, needs, now)
+
+    async def _send_due(self, orders, spec, engines, needs, now):
+        present = collections.Counter(
+            (e.record.service, e.record.data_centre, e.record.reclaimable)
+            for e in engines
+        )
+        for order in orders:
+            there = present[order.subject]
+            if not self.book.is_due(order, there, spec.boot_seconds, now):
+                continue
+            if not self.lease.may_act(self.clock()):
+                return
+            token = self.lease.authority.token
+            outcome = await self.platform.order_engines(self.name, token, order)
+            confirmed = outcome in (DutyOutcome.ACCEPTED, DutyOutcome.INVALID)
+            self.book.record(order, confirmed, now)
+            logger.info(
+                "engines ordered",
+                service=order.service,
+                data_centre=order.data_centre,
+                reclaimable=order.reclaimable,
+                count=order.count,
+                present=there,
+                prefill=needs and round(needs.prefill_demand, 2),
+                decode=needs and round(needs.decode_demand, 2),
+                token=token,
+                outcome=outcome.value,
+            )
+
+    async def run(self):
+        """Make a pass at each interval, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+            await self.run_pass(time.monotonic())
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -31,6 +31,7 @@
 from .rate_limits import RateLimits
 from .relay import Relay
 from .rendezvous import rank
+from .scale_controller import ScaleController
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
 from .usage import UsageCounter, UsageLedger
@@ -185,6 +186,12 @@
         tasks = []
         if platform.USAGE_DUTY in duties.names:
             tasks += self._usage_tasks(duties, platform_duties)
+        if platform.SCALING_DUTY in duties.names:
+            tasks.append(
+                ScaleController(
+                    self.fleet, platform_duties, self.lease, self.settings.name
+                )
+            )
         return tasks
 
     def _usage_tasks(self, duties, platform_duties):
--- /dev/null
+++ b/tests/test_scaling.py
@@ -0,0 +1,370 @@
+"""How many engines a pool orders, where and of which kind, under changing demand."""
+
+import asyncio
+import collections
+import json
+
+import attrs
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from test_budget import TIMING
+
+from mulberrydock.clock import boot_seconds
+from mulberrydock.fleet_view import FleetView
+from mulberrydock.instances import Instance, InstanceRecord, Stage
+from mulberrydock.lease import Authority, LeaderLease
+from mulberrydock.platform import DutyOutcome, read_config, read_instance
+from mulberrydock.request import RoutingConfig, ServiceSpec
+from mulberrydock.scale_controller import ScaleController
+from mulberrydock.scaling import (
+    PEAK_MEMORY_SECONDS,
+    SHORTAGE_SECONDS,
+    SURPLUS_SECONDS,
+    AutoscaleSpec,
+    DeclaredCapacity,
+    EngineOrder,
+    OrderBook,
+    PoolScaler,
+    UtilizationCapacity,
+    resize,
+    spread,
+    with_loss_cover,
+)
+from mulberrydock.stages import StageNeeds
+
+PRICES = {"dc1": 1.0, "dc2": 0.8, "dc3": 1.25}
+SPEC = AutoscaleSpec(1, 20, 4.0, PRICES, 0.18)
+DEAR = attrs.evolve(SPEC, reclaimable_price=None)
+
+
+def engines(reclaimable=False, **counts):
+    """Return engines by data centre."""
+    return [
+        Instance(
+            InstanceRecord(
+                f"{name}-{number}-{reclaimable}",
+                "llm",
+                "h:1",
+                name,
+                64,
+                False,
+                Stage.DECODE,
+                None,
+                reclaimable,
+            )
+        )
+        for name, count in counts.items()
+        for number in range(count)
+    ]
+
+
+def wanted(orders, reclaimable):
+    """Return the wanted numbers of one kind by data centre, None without orders."""
+    rows = {o.data_centre: o.count for o in orders if o.reclaimable is reclaimable}
+    return rows or None
+
+
+def demand(busy):
+    """Return needs of so many busy engines."""
+    return StageNeeds(busy * 0.7, busy * 0.3)
+
+
+class Pool:
+    """A pool whose platform carries orders out, with the time that engines take."""
+
+    def __init__(self, spec=SPEC, policy=None, **present):
+        self.spec = spec
+        self.scaler = PoolScaler(policy or UtilizationCapacity())
+        self.engines = engines(**present)
+        self.booting = []
+        self.unavailable = set()
+        self.now = 0.0
+        self.orders = []
+
+    def run(self, seconds, needs=None, interval=0.5):
+        """Let time pass; orders take effect at once, new engines after their start."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += interval
+            self.engines += [e for at, e in self.booting if at <= self.now]
+            self.booting = [row for row in self.booting if row[0] > self.now]
+            self.orders = self.scaler.decide(
+                "llm", self.spec, self.engines, needs, self.now
+            )
+            for order in self.orders:
+                self._carry_out(order)
+        return self
+
+    def _carry_out(self, order):
+        def matches(engine):
+            record = engine.record
+            place = (record.data_centre, record.reclaimable)
+            return place == (order.data_centre, order.reclaimable)
+
+        present = [e for e in self.engines if matches(e)]
+        started = [row for row in self.booting if matches(row[1])]
+        for engine in present[order.count :]:
+            self.engines.remove(engine)
+        if order.reclaimable and order.data_centre in self.unavailable:
+            return
+        for number in range(order.count - len(present) - len(started)):
+            (new,) = engines(order.reclaimable, **{order.data_centre: 1})
+            self.booting.append((self.now + self.spec.boot_seconds, new))
+
+    def reclaim(self, data_centre):
+        """Take back all reclaimable engines of a data centre."""
+        self.unavailable.add(data_centre)
+        self.engines = [
+            e
+            for e in self.engines
+            if not (e.record.reclaimable and e.record.data_centre == data_centre)
+        ]
+
+    def count(self, reclaimable=None):
+        """Return the number of engines, of one kind or of both."""
+        return sum(
+            reclaimable is None or e.record.reclaimable is reclaimable
+            for e in self.engines
+        )
+
+
+@pytest.mark.parametrize(
+    ("count", "numbers"),
+    [
+        (0, {"dc1": 1, "dc2": 1, "dc3": 1}),
+        (4, {"dc1": 1, "dc2": 2, "dc3": 1}),
+        (12, {"dc1": 4, "dc2": 4, "dc3": 4}),
+        (14, {"dc1": 5, "dc2": 5, "dc3": 4}),
+        (999, {"dc1": 20, "dc2": 20, "dc3": 20}),
+    ],
+)
+def test_engines_are_spread_over_the_data_centres(count, numbers):
+    assert spread(count, PRICES, 1, 20) == numbers
+
+
+@given(st.integers(1, 60), st.integers(1, 6))
+def test_loss_of_a_data_centre_leaves_what_is_needed(needed, data_centres):
+    """Guards against a pool that is too small while the platform takes back all
+    reclaimable engines of one data centre."""
+    prices = {f"dc{number}": 1.0 for number in range(data_centres)}
+    numbers = spread(with_loss_cover(needed, data_centres), prices, 0, 1000)
+    left = sum(numbers.values()) - max(numbers.values())
+    assert left >= needed or data_centres == 1
+    assert sum(numbers.values()) <= 2 * needed + data_centres
+
+
+@given(
+    st.dictionaries(st.sampled_from(sorted(PRICES)), st.integers(0, 20)),
+    st.integers(0, 80),
+)
+def test_resized_pool_changes_no_more_engines_than_needed(present, count):
+    room = {name: 20 for name in PRICES}
+    numbers = resize(present, count, PRICES, room)
+    assert sum(numbers.values()) == min(count, 60)
+    changed = sum(abs(numbers[name] - present.get(name, 0)) for name in PRICES)
+    assert changed == abs(min(count, 60) - sum(present.values()))
+
+
+def test_nothing_is_ordered_away_before_the_pool_is_known():
+    """Guards against engines that are given up on ignorance, before their records or
+    the first requests have come."""
+    scaler = PoolScaler()
+    assert scaler.decide("llm", SPEC, [], None, 0.0) == []
+    for second in range(20):
+        known = engines(dc1=min(3, second // 2), dc2=3, dc3=2)
+        orders = scaler.decide("llm", SPEC, known, None, float(second))
+        assert wanted(orders, False) is None
+    assert wanted(orders, True) == {"dc1": 4, "dc2": 4, "dc3": 4}
+
+
+def test_reclaimable_engines_replace_the_others_before_the_first_request():
+    pool = Pool(dc1=3, dc2=2, dc3=3).run(3.0)
+    assert pool.count(False) == 8
+    pool.run(6.0)
+    assert (pool.count(True), pool.count(False)) == (12, 0)
+
+
+def test_without_reclaimable_engines_the_number_follows_the_demand():
+    pool = Pool(DEAR, dc1=4, dc2=4, dc3=4).run(5.0).run(20.0, demand(2.0))
+    assert pool.count() == 12
+    pool.run(5 * PEAK_MEMORY_SECONDS, demand(2.0), interval=5.0)
+    assert 4 <= pool.count() <= 6
+    pool.run(8.0, demand(8.0))
+    assert pool.count() == 16
+
+
+def test_mix_that_swings_every_three_seconds_changes_nothing():
+    """Guards against engines that come and go with each swing of the mix, and take the
+    parts of prompts in their caches along."""
+    pool = Pool(dc1=3, dc2=2, dc3=3).run(12.0)
+    seen = set()
+    for swing in range(12):
+        pool.run(2.8, demand(3.6 if swing % 2 else 1.2))
+        seen.add(tuple(sorted(wanted(pool.orders, True).items())))
+    assert len(seen) == 1
+
+
+def test_burst_of_twice_the_load_is_followed_at_once():
+    pool = Pool(dc1=3, dc2=2, dc3=3).run(12.0).run(10.0, demand(3.0))
+    pool.run(0.5, demand(6.0))
+    assert sum(wanted(pool.orders, True).values()) == with_loss_cover(12, 3)
+
+
+def test_reclaimed_data_centre_is_covered_by_the_others():
+    """Guards against dear engines that are ordered though those left are enough."""
+    pool = Pool(dc1=3, dc2=2, dc3=3).run(12.0).run(5.0, demand(3.0))
+    pool.reclaim("dc2")
+    pool.run(9.0, demand(3.0))
+    assert (pool.count(True), pool.count(False)) == (8, 0)
+    pool.unavailable.clear()
+    pool.run(6.0, demand(3.0))
+    assert pool.count(True) == 12
+
+
+def test_shortage_after_two_reclaims_is_filled_with_other_engines():
+    """Guards against a pool that waits for reclaimable engines that don't come."""
+    pool = Pool(dc1=3, dc2=2, dc3=3).run(12.0).run(5.0, demand(3.0))
+    pool.reclaim("dc2")
+    pool.reclaim("dc3")
+    pool.run(SHORTAGE_SECONDS + SPEC.boot_seconds + 1.0, demand(3.0))
+    assert (pool.count(True), pool.count(False)) == (4, 4)
+    pool.unavailable.clear()
+    pool.run(SPEC.boot_seconds + SURPLUS_SECONDS + 1.0, demand(3.0))
+    assert (pool.count(True), pool.count(False)) == (12, 0)
+
+
+def test_crashed_engine_that_is_back_soon_is_not_replaced():
+    pool = Pool(dc1=3, dc2=2, dc3=3).run(12.0).run(5.0, demand(3.0))
+    lost, pool.engines = pool.engines[:5], pool.engines[5:]
+    pool.run(SHORTAGE_SECONDS - 0.5, demand(3.0))
+    pool.engines += lost
+    pool.run(2.0, demand(3.0))
+    assert wanted(pool.orders, False) == {"dc1": 0, "dc2": 0, "dc3": 0}
+
+
+@pytest.mark.parametrize("policy", [DeclaredCapacity(), UtilizationCapacity()])
+def test_first_seconds_of_demand_shrink_no_pool(policy):
+    """Guards against a pool that is cut to the first requests' demand and then lacks
+    engines when a data centre is reclaimed and the load rises."""
+    pool = Pool(SPEC, policy, dc1=3, dc2=2, dc3=3).run(12.0)
+    pool.run(10.0, demand(0.4))
+    assert pool.count(True) == 12
+
+
+@hypothesis_settings(max_examples=40, deadline=None)
+@given(st.lists(st.floats(0.0, 40.0), min_size=1, max_size=40))
+def test_orders_stay_within_the_bounds(loads):
+    pool = Pool(dc1=3, dc2=2, dc3=3)
+    for busy in loads:
+        pool.run(1.0, demand(busy))
+        total = collections.Counter()
+        for order in pool.orders:
+            total[order.data_centre] += order.count
+        assert all(1 <= count <= 20 for count in total.values())
+
+
+ORDER = EngineOrder("llm", "dc1", True, 4)
+
+
+@pytest.mark.parametrize(
+    ("sent", "present", "seconds", "due"),
+    [
+        # Nothing sent by this holder: what is there already needs no order.
+        (None, 0, 0.0, True),
+        (None, 4, 0.0, False),
+        # Accepted: engines may still be starting, and their records lag.
+        ((4, True), 0, 7.0, False),
+        # An older order was carried out after this one.
+        ((4, True), 0, 9.0, True),
+        ((4, True), 5, 9.0, True),
+        ((4, True), 4, 60.0, False),
+        # Not answered, or none to be had.
+        ((4, False), 0, 0.5, False),
+        ((4, False), 0, 1.0, True),
+        # Another number is wanted now.
+        ((3, True), 3, 0.1, True),
+    ],
+)
+def test_order_is_sent_again_only_with_a_reason(sent, present, seconds, due):
+    """Guards against lost orders, those carried out late after newer ones, and calls
+    that say what the platform knows."""
+    book = OrderBook()
+    if sent:
+        count, confirmed = sent
+        book.record(attrs.evolve(ORDER, count=count), confirmed, 100.0)
+    assert book.is_due(ORDER, present, SPEC.boot_seconds, 100.0 + seconds) is due
+
+
+@attrs.define
+class Platform:
+    """Stands in for the platform: the orders that arrived, with their outcome."""
+
+    outcome: DutyOutcome = DutyOutcome.ACCEPTED
+    orders: list = attrs.field(factory=list)
+
+    async def order_engines(self, holder, token, order):
+        self.orders.append((holder, token, order))
+        return self.outcome
+
+
+def controller(platform, leader=True):
+    """Return the controller of a VM over a pool of eight engines."""
+    fleet = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    service = ServiceSpec("llm", 100, 1000, autoscale=SPEC)
+    fleet.routes.accept(RoutingConfig(1, (), {"llm": service}, None))
+    for engine in engines(dc1=3, dc2=2, dc3=3):
+        fleet.instances.put(engine.record, 0.0)
+    lease = LeaderLease(None, "entry-1", 3.0, clock=boot_seconds)
+    now = boot_seconds()
+    if leader:
+        lease.authority = Authority(1, 7, now, now - 10)
+    return ScaleController(fleet, platform, lease, "entry-1")
+
+
+def test_only_the_leader_orders():
+    platform = Platform()
+    asyncio.run(controller(platform, leader=False).run_pass(10.0))
+    assert not platform.orders
+    asyncio.run(controller(platform).run_pass(10.0))
+    assert [(h, t, o.count) for h, t, o in platform.orders] == [("entry-1", 7, 4)] * 3
+
+
+def test_orders_that_found_no_engines_are_repeated_at_an_interval():
+    """Guards against a flood of orders while the platform has no engines."""
+    platform = Platform(DutyOutcome.REFUSED)
+    scale = controller(platform)
+    for step in range(10):
+        asyncio.run(scale.run_pass(10.0 + step * 0.25))
+    assert len(platform.orders) == 9
+
+
+def test_nothing_is_ordered_while_records_are_missing():
+    """Guards against orders based on a pool that seems empty in an outage of the
+    store."""
+    platform = Platform()
+    scale = controller(platform)
+    scale.fleet.instances.mark_store_unavailable(9.0)
+    asyncio.run(scale.run_pass(10.0))
+    assert not platform.orders
+
+
+def test_documents_state_bounds_prices_and_kind():
+    service = {
+        "name": "llm",
+        "engine": {"kv_tokens": 10},
+        "autoscale": {
+            "min": 1,
+            "max": 20,
+            "boot_timeout_s": 4.0,
+            "spot_price": 0.18,
+            "zone_prices": PRICES,
+        },
+    }
+    text = json.dumps({"version": 1, "routes": [], "services": [service]})
+    assert read_config("op/config", text).services["llm"].autoscale == SPEC
+    row = {"service": "llm", "address": "127.0.0.1:1", "zone": "dc1", "slots": 64}
+    for spot in (True, False):
+        text = json.dumps(row | {"state": "ready", "spot": spot})
+        assert read_instance("servers/i", text).reclaimable is spot
