The first leader of a new system acts at once

Cause: a new leader waits for the duration of a lease, as calls of its predecessor may be on their way. At the first start of the system there is no predecessor, and the engines that are to be replaced were paid for 3 s longer. Engines were also kept for two seconds after they had become superfluous.

Change: the settings say whether the whole system starts for the first time; a VM that then has seen no other leader, lost no race for the lease and held none before acts at once. A surplus of a second is enough.

--- a/src/mulberrydock/_serve_model.py
+++ b/src/mulberrydock/_serve_model.py
@@ -57,6 +57,7 @@
     data_centre: str = attrs.field()
     region: str = attrs.field()
     ip: str = attrs.field()
+    first_start: bool = attrs.field(default=False)
     listen: Listen = attrs.field()
     store: PlatformStoreSettings = attrs.field()
     timing: Timing = attrs.field()
--- a/src/mulberrydock/lease.py
+++ b/src/mulberrydock/lease.py
@@ -59,6 +59,8 @@
         vacant lease to others. An attempt takes four calls, and only one of those
         made at the same time succeeds; where calls are paid for, candidates take
         turns.
+    :param first_start: True when the whole system starts for the first time. While no
+        other leader was seen, there is no predecessor to wait for.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         is_vacant=lambda: True,
         clock=time.monotonic,
         takeover_delay=lambda: 0.0,
+        first_start=False,
     ):
         self.store = store
         self.name = name
@@ -76,6 +79,7 @@
         self.is_vacant = is_vacant
         self.clock = clock
         self.takeover_delay = takeover_delay
+        self.may_have_predecessor = not first_start
         self.vacant_since = None
         self.authority = Authority()
 
@@ -89,7 +93,12 @@
         It waits for the duration of a lease first: what its predecessor sent has
         arrived by then.
         """
-        return self.valid(now) and now - self.authority.acquired_at >= self.ttl
+        if not self.valid(now):
+            return False
+        return (
+            not self.may_have_predecessor
+            or now - self.authority.acquired_at >= self.ttl
+        )
 
     async def acquire(self, now):
         """Try to become the leader; return whether this controller holds the lease."""
@@ -107,6 +116,7 @@
             # The write may have succeeded although its response was lost: read it.
             read = await self.store.get(defaults.LEADER_KEY)
             if read.is_error() or read.ok is None or read.ok.lease != granted.ok:
+                self.may_have_predecessor = True
                 # There is another leader, or it is unknown: don't keep this lease.
                 await self.store.revoke(granted.ok)
                 return False
@@ -126,6 +136,7 @@
 
         Its id may have been given to another client since.
         """
+        self.may_have_predecessor = True
         self.authority = Authority()
 
     async def renew(self, now):
@@ -138,6 +149,7 @@
             self.authority.renewed_at = now
         elif renewed.is_ok() or not self.valid(now):
             logger.warning("control lost its lease", token=self.authority.token)
+            self.may_have_predecessor = True
             self.authority = Authority()
 
     async def run(self):
@@ -152,6 +164,7 @@
     def may_acquire(self, now):
         """Return whether the lease is vacant and this controller's turn has come."""
         if not self.is_vacant():
+            self.may_have_predecessor = True
             self.vacant_since = None
             return False
         if self.vacant_since is None:
@@ -162,4 +175,5 @@
         """Revoke the lease, so that another controller can acquire it at once."""
         if self.authority.lease:
             await self.store.revoke(self.authority.lease)
+            self.may_have_predecessor = True
             self.authority = Authority()
--- a/src/mulberrydock/scaling.py
+++ b/src/mulberrydock/scaling.py
@@ -26,7 +26,7 @@
 #: engine may be back by the time at which another one has started.
 SHORTAGE_SECONDS = 1.0
 #: Seconds for which engines must be superfluous before they are given up.
-SURPLUS_SECONDS = 2.0
+SURPLUS_SECONDS = 1.0
 
 
 @attrs.define(frozen=True)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -142,6 +142,7 @@
             and not self.draining,
             boot_seconds,
             self._takeover_delay,
+            settings.first_start,
         )
         self.stage_controller = StageController(
             self.fleet,
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,9 +1,12 @@
 """When a candidate tries to acquire the leader lease."""
 
+import asyncio
+
 import attrs
 import pytest
 
 from mulberrydock.lease import LeaderLease
+from mulberrydock.standin.store import DirectStore, StoreState
 
 
 @attrs.define
@@ -39,3 +42,61 @@
     for step, candidate.vacant in enumerate(vacant):
         seen.append(lease.may_acquire(10.0 + step * 0.5))
     assert seen == due
+
+
+@pytest.mark.parametrize(
+    ("first_start", "history", "waits"),
+    [
+        (False, [], True),
+        (True, [], False),
+        # Another leader was seen, or this VM was the leader before.
+        (True, ["other"], True),
+        (True, ["lost"], True),
+        (True, ["released"], True),
+        (True, ["store restored"], True),
+    ],
+)
+def test_new_leader_waits_for_calls_of_a_predecessor(first_start, history, waits):
+    """Guards against a leader that acts while calls of its predecessor are on their
+    way. At the first start of the whole system there is none, and the engines that it
+    doesn't need are paid for while it waits."""
+    state, now = StoreState(), 100.0
+    store = DirectStore(state, lambda: now)
+    vacant = True
+    lease = LeaderLease(
+        store, "a", 3.0, lambda: vacant, lambda: now, first_start=first_start
+    )
+    for event in history:
+        if event == "other":
+            vacant = False
+            assert not lease.may_acquire(now)
+            vacant = True
+            continue
+        assert asyncio.run(lease.acquire(now))
+        if event == "lost":
+            now += 4.0
+            state.expire(now)
+            asyncio.run(lease.renew(now))
+        elif event == "released":
+            asyncio.run(lease.release())
+        else:
+            lease.discard()
+            state.expire(now + 4.0)
+    assert asyncio.run(lease.acquire(now))
+    assert lease.may_act(now) is not waits
+    now += 3.0
+    lease.authority.renewed_at = now
+    assert lease.may_act(now)
+
+
+def test_vm_that_lost_the_race_knows_that_there_is_a_leader():
+    """Guards against a VM that never saw the record of the VM that was faster."""
+    store = DirectStore(StoreState(), lambda: 100.0)
+    first, second = (
+        LeaderLease(store, name, 3.0, clock=lambda: 100.0, first_start=True)
+        for name in "ab"
+    )
+    assert asyncio.run(first.acquire(100.0))
+    assert not asyncio.run(second.acquire(100.0))
+    assert not first.may_have_predecessor
+    assert second.may_have_predecessor
