--- a/src/mulberrydock/usage_reporter.py
+++ b/src/mulberrydock/usage_reporter.py
@@ -42,7 +42,8 @@
 
     ``decisions`` are those known from the store, ``version`` that of the store's
     record, None while it hasn't been read. ``unsent`` are the windows whose report the
-    platform hasn't confirmed to this holder.
+    platform hasn't confirmed to this holder. ``first_window`` is the first to decide
+    where the store has no decision, None before this VM leads.
     """
 
     counter: object
@@ -57,6 +58,7 @@
     decisions: dict = attrs.field(factory=dict)
     version: int | None = None
     unsent: set = attrs.field(factory=set)
+    first_window: int | None = None
 
     def apply(self, key, value, revision):
         """Apply the store's record as the watch shows it."""
@@ -104,7 +106,9 @@
         """Return the windows to decide now, in order."""
         current = self.counter.window(unix_now)
         oldest = current - RETAINED_WINDOWS
-        first = max(self.decisions, default=current - 2) + 1
+        if self.first_window is None:
+            self.first_window = current - 1
+        first = max(self.decisions, default=self.first_window - 1) + 1
         return [
             window
             for window in range(max(first, oldest), current)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -99,7 +99,7 @@
     """A store and instances on an event loop in a thread, and daemons as processes.
 
     ``engines`` holds the stand-ins of all instances by id, those of plain services
-    included.
+    included. ``extra_settings`` is TOML text added to each daemon's settings.
 
     :param directory: where the daemons' settings files and logs are written.
     """
@@ -114,6 +114,7 @@
         self.engines = {}
         self.daemons = {}
         self.settings = {}
+        self.extra_settings = ""
 
     def call_on_loop(self, function, *args):
         """Run ``function`` on the stand-ins' event loop and return its result."""
@@ -171,6 +172,7 @@
             SETTINGS.format(
                 name=name, store=self.store_address, grace=grace, **self.settings[name]
             )
+            + self.extra_settings
         )
         log = open(self.directory / f"{name}.log", "ab")
         self.daemons[name] = subprocess.Popen(
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -239,6 +239,17 @@
     assert fleet.platform.accepted[window] == {"a": 1, "b": 1}
 
 
+def test_first_window_of_a_new_system_is_not_passed_over():
+    """Guards against a first window that is never decided, as it is awaited until it is
+    no longer the last one."""
+    fleet = Fleet()
+    fleet.lead("v0")
+    window = fleet.counters["v0"].window(fleet.now)
+    fleet.count("v1")
+    fleet.renew_and_step("v0", 4 * WINDOW_SECONDS)
+    assert fleet.platform.accepted[window] == {"a": 1}
+
+
 def test_silent_vm_is_awaited_but_not_beyond_the_due_time():
     """Guards against a report that never goes out since a VM was killed, and against
     one without the counts of a VM that is only slow."""
