Windows before the first leader are reported; usage is counted only where it is due

A VM without the duty counted requests and never dropped them.

Change: the first window is the first in which any VM counted a request. Requests are counted only where usage is reported.

--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -23,15 +23,16 @@
     :param fleet: a :class:`~mulberrydock.fleet_view.FleetView`.
     :param wire: a :class:`~mulberrydock.ports.Wire`.
     :param metrics: a :class:`~mulberrydock.metrics.ServeMetrics`.
-    :param on_begin: called with a team and the seconds since its request began at an
-        instance, once for each request of a team.
+
+    An owner may set ``on_begin``: it is called with a team and the seconds since its
+    request began at an instance, once for each request of a team.
     """
 
-    def __init__(self, fleet, wire, metrics, on_begin=lambda team, age: None):
+    def __init__(self, fleet, wire, metrics):
         self.fleet = fleet
         self.wire = wire
         self.metrics = metrics
-        self.on_begin = on_begin
+        self.on_begin = lambda team, age: None
         self.connection_pools = {}
         self.crash_probe = CrashProbe(self.connection_pool)
         self.background_tasks = set()
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -127,7 +127,7 @@
         self.wall_clock = WallClock()
         self.usage_counter = UsageCounter(settings.duties.usage_window_seconds)
         self.usage_ledger = UsageLedger()
-        self.relay = Relay(self.fleet, wire, self.metrics, self._on_begin)
+        self.relay = Relay(self.fleet, wire, self.metrics)
         self.front = Front(self.relay, wire, time.monotonic)
         self.groups = PeerGroups(
             self.membership, self.fleet.loads, settings.data_centre
@@ -196,6 +196,7 @@
         return tasks
 
     def _usage_tasks(self, duties, platform_duties):
+        self.relay.on_begin = self._on_begin
         reporter = UsageReporter(
             self.usage_counter,
             self.usage_ledger,
--- a/src/mulberrydock/usage.py
+++ b/src/mulberrydock/usage.py
@@ -86,6 +86,11 @@
                 total[team] = total.get(team, 0) + count
         return total
 
+    def first_window(self, default):
+        """Return the first window with counts of a VM, at most ``default``."""
+        counted = (window for windows, _ in self.updates.values() for window in windows)
+        return min([default, *counted])
+
     def is_complete(self, end):
         """Return whether every known VM has counted until ``end`` (Unix seconds)."""
         return all(until >= end for _, until in self.updates.values())
--- a/src/mulberrydock/usage_reporter.py
+++ b/src/mulberrydock/usage_reporter.py
@@ -43,7 +43,7 @@
     ``decisions`` are those known from the store, ``version`` that of the store's
     record, None while it hasn't been read. ``unsent`` are the windows whose report the
     platform hasn't confirmed to this holder. ``first_window`` is the first to decide
-    where the store has no decision, None before this VM leads.
+    while the store has no decision, None before this VM leads.
     """
 
     counter: object
@@ -107,7 +107,7 @@
         current = self.counter.window(unix_now)
         oldest = current - RETAINED_WINDOWS
         if self.first_window is None:
-            self.first_window = current - 1
+            self.first_window = self.ledger.first_window(current - 1)
         first = max(self.decisions, default=self.first_window - 1) + 1
         return [
             window
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -250,6 +250,17 @@
     assert fleet.platform.accepted[window] == {"a": 1}
 
 
+def test_requests_before_the_first_leader_are_reported():
+    """Guards against windows that nobody reports, as no VM was the leader yet."""
+    fleet = Fleet()
+    window = fleet.counters["v0"].window(fleet.now)
+    fleet.count("v1")
+    fleet.pass_time(2 * WINDOW_SECONDS)
+    fleet.lead("v0")
+    fleet.renew_and_step("v0", 1.0)
+    assert fleet.platform.accepted[window] == {"a": 1}
+
+
 def test_silent_vm_is_awaited_but_not_beyond_the_due_time():
     """Guards against a report that never goes out since a VM was killed, and against
     one without the counts of a VM that is only slow."""
