A call to the store fails when its response stops arriving, not when it is long

Cause: a call had 0.7 s in all.

Change: the time limit is that of silence, before the first byte and between any two later ones, with a bound on the whole call. The most urgent priority of a service is computed once for all teams, not for each route again.

--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import json
+import time
 from urllib.parse import urlencode
 
 import tornado.httputil
@@ -17,9 +18,14 @@
 from ..exceptions import StoreError, UpstreamError, VersionConflict
 from ..store import Event, Item, WatchBatch
 
-#: Timeout of one call. The store responds in 4 ms; a changed configuration must be
-#: in force within 2 s, so a lost response must be detected well before that.
+#: Seconds without progress after which a call has failed. The store responds in 4 ms;
+#: a changed configuration must be in force within 2 s, so a lost response must be
+#: detected well before that. A large configuration takes longer than this on a slow
+#: link, but its bytes keep arriving.
 CALL_TIMEOUT_SECONDS = 0.7
+#: Seconds of a whole call beyond the time for which the store may wait: about 5 MB on
+#: the slowest link.
+MAX_CALL_SECONDS = 10.0
 #: Connections to the store: one for each pending watch and a few for other calls.
 MAX_CONNECTIONS = 16
 #: Header with the store's era: how many times the store was restored from an older
@@ -27,6 +33,45 @@
 STORE_ERA = "Store-Era"
 
 
+class ProgressResponse(BufferedResponse):
+    """A buffered response that notes when bytes last arrived."""
+
+    def on_headers(self, status, headers):
+        super().on_headers(status, headers)
+        self.last_progress_at = time.monotonic()
+
+    def on_data(self, chunk):
+        super().on_data(chunk)
+        self.last_progress_at = time.monotonic()
+
+
+async def run_while_progressing(exchange, response, first, silence):
+    """Await ``exchange`` as long as its ``response`` arrives.
+
+    :param first: seconds until the first bytes have to arrive.
+    :param silence: seconds that may pass between any later ones.
+    :raises asyncio.TimeoutError: when it takes longer, or over ``MAX_CALL_SECONDS``
+        beyond ``first`` in all.
+    """
+    started = time.monotonic()
+    task = asyncio.ensure_future(exchange)
+    try:
+        while not task.done():
+            expires_at = started + first
+            if response.last_progress_at is not None:
+                expires_at = min(
+                    response.last_progress_at + silence, expires_at + MAX_CALL_SECONDS
+                )
+            left = expires_at - time.monotonic()
+            if left <= 0:
+                raise asyncio.TimeoutError(f"no progress within {silence} s")
+            await asyncio.wait([task], timeout=left)
+        return task.result()
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 class PlatformStore:
     """Client of one store, over persistent connections.
 
@@ -38,7 +83,7 @@
     - ``era``: the highest era seen, None before the first response.
 
     :param address: ``host:port`` of the store.
-    :param timeout: seconds of one call.
+    :param timeout: seconds without progress after which a call has failed.
     """
 
     def __init__(self, address, timeout=CALL_TIMEOUT_SECONDS):
@@ -55,7 +100,7 @@
         return result
 
     async def _exchange(self, method, path, body, timeout):
-        response = BufferedResponse()
+        response = ProgressResponse()
         payload = b"" if body is None else json.dumps(body).encode()
         headers = tornado.httputil.HTTPHeaders({"Host": self.address})
         if body is not None:
@@ -64,9 +109,11 @@
         elif method == "POST":
             headers["Content-Length"] = "0"
         try:
-            await asyncio.wait_for(
+            await run_while_progressing(
                 self.pool.exchange(method, path, headers, payload, response),
+                response,
                 timeout or self.timeout,
+                self.timeout,
             )
         except (UpstreamError, asyncio.TimeoutError) as error:
             return Error(StoreError(f"{method} {path}: {error!r}"))
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -1,5 +1,6 @@
 """Routing table: finds a request's route by host and longest path prefix."""
 
+import math
 import random
 
 from expression import Ok
@@ -84,9 +85,10 @@
     """
     teams = config.teams or ()
     overrides = [team.priority for team in teams if team.priority is not None]
+    override = min(overrides, default=math.inf)
     most_urgent = {}
     for route in config.routes:
         for split in route.splits:
-            known = most_urgent.get(split.service, route.priority)
-            most_urgent[split.service] = min(known, route.priority, *overrides)
+            known = most_urgent.get(split.service, override)
+            most_urgent[split.service] = min(known, route.priority)
     return most_urgent
