--- a/tests/test_store_progress.py
+++ b/tests/test_store_progress.py
@@ -72,7 +72,7 @@
 
 @pytest.mark.parametrize("stall_after", [0, 1, 5])
 def test_response_that_stops_arriving_has_failed(stall_after):
-    """Guards against a call that waits for ever on a connection that has gone silent."""
+    """Guards against a call that waits for ever on a connection that is silent."""
     assert call(stall_after, "range", "").is_error()
 
 
