--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -115,18 +115,21 @@
     return tuple(
         Team(
             name=_text(row["name"], "tenant name"),
-            keys=tuple(_key(key) for key in row["api_keys"]),
+            keys=_keys(row["api_keys"]),
             priority=None if row.get("priority") is None else int(row["priority"]),
         )
         for row in rows
     )
 
 
-def _key(value):
-    # The error must not contain the value.
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"api_keys: expected non-empty strings, got {type(value)}")
-    return value
+def _keys(values):
+    # The error must not contain a value.
+    if not isinstance(values, list):
+        raise TypeError(f"api_keys: expected a list, got {type(values)}")
+    for value in values:
+        if not isinstance(value, str) or not value:
+            raise TypeError(f"api_keys: expected non-empty strings, got {type(value)}")
+    return tuple(values)
 
 
 def _limits(row):
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -120,6 +120,8 @@
         [{"name": "t"}],
         [{"name": "", "api_keys": []}],
         [{"name": "t", "api_keys": [17]}],
+        [{"name": "t", "api_keys": "secret"}],
+        [{"name": "t", "api_keys": [""]}],
         [{"name": "t", "api_keys": ["secret", {"secret": 1}]}],
         [{"name": "t", "api_keys": ["secret"], "priority": "urgent"}],
         ["secret"],
