The test of the most urgent route asks the route table

FleetView.is_most_urgent walked all routes for each request; RouteTable.is_most_urgent replaced it with the teams. The test has the same cases and expects the same.

--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -78,6 +78,5 @@
 def test_most_urgent_route_of_a_service(priority, service, expected):
     """Guards against a route that is compared with the routes of other services."""
     fleet = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
-    fleet.routes.config = RoutingConfig(1, ROUTES, {}, None)
-    route = attrs.evolve(URGENT, priority=priority)
-    assert fleet.is_most_urgent(route, service) is expected
+    assert fleet.routes.accept(RoutingConfig(1, ROUTES, {}, None))
+    assert fleet.routes.is_most_urgent(priority, service) is expected
