The store's client uses the sends' own progress timeouts

Change: the store's client calls run_exchange within the bound of the whole call; the set is a constant; the texts say what the code does. No behaviour is meant to change.

--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -16,6 +16,7 @@
 
 from ..connections import BufferedResponse, ConnectionPool
 from ..exceptions import StoreError, UpstreamError, VersionConflict
+from ..sends import ProgressTimeouts, run_exchange
 from ..store import Event, Item, WatchBatch
 
 #: Seconds without progress after which a call has failed. The store responds in 4 ms;
@@ -45,33 +46,6 @@
         self.last_progress_at = time.monotonic()
 
 
-async def run_while_progressing(exchange, response, first, silence):
-    """Await ``exchange`` as long as its ``response`` arrives.
-
-    :param first: seconds until the first bytes have to arrive.
-    :param silence: seconds that may pass between any later ones.
-    :raises asyncio.TimeoutError: when it takes longer, or over ``MAX_CALL_SECONDS``
-        beyond ``first`` in all.
-    """
-    started = time.monotonic()
-    task = asyncio.ensure_future(exchange)
-    try:
-        while not task.done():
-            expires_at = started + first
-            if response.last_progress_at is not None:
-                expires_at = min(
-                    response.last_progress_at + silence, expires_at + MAX_CALL_SECONDS
-                )
-            left = expires_at - time.monotonic()
-            if left <= 0:
-                raise asyncio.TimeoutError(f"no progress within {silence} s")
-            await asyncio.wait([task], timeout=left)
-        return task.result()
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
 class PlatformStore:
     """Client of one store, over persistent connections.
 
@@ -101,6 +75,8 @@
 
     async def _exchange(self, method, path, body, timeout):
         response = ProgressResponse()
+        first = timeout or self.timeout
+        timeouts = ProgressTimeouts(first, self.timeout, may_abandon=lambda: True)
         payload = b"" if body is None else json.dumps(body).encode()
         headers = tornado.httputil.HTTPHeaders({"Host": self.address})
         if body is not None:
@@ -109,11 +85,9 @@
         elif method == "POST":
             headers["Content-Length"] = "0"
         try:
-            await run_while_progressing(
-                self.pool.exchange(method, path, headers, payload, response),
-                response,
-                timeout or self.timeout,
-                self.timeout,
+            exchange = self.pool.exchange(method, path, headers, payload, response)
+            await asyncio.wait_for(
+                run_exchange(exchange, response, timeouts), first + MAX_CALL_SECONDS
             )
         except (UpstreamError, asyncio.TimeoutError) as error:
             return Error(StoreError(f"{method} {path}: {error!r}"))
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -57,8 +57,9 @@
         "Wait-Ms",
     )
 )
-#: Not passed on as the client sent it, as it may hold an API key.
-CREDENTIAL_HEADERS = frozenset((AUTHORIZATION.lower(),))
+#: Not among the headers that are passed on as they came. ``Authorization`` may hold an
+#: API key, so it is kept apart.
+SEPARATE_HEADERS = SYSTEM_HEADERS | {AUTHORIZATION.lower()}
 #: Hop-by-hop headers (RFC 9110, section 7.6.1) and message framing; not forwarded.
 HOP_HEADERS = frozenset(
     (
@@ -96,7 +97,7 @@
             method=start_line.method,
             target=start_line.path,
             host=headers.get("Host", ""),
-            headers=_end_to_end(headers, SYSTEM_HEADERS | CREDENTIAL_HEADERS),
+            headers=_end_to_end(headers, SEPARATE_HEADERS),
             body=body,
             arrived=now,
             deadline=now + _number(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000,
--- a/src/mulberrydock/wall_clock.py
+++ b/src/mulberrydock/wall_clock.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-#: Number of samples, one a second, of which the median counts: a step shorter than half
-#: of that has no effect.
+#: Number of samples of which the median counts: a step that lasts for fewer than half
+#: of them has no effect. With a sample each half second, that is 7.5 s.
 SAMPLES = 31
 
 
