The test of registering again waits until all VMs have registered

Change: it names the records of all its daemons and waits for them first; the assertions are the same, and a VM that never registers now fails it.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -90,7 +90,8 @@
 
 # Guards against VMs that stay unregistered, or renew another VM's lease.
 def test_daemons_register_again_and_serve(fleet):
-    before = {key for key in fleet.store.items if key.startswith("entries/")}
+    before = {f"entries/{name}" for name in fleet.daemons}
+    wait_until(lambda: before <= set(fleet.store.items))
     snapshot = fleet.call_on_loop(fleet.store.snapshot)
     for key in before:
         snapshot.items.pop(key)
