What a VM runs for its duties moves out of the daemon's module

Change: duties.py composes the tasks, the store handler and the counting of requests; the daemon keeps the ledger, which its peer link fills. Behaviour is unchanged.

--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -17,6 +17,7 @@
 from ._http import split_address
 from .clock import boot_seconds
 from .directory import Directory
+from .duties import Duties
 from .exceptions import SettingsError
 from .fleet_view import FleetView
 from .front import Front
@@ -31,13 +32,9 @@
 from .rate_limits import RateLimits
 from .relay import Relay
 from .rendezvous import rank
-from .scale_controller import ScaleController
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
-from .usage import UsageCounter, UsageLedger
-from .usage_exchange import SUCCESSORS, UsageExchange
-from .usage_reporter import UsageReporter
-from .wall_clock import WallClock
+from .usage import UsageLedger
 from .watch import RECOVERY_POLL_SECONDS, PrefixWatch
 
 #: Seconds before the end of the contact time by which a watch whose connection failed
@@ -124,8 +121,6 @@
             ),
         )
         self.instance_feed = InstanceFeed(self.fleet.instances)
-        self.wall_clock = WallClock()
-        self.usage_counter = UsageCounter(settings.duties.usage_window_seconds)
         self.usage_ledger = UsageLedger()
         self.relay = Relay(self.fleet, wire, self.metrics)
         self.front = Front(self.relay, wire, time.monotonic)
@@ -177,61 +172,8 @@
             self.fleet.limits,
             self.usage_ledger,
         )
-        self.duty_tasks = self._duty_tasks(settings.duties)
-
-    def _duty_tasks(self, duties):
-        """Return what this VM has to run for the duties that the settings name."""
-        if not duties.address:
-            return []
-        platform_duties = platform.PlatformDuties(duties.address)
-        tasks = []
-        if platform.USAGE_DUTY in duties.names:
-            tasks += self._usage_tasks(duties, platform_duties)
-        if platform.SCALING_DUTY in duties.names:
-            tasks.append(
-                ScaleController(
-                    self.fleet, platform_duties, self.lease, self.settings.name
-                )
-            )
-        return tasks
-
-    def _usage_tasks(self, duties, platform_duties):
-        self.relay.on_begin = self._on_begin
-        reporter = UsageReporter(
-            self.usage_counter,
-            self.usage_ledger,
-            self.store,
-            platform_duties,
-            self.lease,
-            self.settings.name,
-            duties.usage_due_seconds,
-            self.wall_clock,
-        )
-        self.handlers[defaults.USAGE_KEY] = reporter.apply
-        exchange = UsageExchange(
-            self.settings.name,
-            int(time.time() * 1000),
-            self.usage_counter,
-            self.usage_ledger,
-            self._usage_receivers,
-            self.membership.count_vms,
-            self.peers.send_to,
-            self.wall_clock,
-        )
-        return [exchange, reporter]
-
-    def _usage_receivers(self):
-        """Return the VMs that report the usage or would do so next, by name."""
-        now = time.monotonic()
-        peers = self.groups.known_peers()
-        successors = self.directory.takeover_order(now)[:SUCCESSORS]
-        return {
-            name: peers[name] for name in (*successors, self.leader) if name in peers
-        }
-
-    def _on_begin(self, team, age):
-        began_at = self.wall_clock.unix(boot_seconds()) - age
-        self.usage_counter.record(team, began_at)
+        self.duties = Duties.from_daemon(self)
+        self.handlers |= self.duties.handlers
 
     @classmethod
     def from_settings(cls, settings, log_sink):
@@ -394,7 +336,7 @@
             asyncio.ensure_future(self.peers.run()),
             asyncio.ensure_future(self.quarantine.run()),
             asyncio.ensure_future(self._sweep()),
-            *(asyncio.ensure_future(duty.run()) for duty in self.duty_tasks),
+            *(asyncio.ensure_future(duty.run()) for duty in self.duties.tasks),
         ]
         for task in tasks:
             task.add_done_callback(self._on_task_end)
