Refusals and announced leaves of instances are logged

Change: the adapter decodes Server-Leaving and Retry-After; each refused call and each response that announces a leave is logged, with the time that a refusal asks for. The stand-in engine can state both. No decision uses them yet.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -122,7 +122,7 @@
     def headers_received(self, start_line, headers):
         if start_line.code < 200:
             return
-        self.skipped = not self.accept_response(headers)
+        self.skipped = not self.accept_response(start_line.code, headers)
         if self.skipped:
             return
         self.headers = headers
@@ -281,8 +281,8 @@
     ):
         """Send one request and feed its response to ``listener``.
 
-        :param accept_response: called with a response's headers; returns False when it
-            is another request's and must be skipped.
+        :param accept_response: called with a response's status and headers; returns
+            False when it is another request's and must be skipped.
         :param keep_alive: called with the headers; returns the seconds for which the
             peer lets the connection idle, 0 when it closes it, None when it states
             nothing.
@@ -316,7 +316,7 @@
         self, connection, method, target, headers, body, listener, accept_response
     ):
         stream = connection.stream
-        accept_response = accept_response or (lambda _: True)
+        accept_response = accept_response or (lambda status, headers: True)
         http = tornado.http1connection.HTTP1Connection(stream, True, CONNECTION_PARAMS)
         start = tornado.httputil.RequestStartLine(method, target, "HTTP/1.1")
         try:
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -27,6 +27,8 @@
 NOT_EXECUTED = "X-Mulberrydock-Not-Executed"
 PRIORITY = "X-Mulberrydock-Request-Priority"
 PROMPT_PREFIX = "X-Mulberrydock-Prompt-Prefix"
+RETRY_AFTER = "Retry-After"
+SERVER_LEAVING = "Server-Leaving"
 SERVER_LIMIT = "Server-Limit"
 SIGNATURE = "X-Mulberrydock-Response-Signature"
 STAGE = "X-Mulberrydock-Stage"
@@ -139,6 +141,8 @@
             keep_alive_seconds=_keep_alive(headers),
             closing="close" in headers.get("Connection", "").lower(),
             limit=_rate_limit(headers),
+            leaving=headers.get(SERVER_LEAVING, "0").strip() not in ("", "0"),
+            retry_after=_retry_after(headers),
         )
 
     def response_headers(self, headers):
@@ -223,6 +227,13 @@
     return rate if math.isfinite(rate) else None
 
 
+def _retry_after(headers):
+    values = headers.get(RETRY_AFTER, "").split(",")
+    seconds = [_number(value, -1) for value in values]
+    # Also drops NaN, which compares as false.
+    return max((s for s in seconds if s >= 0), default=None)
+
+
 def _prompt(headers):
     counts = headers.get(TOKEN_COUNTS, "").split(",")
     tokens = int(_number(counts[0], 0))
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -132,15 +132,16 @@
             self.wire.upstream_headers(request, options),
             request.body,
             listener,
-            accept_response=lambda headers: self._accept_response(
-                instance, request, sent_at, headers
+            accept_response=lambda status, headers: self._accept_response(
+                instance, request, sent_at, status, headers
             ),
             keep_alive=self._keep_alive,
         )
 
-    def _accept_response(self, instance, request, sent_at, headers):
+    def _accept_response(self, instance, request, sent_at, status, headers):
         """Return whether a response belongs to ``request``; record its rate limit."""
         metadata = self.wire.read_metadata(headers)
+        self._log_statements(instance, request.id, status, metadata)
         if metadata.request_id not in ("", request.id):
             return False
         own = metadata.instance in ("", instance.record.id)
@@ -150,6 +151,21 @@
             self.fleet.limits.observe(instance.id, metadata.limit, sent_at, now)
         return True
 
+    def _log_statements(self, instance, request_id, status, metadata):
+        """Log what a response states about the instance's further availability."""
+        if metadata.leaving:
+            logger.info(
+                "instance announces leave", instance=instance.id, request=request_id
+            )
+        if metadata.not_executed or status == 421:
+            logger.info(
+                "call refused",
+                instance=instance.id,
+                request=request_id,
+                status=status,
+                retry_after=metadata.retry_after,
+            )
+
     def _keep_alive(self, headers):
         metadata = self.wire.read_metadata(headers)
         return 0 if metadata.closing else metadata.keep_alive_seconds
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -218,7 +218,10 @@
 
     ``request_id`` is the request that the response names and ``instance`` the
     incarnation that gave it; both are empty when it names none. ``limit`` is the rate
-    limit in requests per second, from all VMs together, None without one.
+    limit in requests per second, from all VMs together, None without one. ``leaving``
+    is True when the instance is about to terminate; ``retry_after`` is the time in
+    seconds for which an instance that refuses a call wants no other one from this VM,
+    None without one.
     """
 
     request_id: str
@@ -228,6 +231,8 @@
     keep_alive_seconds: float | None
     closing: bool
     limit: float | None = None
+    leaving: bool = False
+    retry_after: float | None = None
 
 
 @attrs.define(frozen=True)
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -91,6 +91,8 @@
     :param on_crash: called with this object when the process crashes.
     :param on_restart: called with this object after the process has restarted.
     :param rate_limit: rate limit that its responses declare, in requests per second.
+    :param leaving: its responses state that it is about to terminate.
+    :param retry_after: seconds without further calls that its refusals ask for.
 
     For assertions, ``runs`` lists the requests that it started to execute,
     ``arrived_ids`` the ids of all that arrived, ``arrival_times`` their times in
@@ -120,6 +122,8 @@
     on_restart: t.Callable = lambda engine: None
     crashes: int = 0
     rate_limit: float | None = None
+    leaving: bool = False
+    retry_after: float | None = None
     arrived_ids: list = attrs.field(factory=list)
     arrival_times: list = attrs.field(factory=list)
     listen_address: str = ""
@@ -231,7 +235,7 @@
         self.arrival_times.append(time.monotonic())
         fault = self.faults.pop(0) if self.faults else Fault.NONE
         if fault is Fault.REFUSE:
-            reader.respond(503, {wire.NOT_EXECUTED: "1"} | self._limit_header(), b"")
+            self._refuse(reader)
             return
         if reader.headers.get(wire.STAGE) == "prefill":
             await self._prefill(reader)
@@ -258,26 +262,35 @@
     async def _prefill(self, reader):
         if self.prefill_refusals:
             self.prefill_refusals.pop()
-            reader.respond(503, {wire.NOT_EXECUTED: "1"}, b"")
+            self._refuse(reader)
             return
         handle = f"h{len(self.prefills)}"
         self.prefills.append(reader.headers.get(wire.ATTEMPT_ID))
         if self.prefill_gate is not None:
             await self.prefill_gate.wait()
         body = json.dumps({"kv_handle": handle, "tokens": 10, "version": 1})
-        headers = {wire.ATTEMPT_ID: self.prefills[-1]} | self._limit_header()
-        reader.respond(200, headers, body.encode())
-
-    def _limit_header(self):
-        return (
-            {} if self.rate_limit is None else {wire.SERVER_LIMIT: str(self.rate_limit)}
-        )
+        reader.respond(200, {wire.ATTEMPT_ID: self.prefills[-1]}, body.encode())
+
+    def _refuse(self, reader):
+        headers = {wire.NOT_EXECUTED: "1"}
+        if self.retry_after is not None:
+            headers[wire.RETRY_AFTER] = str(self.retry_after)
+        reader.respond(503, headers, b"")
+
+    def statements(self):
+        """Return the headers of every response about the instance itself."""
+        headers = {}
+        if self.rate_limit is not None:
+            headers[wire.SERVER_LIMIT] = str(self.rate_limit)
+        if self.leaving:
+            headers[wire.SERVER_LEAVING] = "1"
+        return headers
 
     def _response_headers(self, run):
         return {
             wire.ATTEMPT_ID: run.id,
             wire.SIGNATURE: f"signature-of-{self.id}",
-        } | self._limit_header()
+        } | self.statements()
 
     async def _run(self, reader, run, fault):
         if fault is Fault.HANG:
@@ -374,7 +387,7 @@
 
     def respond(self, status, headers, body):
         """Send a complete response."""
-        fields = tornado.httputil.HTTPHeaders(headers)
+        fields = tornado.httputil.HTTPHeaders(headers | self.engine.statements())
         fields["Content-Length"] = str(len(body))
         self.connection.write_headers(self._start(status), fields, body or None)
         self.connection.finish()
