An instance that announces its leave in a response gets nothing new

Callers saw requests sent to an engine up to 3.1 s after it had announced its leave; such requests may end with the engine. Cause: Server-Leaving wasn't read, and a leave was known from the store's record only, which an outage of the store withholds. The class: a statement about an incarnation was kept, if at all, in an object that goes with its record. Evidence: sends to the engine went on at the same rate on all VMs, of all kinds; a daemon before a stand-in logged the statement with each response and sent on. Change: every response, of runs, prefills, reports, orders and releases, passes one place that records the statement. Notices are kept by incarnation, apart from the registry's objects, and are told to the peers while the store doesn't show them. This works as no path of a record, an outage or a restart of the record can bring the incarnation back.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -68,6 +68,19 @@
         self.loads.forget(instance_id)
         self.estimates.cache.forget(instance_id)
 
+    def record_response(self, instance, metadata, now):
+        """Record what a response states about the instance that gave it.
+
+        :param instance: the one that was called; another one may have responded.
+        :param metadata: the :class:`~mulberrydock.request.ResponseMetadata`.
+        """
+        if metadata.instance not in ("", instance.record.id):
+            instance = self.instances.instances.get(metadata.instance)
+        if instance is None:
+            return
+        if metadata.leaving:
+            self.instances.mark_leaving(instance.id, "response", now)
+
     def record_misdirected(self, instance, answering, now):
         """Record that ``instance`` refused a call as not meant for it.
 
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -10,6 +10,8 @@
 import attrs
 from loguru import logger
 
+from .leave_notices import LeaveNotices
+
 #: Seconds after the end of a store outage within which a live instance whose record
 #: expired during the outage registers again (guaranteed by the platform).
 STORE_RECOVERY_GRACE_SECONDS = 2.0
@@ -121,12 +123,14 @@
 
     ``terminated_ids`` holds the incarnations known to have terminated. ``removed_at``
     maps others to the time when their record was last removed, and ``unconfirmed``
-    holds the records of those that a restored store contains again.
+    holds the records of those that a restored store contains again. ``leave_notices``
+    are the :class:`~mulberrydock.leave_notices.LeaveNotices` of all incarnations.
     """
 
     def __init__(self, on_removed=lambda instance_id: None):
         self.instances = {}
         self.terminated_ids = set()
+        self.leave_notices = LeaveNotices()
         self.removed_at = {}
         self.unconfirmed = {}
         self.unconfirmed_until = None
@@ -167,9 +171,35 @@
         known.record = record
         known.expired_at = None
         known.unreadable = False
-        if record.draining and not known.leaving:
-            known.leaving = True
-            logger.info("instance draining", instance=record.incarnation)
+        if record.draining and self.leave_notices.add(known.id, now):
+            logger.info("instance draining", instance=known.id)
+        known.leaving = known.id in self.leave_notices
+
+    def mark_leaving(self, incarnation, source, now):
+        """Record that an incarnation announced its leave.
+
+        It may have done so before this VM has read its record.
+
+        :param source: where this VM learned it, for the log.
+        """
+        if self.leave_notices.add(incarnation, now):
+            logger.info("instance leaving", instance=incarnation, source=source)
+        instance = self.get_incarnation(incarnation)
+        if instance is not None:
+            instance.leaving = True
+
+    def leave_updates(self, recent_seconds, now):
+        """Return the leaving incarnations that the store doesn't show as such.
+
+        :param recent_seconds: only those learned in the last so many seconds.
+        """
+        return [
+            instance.id
+            for instance in self.instances.values()
+            if instance.leaving
+            and not instance.record.draining
+            and self.leave_notices.is_recent(instance.id, recent_seconds, now)
+        ]
 
     def handle_store_restored(self, now):
         """Handle a store that was restored from an older copy.
@@ -218,6 +248,8 @@
             return known
         if known.id != record.incarnation:
             self.terminated_ids.add(known.id)
+        else:
+            self.leave_notices.discard(known.id)
         self._drop(record.id, "started again")
         return None
 
--- /dev/null
+++ b/src/mulberrydock/leave_notices.py
@@ -0,0 +1,40 @@
+"""Remembers which incarnations of instances have announced that they leave.
+
+An announcement is final for an incarnation, while its record in the store may be
+outdated, expire in an outage and be written again: so the notice outlives the record.
+"""
+
+import attrs
+
+#: Maximum number of notices that are remembered; the oldest are dropped first.
+MAX_NOTICES = 1000
+
+
+@attrs.define
+class LeaveNotices:
+    """The incarnations that leave, mapped to when this VM learned it.
+
+    Times are monotonic seconds.
+    """
+
+    learned_at: dict = attrs.field(factory=dict)
+
+    def __contains__(self, incarnation):
+        return incarnation in self.learned_at
+
+    def add(self, incarnation, now):
+        """Remember that an incarnation leaves; return whether that is new."""
+        if incarnation in self.learned_at:
+            return False
+        self.learned_at[incarnation] = now
+        while len(self.learned_at) > MAX_NOTICES:
+            del self.learned_at[next(iter(self.learned_at))]
+        return True
+
+    def discard(self, incarnation):
+        """Forget a notice, as another process has that identifier now."""
+        self.learned_at.pop(incarnation, None)
+
+    def is_recent(self, incarnation, seconds, now):
+        """Return whether a notice was learned in the last ``seconds``."""
+        return now - self.learned_at[incarnation] <= seconds
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -44,7 +44,8 @@
     rows of the prompt parts prefilled there since the last message. ``pools`` are
     :class:`~mulberrydock.estimates.PoolUpdate`, ``samples`` are
     :class:`~mulberrydock.estimates.PrefillSample`, ``crashes`` are
-    :class:`~mulberrydock.quarantine.Crash`, ``limits`` are :class:`LimitUpdate`.
+    :class:`~mulberrydock.quarantine.Crash`, ``limits`` are :class:`LimitUpdate`,
+    ``leaving_instances`` are incarnations that announced their leave.
     """
 
     name: str
@@ -55,6 +56,7 @@
     samples: list = attrs.field(factory=list)
     crashes: list = attrs.field(factory=list)
     limits: list = attrs.field(factory=list)
+    leaving_instances: list = attrs.field(factory=list)
 
 
 @attrs.define(frozen=True)
@@ -128,6 +130,7 @@
         samples=[attrs.asdict(sample) for sample in update.samples],
         crashes=[attrs.asdict(crash) for crash in update.crashes],
         limits=[limit.row for limit in update.limits],
+        leavingInstances=update.leaving_instances,
     )
     # Packed, as traffic between data centres is paid for: 210 instead of 420 bytes
     # with loads of six instances.
@@ -175,4 +178,5 @@
         ],
         [Crash(row.work, row.instance) for row in message.crashes],
         [LimitUpdate.from_row(row) for row in message.limits],
+        list(message.leavingInstances),
     )
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -1,6 +1,7 @@
 """Datagrams between entry VMs: liveness, leaving VMs, loads and estimates."""
 
 import asyncio
+import math
 import socket
 import time
 
@@ -10,6 +11,7 @@
 from ._http import split_address
 from .peer_loads import PeerReport
 from .peer_messages import LimitUpdate, PeerUpdate, UsageMessage
+from .rate_limits import UPDATE_REPEAT_SECONDS
 from .rendezvous import rank
 
 #: Seconds between two messages to each peer. A prefill takes 20 to 150 ms, so counts
@@ -34,7 +36,7 @@
 
 
 class PeerLink(asyncio.DatagramProtocol):
-    """The exchange of loads, estimates, crashes and rate limits with the peers.
+    """The exchange of loads, estimates, crashes, limits and leaves with the peers.
 
     :param name: this VM's name.
     :param tracker: the :class:`~mulberrydock.peer_loads.LoadTracker` whose loads
@@ -52,6 +54,8 @@
         rate limits.
     :param usage: the :class:`~mulberrydock.usage.UsageLedger` to which received counts
         are added, None to ignore them.
+    :param instances: the :class:`~mulberrydock.instances.InstanceRegistry`, None to
+        exchange no leaves of instances.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         quarantine=None,
         limits=None,
         usage=None,
+        instances=None,
     ):
         self.name = name
         self.tracker = tracker
@@ -75,6 +80,7 @@
         self.quarantine = quarantine
         self.limits = limits
         self.usage = usage
+        self.instances = instances
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -111,6 +117,7 @@
                 self.usage.receive(update.name, update.update)
             return
         self._apply_limits(update.limits, now)
+        self._apply_leaves(update, now)
         if not update.data_centre:
             self.tracker.receive(update.name, update.report)
             self._apply_estimates(update.name, update, now)
@@ -161,6 +168,20 @@
         for limit in limits:
             self.limits.apply_update(limit.instance, limit.rate, now - limit.age, now)
 
+    def _apply_leaves(self, update, now):
+        if self.instances is None:
+            return
+        for incarnation in update.leaving_instances:
+            self.instances.mark_leaving(incarnation, update.name, now)
+
+    def _leave_updates(self, now, number):
+        """Return the leaving instances for the message with that number."""
+        if self.instances is None:
+            return []
+        everything = number % MESSAGES_PER_POOL_REPORT == 0
+        recent_seconds = math.inf if everything else UPDATE_REPEAT_SECONDS
+        return self.instances.leave_updates(recent_seconds, now)
+
     def _limit_updates(self, now, number):
         """Return the rate limits for the message with that number."""
         if self.limits is None:
@@ -206,8 +227,12 @@
         )
         self.message_count += 1
         limits = self._limit_updates(now, self.message_count)
+        leaves = self._leave_updates(now, self.message_count)
         if self.estimates is None:
-            return peer_messages.encode(PeerUpdate(self.name, report, limits=limits))
+            update = PeerUpdate(
+                self.name, report, limits=limits, leaving_instances=leaves
+            )
+            return peer_messages.encode(update)
         prefills = self.estimates.cache.take_updates()
         self._record_prefills(prefills)
         with_pools = self.message_count % MESSAGES_PER_POOL_REPORT == 0
@@ -215,7 +240,7 @@
         samples = self.estimates.take_samples()
         crashes = self.quarantine.take_updates(now) if self.quarantine else []
         update = PeerUpdate(
-            self.name, report, "", prefills, pools, samples, crashes, limits
+            self.name, report, "", prefills, pools, samples, crashes, limits, leaves
         )
         return peer_messages.encode(update)
 
@@ -237,6 +262,7 @@
             prefills,
             pools,
             limits=self._limit_updates(now, self.sum_count),
+            leaving_instances=self._leave_updates(now, self.sum_count),
         )
         return peer_messages.encode(update)
 
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -139,9 +139,8 @@
         )
 
     def _accept_response(self, instance, request, sent_at, status, headers):
-        """Return whether a response belongs to ``request``; record its rate limit."""
-        metadata = self.wire.read_metadata(headers)
-        self._log_statements(instance, request.id, status, metadata)
+        """Return whether a response belongs to ``request``; record what it states."""
+        metadata = self._observe(instance, request.id, status, headers)
         if metadata.request_id not in ("", request.id):
             return False
         own = metadata.instance in ("", instance.record.id)
@@ -151,12 +150,26 @@
             self.fleet.limits.observe(instance.id, metadata.limit, sent_at, now)
         return True
 
-    def _log_statements(self, instance, request_id, status, metadata):
-        """Log what a response states about the instance's further availability."""
-        if metadata.leaving:
-            logger.info(
-                "instance announces leave", instance=instance.id, request=request_id
-            )
+    def _accept_call_response(self, instance, call, status, headers):
+        """Record what the response to a call of this system states; accept it."""
+        self._observe(instance, f"{call.method} {call.target}", status, headers)
+        return True
+
+    def _observe(self, instance, request_id, status, headers):
+        """Record what any response states about the instance that gave it.
+
+        That also holds for a response to another request, or to a call of this system.
+
+        :param request_id: the request or call that is in progress, for the log.
+        :returns: the response's :class:`~mulberrydock.request.ResponseMetadata`.
+        """
+        metadata = self.wire.read_metadata(headers)
+        now = time.monotonic()
+        self._log_refusal(instance, request_id, status, metadata)
+        self.fleet.record_response(instance, metadata, now)
+        return metadata
+
+    def _log_refusal(self, instance, request_id, status, metadata):
         if metadata.not_executed or status == 421:
             logger.info(
                 "call refused",
@@ -219,6 +232,9 @@
             call.headers,
             call.body,
             response,
+            accept_response=lambda status, headers: self._accept_call_response(
+                instance, call, status, headers
+            ),
             keep_alive=self._keep_alive,
         )
         try:
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -135,4 +135,5 @@
   crashes @11 :List(CrashNews);   # seen by the sender; repeated as datagrams may be lost
   limits @12 :List(LimitNews);   # changed ones in every message, all of them in some
   usage @13 :UsageNews;    # when set, the message holds nothing else but the name
+  leavingInstances @14 :List(Text);   # incarnations that announced it in a response
 }
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -171,6 +171,7 @@
             self.fleet.quarantine,
             self.fleet.limits,
             self.usage_ledger,
+            self.fleet.instances,
         )
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
--- a/src/mulberrydock/trace.py
+++ b/src/mulberrydock/trace.py
@@ -21,6 +21,7 @@
         "instance seen",
         "instance stage changed",
         "instance draining",
+        "instance leaving",
         "instance record lapsed",
         "instance gone",
         "order",
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mulberrydock import peers as peers_module
+from mulberrydock.instances import InstanceRegistry
 from mulberrydock.membership import Membership, Peer
 from mulberrydock.peer_groups import PeerGroups
 from mulberrydock.peer_loads import LoadTracker
@@ -72,7 +73,9 @@
         tracker = LoadTracker()
         groups = PeerGroups(membership, tracker, data_centre)
         limits = RateLimits(name, groups.senders)
-        link = PeerLink(name, tracker, groups, bool, limits=limits)
+        link = PeerLink(
+            name, tracker, groups, bool, limits=limits, instances=InstanceRegistry()
+        )
         link.transport = Transport(self, name)
         self.vms[name] = Vm(name, data_centre, membership, tracker, groups, link)
 
--- /dev/null
+++ b/tests/test_leave_notices.py
@@ -0,0 +1,138 @@
+"""What entry VMs remember and tell each other of instances that announced a leave."""
+
+import attrs
+import pytest
+from hypothesis import assume, given
+from hypothesis import strategies as st
+
+from mulberrydock.fleet_view import FleetView
+from mulberrydock.instances import InstanceRecord, InstanceRegistry, Stage
+from mulberrydock.leave_notices import MAX_NOTICES, LeaveNotices
+from mulberrydock.request import ResponseMetadata
+
+RECORD = InstanceRecord("e1", "llm", "10.0.0.1:80", "dc1", 64, False, Stage.DECODE, 5)
+#: Seconds within which all VMs of a fleet must know of a leave: the shortest contact
+#: time of the platform.
+CONTACT_SECONDS = 3.0
+EVENTS = {
+    "record": lambda registry, now: registry.put(RECORD, now),
+    "removal": lambda registry, now: registry.remove("e1", now),
+    "unreadable": lambda registry, now: registry.mark_unreadable("e1"),
+    "store lost": lambda registry, now: registry.mark_store_unavailable(now),
+    "store back": lambda registry, now: registry.mark_store_available(now),
+    "store restored": lambda registry, now: registry.handle_store_restored(now),
+    "reload": lambda registry, now: registry.begin_reload(),
+    "reloaded": lambda registry, now: registry.finish_reload(now),
+    "sweep": lambda registry, now: registry.sweep(now),
+}
+STEPS = st.lists(st.tuples(st.sampled_from(sorted(EVENTS)), st.floats(0.0, 10.0)))
+
+
+def apply_all(registry, steps, now):
+    """Apply events, each after a pause in seconds."""
+    for name, pause in steps:
+        now += pause
+        EVENTS[name](registry, now)
+
+
+def knowing(fleet):
+    """Return the number of VMs that know of the leave."""
+    return sum(
+        RECORD.incarnation in vm.link.instances.leave_notices
+        for vm in fleet.vms.values()
+    )
+
+
+# Guards against new requests for an engine that leaves after its record was lost, read
+# late or restored, in any order and with outages of the store.
+@given(STEPS, st.sampled_from(["response", "peer", "record"]), STEPS)
+def test_incarnation_that_leaves_never_serves_again(before, source, after):
+    registry = InstanceRegistry()
+    registry.put(RECORD, 0.0)
+    apply_all(registry, before, 0.0)
+    if source == "record":
+        registry.put(attrs.evolve(RECORD, draining=True), 1000.0)
+    else:
+        registry.mark_leaving(RECORD.incarnation, source, 1000.0)
+    # A record that is unconfirmed after a restoration of the store isn't applied yet.
+    assume(RECORD.incarnation in registry.leave_notices)
+    apply_all(registry, after, 1000.0)
+    registry.put(RECORD, 2000.0)
+    assert registry.serving("llm") == []
+
+
+@pytest.mark.parametrize(
+    "successor",
+    [
+        attrs.evolve(RECORD, started_at_ms=6),
+        attrs.evolve(RECORD, id="e2"),
+        attrs.evolve(RECORD, address="10.0.0.2:80"),
+    ],
+    ids=["restarted", "other id", "other address"],
+)
+# Guards against a new engine without work because its predecessor left.
+def test_leave_of_one_incarnation_does_not_apply_to_the_next(successor):
+    registry = InstanceRegistry()
+    registry.put(RECORD, 0.0)
+    registry.mark_leaving(RECORD.incarnation, "response", 1.0)
+    registry.put(successor, 2.0)
+    assert [i.record for i in registry.serving("llm")] == [successor]
+
+
+# Guards against attributing a statement to the engine that was called when another one
+# has its address now.
+@pytest.mark.parametrize(
+    ("answering", "serving"),
+    [("", ["e2"]), ("e1", ["e2"]), ("e2", ["e1"]), ("e3", ["e1", "e2"])],
+)
+def test_leave_applies_to_the_instance_that_responded(answering, serving):
+    fleet = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
+    fleet.instances.put(RECORD, 0.0)
+    fleet.instances.put(attrs.evolve(RECORD, id="e2"), 0.0)
+    called = fleet.instances.instances["e1"]
+    metadata = ResponseMetadata("r1", answering, True, False, None, False, None, True)
+    fleet.record_response(called, metadata, 1.0)
+    assert [i.record.id for i in fleet.instances.serving("llm")] == serving
+
+
+# Guards against memory exhaustion by notices that a peer invents.
+def test_number_of_notices_is_bounded():
+    notices = LeaveNotices()
+    for number in range(2 * MAX_NOTICES):
+        notices.add(f"e{number}", float(number))
+    assert len(notices.learned_at) == MAX_NOTICES
+    assert f"e{2 * MAX_NOTICES - 1}" in notices
+
+
+# Guards against a leave that only the VM knows which was told, in small fleets and in
+# those whose data centres exchange sums, also when a VM starts later.
+@pytest.mark.parametrize(
+    "sizes",
+    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
+    ids=["8 VMs", "195 VMs"],
+)
+def test_all_vms_learn_of_a_leave(peer_fleet, sizes):
+    fleet = peer_fleet(**sizes)
+    for vm in fleet.vms.values():
+        vm.link.instances.put(RECORD, fleet.now)
+    fleet.run(2.0)
+    first = next(iter(fleet.vms.values()))
+    first.link.instances.mark_leaving(RECORD.incarnation, "response", fleet.now)
+    fleet.run(CONTACT_SECONDS)
+    assert knowing(fleet) == len(fleet.vms)
+    last = list(fleet.vms.values())[-1]
+    last.link.instances = InstanceRegistry()
+    last.link.instances.put(RECORD, fleet.now)
+    fleet.run(CONTACT_SECONDS)
+    assert knowing(fleet) == len(fleet.vms)
+
+
+# Guards against messages that grow with every instance that ever left.
+def test_notice_is_not_repeated_once_the_store_shows_it():
+    registry = InstanceRegistry()
+    registry.put(RECORD, 0.0)
+    registry.mark_leaving(RECORD.incarnation, "response", 1.0)
+    assert registry.leave_updates(float("inf"), 9.0) == [RECORD.incarnation]
+    assert registry.leave_updates(2.0, 9.0) == []
+    registry.put(attrs.evolve(RECORD, draining=True), 10.0)
+    assert registry.leave_updates(float("inf"), 10.0) == []
