--- a/tests/stated_fleet.py
+++ b/tests/stated_fleet.py
@@ -13,6 +13,7 @@
     STREAM_PATH,
     PlatformFleet,
     config,
+    wait_until,
 )
 
 VMS = ("entry-1", "entry-2")
@@ -37,11 +38,16 @@
     try:
         for name in VMS:
             fleet.wait_ready(name)
+        wait_until(lambda: all(_has_seen_all_vms(fleet, name) for name in VMS))
         yield fleet
     finally:
         fleet.stop()
 
 
+def _has_seen_all_vms(fleet, name):
+    return {row["peer"] for row in fleet.log_records("peer seen", name)} >= set(VMS)
+
+
 def send_round(fleet, prefix, name="entry-1"):
     """Send one request of each kind and prompt length by a daemon.
 
