An instance that asks for a pause gets no calls in it

Callers' requests were sent to an overloaded engine that refused them, up to 5 times by one VM in the 3 s that it had asked for; each cost them an attempt. Cause: Retry-After of an upstream wasn't read; a refused send kept its VM away for 0.25 s. The class: what an upstream states was replaced by a guess on each path that sends. Evidence: a daemon before a stand-in logged retry_after 3.0 and sent a first attempt again 0.26 s later. Change: pauses are kept by incarnation until they end, whatever else is seen, and hold for every call: sends, prefills, hand-overs, repeats, reports, orders, releases. A call that was still connecting is checked once more. Requests without another instance are refused at once with the time left. This works as every call passes the check after its connection is ready, and nothing but time ends a pause.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -278,6 +278,7 @@
         listener,
         accept_response=None,
         keep_alive=None,
+        check_send=None,
     ):
         """Send one request and feed its response to ``listener``.
 
@@ -286,12 +287,16 @@
         :param keep_alive: called with the headers; returns the seconds for which the
             peer lets the connection idle, 0 when it closes it, None when it states
             nothing.
+        :param check_send: called when the connection is ready; raises an error when
+            the request must not be sent any more.
         :raises UpstreamError: NOT_RUN when nothing was sent, UPSTREAM_FAILED when the
             response is incomplete.
         """
         connection = await self.acquire(time.monotonic())
         reusable = False
         try:
+            if check_send is not None:
+                check_send()
             response_headers, complete = await self._run(
                 connection, method, target, headers, body, listener, accept_response
             )
--- a/src/mulberrydock/exceptions.py
+++ b/src/mulberrydock/exceptions.py
@@ -97,5 +97,11 @@
     """
 
 
+class CallWithheld(UpstreamError):
+    """A call wasn't sent, as its instance leaves or wants no calls for now."""
+
+    code = ResultCode.NOT_RUN
+
+
 class CallRefused(UpstreamError):
     """An engine refused to execute a call."""
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -3,7 +3,9 @@
 import attrs
 
 from .admission import RetryBudget
+from .backoffs import Backoffs
 from .estimates import FleetEstimates
+from .exceptions import CallWithheld
 from .instances import InstanceRegistry, Stage
 from .peer_loads import LoadTracker
 from .placement import (
@@ -32,6 +34,10 @@
 RETRY_BUDGET_SHARE = 0.7
 
 
+#: Statuses whose ``Retry-After`` asks for a pause.
+PAUSE_STATUSES = (429, 503)
+
+
 class FleetView:
     """Routes, instances, loads, suspicions and estimates of one entry VM.
 
@@ -53,6 +59,7 @@
         self.loads = LoadTracker()
         self.suspicion = Suspicion()
         self.limits = limits or RateLimits()
+        self.backoffs = Backoffs()
         self.quarantine = Quarantine()
         self.placement = Placement(data_centre)
         self.estimates = FleetEstimates(self._kv_capacity)
@@ -68,7 +75,7 @@
         self.loads.forget(instance_id)
         self.estimates.cache.forget(instance_id)
 
-    def record_response(self, instance, metadata, now):
+    def record_response(self, instance, status, metadata, now):
         """Record what a response states about the instance that gave it.
 
         :param instance: the one that was called; another one may have responded.
@@ -80,6 +87,8 @@
             return
         if metadata.leaving:
             self.instances.mark_leaving(instance.id, "response", now)
+        if status in PAUSE_STATUSES and metadata.retry_after is not None:
+            self.backoffs.record(instance.id, metadata.retry_after, now)
 
     def record_misdirected(self, instance, answering, now):
         """Record that ``instance`` refused a call as not meant for it.
@@ -116,13 +125,48 @@
     def _candidates(self, service, tried, now):
         excluded = tried | self.loads.cordoned(now)
         serving = self.instances.serving(service)
-        permits = self.limits.permits
-        return [i for i in serving if i.id not in excluded and permits(i.id, now)]
+        return [i for i in serving if i.id not in excluded and self._permits(i, now)]
+
+    def _permits(self, instance, now):
+        """Return whether an instance accepts a request of this VM for now."""
+        return self.backoffs.permits(instance.id, now) and self.limits.permits(
+            instance.id, now
+        )
 
-    def is_rate_limited(self, service, now):
-        """Return whether a rate limit keeps this VM from sending to an instance now."""
+    def is_held_back(self, service, now):
+        """Return whether this VM may not send to an instance of a service for now."""
         serving = self.instances.serving(service)
-        return not all(self.limits.permits(i.id, now) for i in serving)
+        return not all(self._permits(i, now) for i in serving)
+
+    def pause_seconds(self, service, now):
+        """Return the seconds until an instance of a service accepts calls again.
+
+        It is 0 when one accepts them now, or when there is no instance.
+        """
+        pauses = [
+            self.backoffs.seconds_left(instance.id, now)
+            for instance in self.instances.serving(service)
+        ]
+        return min(pauses, default=0.0)
+
+    def check_call(self, instance, now):
+        """Check that an instance hasn't asked this VM for a pause.
+
+        :raises CallWithheld: when it has.
+        """
+        if not self.backoffs.permits(instance.id, now):
+            raise CallWithheld(f"{instance.id} asked for a pause")
+
+    def check_send(self, instance, now):
+        """Check that an instance may be sent a request, once a connection is ready.
+
+        What it states may have changed while the connection was made.
+
+        :raises CallWithheld: when it leaves or has asked this VM for a pause.
+        """
+        if instance.leaving:
+            raise CallWithheld(f"{instance.id} leaves")
+        self.check_call(instance, now)
 
     def _split_by_stage(self, engines, now):
         """Return the prefill engines and the decode engines to choose from.
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -9,7 +9,13 @@
 from .connections import BufferedResponse
 from .demand import Demand
 from .estimates import PrefillSample
-from .exceptions import CallRefused, ConnectionCut, ResultCode, UpstreamError
+from .exceptions import (
+    CallRefused,
+    CallWithheld,
+    ConnectionCut,
+    ResultCode,
+    UpstreamError,
+)
 from .request import SendOptions
 
 #: Seconds, beyond the estimated wait, for the response to a prefill call. A prompt that
@@ -117,7 +123,7 @@
 
     async def _record_failure(self, error):
         """Record a failed prefill, and find out whether the engine crashed under it."""
-        if not isinstance(error, CallRefused):
+        if not isinstance(error, CallRefused | CallWithheld):
             unreachable = error.code == ResultCode.NOT_RUN
             self.fleet.suspicion.record_failure(
                 self.engine.id, time.monotonic(), unreachable
--- a/src/mulberrydock/refusal.py
+++ b/src/mulberrydock/refusal.py
@@ -43,7 +43,7 @@
     if plan.decode_slots_full and not most_urgent:
         # With more streams than slots all of them slow down, and long answers miss
         # their deadline; the most urgent requests preempt others.
-        return Refusal("no decode engine has a place", retry_after(True, left))
+        return Refusal("no decode engine has a place", retry_after(True, 0.0, left))
     return _refuse_late(plan, min(client_idle_timeout, left), left)
 
 
@@ -63,14 +63,19 @@
     return Refusal(f"expected to wait {plan.wait:.1f} s", seconds)
 
 
-def retry_after(found_instance, left):
+def retry_after(found_instance, pause, left):
     """Return the seconds after which a refused client should retry.
 
-    Without an instance, it is no more than a share of the time until the deadline.
+    Without an instance to ask, it is no more than a share of the time until the
+    deadline.
 
     :param found_instance: whether there was any instance to ask.
+    :param pause: seconds until an instance accepts calls of this VM again, 0 if one
+        does.
     :param left: seconds until the request's deadline.
     """
+    if pause:
+        return min(max(RETRY_AFTER_SECONDS, pause), max(0.0, left) * RETRY_SHARE)
     if found_instance:
         return RETRY_AFTER_SECONDS
     return min(NO_INSTANCE_RETRY_SECONDS, max(0.0, left) * RETRY_SHARE)
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -136,6 +136,7 @@
                 instance, request, sent_at, status, headers
             ),
             keep_alive=self._keep_alive,
+            check_send=lambda: self.fleet.check_send(instance, time.monotonic()),
         )
 
     def _accept_response(self, instance, request, sent_at, status, headers):
@@ -166,7 +167,7 @@
         metadata = self.wire.read_metadata(headers)
         now = time.monotonic()
         self._log_refusal(instance, request_id, status, metadata)
-        self.fleet.record_response(instance, metadata, now)
+        self.fleet.record_response(instance, status, metadata, now)
         return metadata
 
     def _log_refusal(self, instance, request_id, status, metadata):
@@ -236,6 +237,7 @@
                 instance, call, status, headers
             ),
             keep_alive=self._keep_alive,
+            check_send=lambda: self.fleet.check_call(instance, time.monotonic()),
         )
         try:
             await asyncio.wait_for(exchange, timeout)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -13,7 +13,7 @@
 from . import refusal
 from .connections import BufferedResponse
 from .demand import Demand
-from .exceptions import ConnectionCut, ResultCode, UpstreamError
+from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 from .placement import PRIORITY_MAX
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
@@ -187,7 +187,7 @@
             return None
         plan = self.fleet.plan(self.request, self.route, self.service, self.tried, now)
         self.planned_at = now
-        if plan is None and self.fleet.is_rate_limited(self.service, now):
+        if plan is None and self.fleet.is_held_back(self.service, now):
             self.cause = "the instances take no more requests for now"
         if plan is None or not self.reserve_retries(plan, now):
             return None
@@ -407,7 +407,9 @@
         else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
-        suspected = self.fleet.suspicion.record_failure(
+        suspected = not isinstance(
+            error, CallWithheld
+        ) and self.fleet.suspicion.record_failure(
             instance.id, time.monotonic(), unreachable=not_sent
         )
         logger.warning(
@@ -460,7 +462,11 @@
             retry_after = refusal.QUARANTINE_RETRY_SECONDS
             self.relay.reject(self.request, self.sink, 503, self.cause, retry_after)
             return ResultCode.QUARANTINED
-        retry_after = refusal.retry_after(bool(self.tried), self._seconds_left(now))
+        retry_after = refusal.retry_after(
+            bool(self.tried),
+            self.fleet.pause_seconds(self.service, now),
+            self._seconds_left(now),
+        )
         self.relay.reject(self.request, self.sink, 503, self.cause, retry_after)
         return ResultCode.NO_UPSTREAM
 
--- a/src/mulberrydock/stage_controller.py
+++ b/src/mulberrydock/stage_controller.py
@@ -94,8 +94,10 @@
         leaving = self.fleet.instances.any_leaving(service.name)
         loads = self.fleet.loads.total(now)
         needs = self.fleet.stage_needs(service, now)
+        permits = self.fleet.backoffs.permits
+        paused = {engine.id for engine in engines if not permits(engine.id, now)}
         while True:
-            change = planner.decide(engines, leaving, loads, needs, now)
+            change = planner.decide(engines, leaving, loads, needs, now, paused)
             if change is None or not self.may_order(boot_seconds()):
                 return
             settle = await self.order(change, needs, now)
--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -268,13 +268,15 @@
             return DECODER_SHORTAGE_SECONDS
         return PREFILL_SHORTAGE_SECONDS
 
-    def decide(self, engines, leaving, loads, needs, now):
+    def decide(self, engines, leaving, loads, needs, now, paused=frozenset()):
         """Return the :class:`StageChange` to order next, or None.
 
         :param engines: instances of the pool that may take new work.
         :param leaving: True while others of the pool are leaving.
         :param loads: :class:`~mulberrydock.peer_loads.Load` by instance id.
         :param needs: the measured :class:`StageNeeds`, None before any request.
+        :param paused: ids of the engines that accept no calls of this VM for now. They
+            count in their stage, as the pause is soon over.
         """
         if leaving:
             self.leave_announced_at = now
@@ -287,7 +289,8 @@
         decoders = [e for e in engines if self._next_stage(e) is Stage.DECODE]
         slots = max((engine.record.slots for engine in engines), default=0)
         wanted = prefills_wanted(len(prefills), len(decoders), needs, slots)
-        retry = self._retry(engines, now)
+        reachable = [e for e in engines if e.id not in paused]
+        retry = self._retry(reachable, now)
         if retry is not None:
             return retry
         if len(prefills) == wanted:
@@ -301,7 +304,7 @@
             return None
         if len(changing) >= max(1, int(len(engines) * MAX_CHANGING_SHARE)):
             return None
-        free = [e for e in engines if e.id not in changing]
+        free = [e for e in reachable if e.id not in changing]
         return self._change(free, lacking, loads)
 
     def _next_stage(self, engine):
--- a/src/mulberrydock/trace.py
+++ b/src/mulberrydock/trace.py
@@ -22,6 +22,7 @@
         "instance stage changed",
         "instance draining",
         "instance leaving",
+        "instance asks for a pause",
         "instance record lapsed",
         "instance gone",
         "order",
--- a/tests/test_leave_notices.py
+++ b/tests/test_leave_notices.py
@@ -91,7 +91,7 @@
     fleet.instances.put(attrs.evolve(RECORD, id="e2"), 0.0)
     called = fleet.instances.instances["e1"]
     metadata = ResponseMetadata("r1", answering, True, False, None, False, None, True)
-    fleet.record_response(called, metadata, 1.0)
+    fleet.record_response(called, 200, metadata, 1.0)
     assert [i.record.id for i in fleet.instances.serving("llm")] == serving
 
 
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -56,19 +56,24 @@
 
 
 @pytest.mark.parametrize(
-    ("found", "left", "seconds"),
+    ("found", "pause", "left", "seconds"),
     [
-        (True, 8.0, 0.5),
-        (False, 30.0, 3.0),
-        (False, 8.0, 2.4),
-        (False, 2.0, 0.6),
-        (False, -1.0, 0.0),
+        (True, 0.0, 8.0, 0.5),
+        (False, 0.0, 30.0, 3.0),
+        (False, 0.0, 8.0, 2.4),
+        (False, 0.0, 2.0, 0.6),
+        (False, 0.0, -1.0, 0.0),
+        (True, 2.0, 8.0, 2.0),
+        (False, 2.0, 8.0, 2.0),
+        (True, 0.1, 8.0, 0.5),
+        (True, 3600.0, 8.0, 2.4),
+        (True, 2.0, -1.0, 0.0),
     ],
 )
-def test_retry_time_without_an_instance_covers_a_stage_change(found, left, seconds):
+def test_retry_time_covers_a_stage_change_or_a_pause(found, pause, left, seconds):
     """Guards against retries after half a second while another engine replaces the last
     decode engine, which takes 3 s: the client is refused again and gives up."""
-    assert refusal.retry_after(found, left) == pytest.approx(seconds)
+    assert refusal.retry_after(found, pause, left) == pytest.approx(seconds)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -121,7 +121,7 @@
     modules += (
         " stage_controller lease route_table watch prefill instance_feed estimates"
     )
-    modules += " quarantine quarantine_sync crash_probe"
+    modules += " quarantine quarantine_sync crash_probe backoffs rate_limits"
     page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
     for name in modules.split():
         code = (ROOT / "src" / "mulberrydock" / f"{name}.py").read_text("utf-8")
