An instance that asked several peers for a pause is avoided

Cause: a pause holds for one VM, so each VM had to be refused by each overloaded engine in each pause: a cost that grows with the fleet and eats the retry budget.

--- a/src/mulberrydock/backoffs.py
+++ b/src/mulberrydock/backoffs.py
@@ -43,6 +43,10 @@
         """Return the seconds until the end of an instance's pause, 0 without one."""
         return max(0.0, self.ends.get(instance_id, now) - now)
 
+    def paused(self, now):
+        """Return the ids of the instances that are in a pause."""
+        return {instance_id for instance_id, end in self.ends.items() if end > now}
+
     def permits(self, instance_id, now):
         """Return whether this VM may call an instance."""
         return not self.seconds_left(instance_id, now)
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -149,6 +149,10 @@
         ]
         return min(pauses, default=0.0)
 
+    def avoided(self, now):
+        """Return the ids of the instances that peers had better avoid as well."""
+        return self.suspicion.suspects(now) | self.backoffs.paused(now)
+
     def check_call(self, instance, now):
         """Check that an instance hasn't asked this VM for a pause.
 
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -79,7 +79,7 @@
     ``received_at`` is when they arrived (monotonic seconds), ``interval`` the seconds
     until the peer's next message. ``leaving`` is True for a VM that is about to leave,
     ``cordoned`` are the instances that it gives no new work for now, ``suspects`` those
-    that it avoids because its own requests failed there.
+    that it avoids because its own requests failed there or were refused with a pause.
     """
 
     sequence: int
@@ -230,11 +230,11 @@
         }
 
     def suspected_by_peers(self, now):
-        """Return the instances at which requests of several peers failed.
+        """Return the instances that several peers avoid.
 
-        Needed in large fleets when engines crash: if each VM had to find out by itself,
-        each would lose a request or two at each of them, more than its share of the
-        retry budget covers.
+        Needed in large fleets when engines crash or ask for pauses: if each VM had to
+        find out by itself, each would lose a request or two at each of them, more than
+        its share of the retry budget covers.
         """
         counts = collections.Counter()
         for report in self.fresh_reports(now).values():
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -47,7 +47,7 @@
     :param leaving: returns True once this VM drains.
     :param estimates: the :class:`~mulberrydock.estimates.FleetEstimates`, None to send
         no estimates and no crashes.
-    :param suspects: returns the ids of the instances that this VM suspects at a time.
+    :param suspects: returns the ids of the instances that this VM avoids at a time.
     :param quarantine: the :class:`~mulberrydock.quarantine.Quarantine`, None to send
         no crashes.
     :param limits: the :class:`~mulberrydock.rate_limits.RateLimits`, None to send no
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -131,7 +131,7 @@
   pools @7 :List(PoolRecord);   # in some messages only
   samples @8 :List(SampleRecord);   # since the sender's last message
   dataCentre @9 :Text;     # data centre of a sum, empty for the sender's own counts
-  suspects @10 :List(Text);    # instances the sender avoids because they failed
+  suspects @10 :List(Text);    # instances the sender avoids as they failed or refused
   crashes @11 :List(CrashNews);   # seen by the sender; repeated as datagrams may be lost
   limits @12 :List(LimitNews);   # changed ones in every message, all of them in some
   usage @13 :UsageNews;    # when set, the message holds nothing else but the name
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -167,7 +167,7 @@
             self.groups,
             self._is_draining,
             self.fleet.estimates,
-            self.fleet.suspicion.suspects,
+            self.fleet.avoided,
             self.fleet.quarantine,
             self.fleet.limits,
             self.usage_ledger,
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 
 import pytest
 import tornado.httputil
@@ -134,6 +135,49 @@
     assert b"".join(received) == b""
 
 
+#: Engines of a pool, how many of them refuse everything, and what they ask for.
+ENGINES, REFUSING, PAUSE_SECONDS = 16, 6, 3.0
+#: Requests a second of one VM, duration of the load, and the pause between two looks.
+REQUESTS_PER_SECOND, LOAD_SECONDS, STEP_SECONDS = 3, 9.0, 0.05
+#: Sends to a second engine that the platform allows for each request.
+RETRY_BUDGET_RATIO = 0.2
+
+
+def refused_share(fleet, rng):
+    """Return the share of the requests that an engine refuses at the first attempt."""
+    views = {}
+    for name, vm in fleet.vms.items():
+        views[name] = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
+        vm.link.suspects = views[name].avoided
+    sent = refused = 0
+    while fleet.now < LOAD_SECONDS:
+        fleet.run(STEP_SECONDS)
+        for name, vm in fleet.vms.items():
+            if rng.random() >= REQUESTS_PER_SECOND * STEP_SECONDS:
+                continue
+            permits = views[name].backoffs.permits
+            engines = [e for e in range(ENGINES) if permits(f"e{e}", fleet.now)]
+            avoided = vm.tracker.suspected_by_peers(fleet.now)
+            engine = rng.choice([e for e in engines if f"e{e}" not in avoided])
+            sent += 1
+            if engine < REFUSING:
+                refused += 1
+                views[name].backoffs.record(f"e{engine}", PAUSE_SECONDS, fleet.now)
+    return refused / sent
+
+
+@pytest.mark.parametrize(
+    "sizes",
+    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
+    ids=["8 VMs", "195 VMs"],
+)
+# Guards against a fleet in which each VM has to be refused by each overloaded engine in
+# each pause: the second attempts exceed the retry budget.
+def test_refusals_stay_within_the_retry_budget_of_a_fleet(peer_fleet, sizes):
+    share = refused_share(peer_fleet(**sizes), random.Random(1))
+    assert share <= RETRY_BUDGET_RATIO
+
+
 @pytest.mark.parametrize(
     ("paused", "chosen"), [(set(), "e0"), ({"e0"}, "e1"), ({"e0", "e1", "e2"}, None)]
 )
