The soak announces leaves and asks for pauses

Change: instances announce their leave 3 to 8 s before the store shows it, and ask for pauses of 1 to 4 s; the soak checks per daemon that no request reaches a leaving instance 2 s after its announcement was passed on, and at most two an instance in its pause.

--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -97,8 +97,8 @@
     For assertions, ``runs`` lists the requests that it started to execute,
     ``arrived_ids`` the ids of all that arrived, ``arrival_times`` their times in
     monotonic seconds, ``prefills`` the ids of prefill calls, ``released_handles`` the
-    KV handles that were released, and ``misdirected`` counts the calls meant for
-    another instance.
+    KV handles that were released, ``refusals`` the (id, time, pause) of the requests
+    refused with a pause, and ``misdirected`` counts the calls for another instance.
     """
 
     id: str
@@ -126,6 +126,7 @@
     retry_after: float | None = None
     arrived_ids: list = attrs.field(factory=list)
     arrival_times: list = attrs.field(factory=list)
+    refusals: list = attrs.field(factory=list)
     listen_address: str = ""
     server: object = None
     readers: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
@@ -275,6 +276,8 @@
         headers = {wire.NOT_EXECUTED: "1"}
         if self.retry_after is not None:
             headers[wire.RETRY_AFTER] = str(self.retry_after)
+            refused_id = reader.headers.get(wire.ATTEMPT_ID, "")
+            self.refusals.append((refused_id, time.monotonic(), self.retry_after))
         reader.respond(503, headers, b"")
 
     def statements(self):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,7 +4,8 @@
 services, each behind a loopback proxy. The seed decides which faults happen and when:
 connections are delayed, reset, cut or silenced; daemons are paused, killed, stopped and
 restarted; the store refuses, stops answering, loses responses and compacts its history;
-instances misbehave, drain and are replaced; one request crashes whatever runs it and is
+instances misbehave, drain, announce their leave before the store shows it, ask for
+pauses and are replaced; one request crashes whatever runs it and is
 sent repeatedly. Clients reuse open connections until these are closed. The faults
 follow the seed, but the timing of what they hit differs a little from run to run: a
 seed that failed once is to be run several times.
@@ -74,6 +75,18 @@
 #: The contact time, as in the daemons' settings: after it all VMs know of the crashes,
 #: and crashed instances have restarted.
 CONTACT_SECONDS = 2.2
+#: From the response in which an instance announces its leave until no new request may
+#: reach it through the daemon that passed the response on.
+DRAIN_SECONDS = 2.0
+#: Range of the random time from that announcement until the store shows the leave.
+ANNOUNCED_SECONDS = (3.0, 8.0)
+#: Range of the random pause that an instance asks for, and how many calls it refuses.
+PAUSE_SECONDS = (1.0, 4.0)
+MAX_REFUSALS = 40
+#: From a refusal until its pause is in force, and requests of one daemon that may reach
+#: the instance in the rest of the pause.
+NOTICE_SECONDS = 0.5
+MAX_SENDS_IN_A_PAUSE = 2
 
 
 @attrs.define
@@ -82,6 +95,9 @@
 
     :param status: the response's status, 0 without a response.
     :param complete: whether the response was read to its end.
+    :param daemon: the daemon it was sent to, at ``sent_at`` in monotonic seconds.
+    :param leaving: whether the response states that its instance leaves; it ended at
+        ``answered_at``.
     """
 
     id: str
@@ -91,6 +107,10 @@
     complete: bool = False
     body: bytes = b""
     signature: str = ""
+    daemon: str = ""
+    sent_at: float = 0.0
+    answered_at: float = 0.0
+    leaving: bool = False
 
 
 @attrs.define
@@ -101,6 +121,8 @@
     :param instance_count: how many instances were started so far.
     :param replaced: instances that were drained and replaced.
     :param fault_timers: timers that end the faults with a duration.
+    :param disturbances: (name, start, end) of each daemon that was paused or restarted
+        and of each address whose connections were disturbed, monotonic seconds.
     :param finished: set when the clients are to stop.
     """
 
@@ -112,6 +134,7 @@
     proxies: list = attrs.field(factory=list)
     fault_timers: list = attrs.field(factory=list)
     replaced: list = attrs.field(factory=list)
+    disturbances: list = attrs.field(factory=list)
     version: int = 3
     instance_count: int = 0
     finished: threading.Event = attrs.field(factory=threading.Event)
@@ -151,11 +174,16 @@
         engine.crash_marker = CRASHING_BODY
         # A crashed process refuses connections, so its proxy must do so too.
         proxy = self.proxies[-1]
-        engine.on_crash = lambda engine: proxy.set_mode("partition")
+        engine.on_crash = lambda engine: self._handle_crash(engine, proxy)
         engine.on_restart = lambda engine: self._handle_restart(engine, proxy)
         self.fleet.write(f"servers/{engine.id}", engine.store_document())
         return engine
 
+    def _handle_crash(self, engine, proxy):
+        proxy.set_mode("partition")
+        # The next incarnation hasn't asked for a pause.
+        engine.refusals.clear()
+
     def _handle_restart(self, engine, proxy):
         proxy.set_mode("pass")
         key = f"servers/{engine.id}"
@@ -168,7 +196,8 @@
         proxy = self.random.choice(self.proxies)
         mode = self.random.choice(("kill", "silent", "delay", "partition"))
         self.fleet.call_on_loop(proxy.set_mode, mode, 0.05)
-        self._call_later(self.fleet.call_on_loop, proxy.set_mode, "pass")
+        seconds = self._call_later(self.fleet.call_on_loop, proxy.set_mode, "pass")
+        self._record_disturbance(proxy.target, seconds)
         return f"{mode} before {proxy.target}"
 
     def break_store(self):
@@ -189,19 +218,40 @@
         engine.faults.append(fault)
         return f"{engine.id} {fault.value}"
 
+    def ask_for_pause(self):
+        engine = self.random.choice(list(self.fleet.engines.values()))
+        engine.retry_after = self.random.uniform(*PAUSE_SECONDS)
+        engine.faults.extend([Fault.REFUSE] * self.random.randint(1, MAX_REFUSALS))
+        return f"{engine.id} asks for pauses of {engine.retry_after:.1f} s"
+
     def replace_instance(self):
+        old = self._start_successor()
+        self._drain(old)
+        return f"{old.id} drained and replaced"
+
+    def announce_leave(self):
+        old = self._start_successor()
+        old.leaving = True
+        self._call_later(self._drain, old, within=ANNOUNCED_SECONDS)
+        return f"{old.id} announces its leave"
+
+    def _start_successor(self):
+        """Start the successor of a random instance; return the one it replaces."""
         live = [e for e in self.fleet.engines.values() if e not in self.replaced]
         old = self.random.choice(live)
         self.replaced.append(old)
         self.add_instance(old.service, old.stage)
+        return old
+
+    def _drain(self, old):
         self.fleet.write(f"servers/{old.id}", old.store_document("draining"))
         self._call_later(self.fleet.remove, f"servers/{old.id}")
-        return f"{old.id} drained and replaced"
 
     def pause_daemon(self):
         name, process = self._choose_daemon()
         process.send_signal(signal.SIGSTOP)
-        self._call_later(process.send_signal, signal.SIGCONT)
+        seconds = self._call_later(process.send_signal, signal.SIGCONT)
+        self._record_disturbance(name, seconds)
         return f"{name} paused"
 
     def restart_daemon(self):
@@ -211,6 +261,7 @@
         process.send_signal(how)
         process.wait()
         self.fleet.start(name)
+        self._record_disturbance(name, 0.0)
         return f"{name} {how.name} and restart"
 
     def reload_daemon(self):
@@ -227,13 +278,24 @@
         name = f"entry-{self.random.randrange(self.daemons)}"
         return name, self.fleet.daemons[name]
 
-    def _call_later(self, function, *args):
-        timer = threading.Timer(
-            self.random.uniform(*FAULT_DURATION_SECONDS), function, args
-        )
+    def _call_later(self, function, *args, within=FAULT_DURATION_SECONDS):
+        """Call ``function`` after a random time; return that time in seconds."""
+        seconds = self.random.uniform(*within)
+        timer = threading.Timer(seconds, function, args)
         timer.daemon = True
         timer.start()
         self.fault_timers.append(timer)
+        return seconds
+
+    def _record_disturbance(self, name, seconds):
+        now = time.monotonic()
+        self.disturbances.append((name, now, now + seconds))
+
+    def _is_disturbed(self, names, start, end):
+        return any(
+            name in names and begin <= end and start <= until
+            for name, begin, until in self.disturbances
+        )
 
     def run(self, seconds):
         """Inject faults for ``seconds``, then check the guarantees.
@@ -264,6 +326,7 @@
         kinds = (
             [self.break_connection] * 4
             + [self.break_instance] * 4
+            + [self.announce_leave, self.ask_for_pause] * 2
             + [
                 self.break_store,
                 self.compact_history,
@@ -280,7 +343,7 @@
 
     def _end_faults(self):
         for timer in self.fault_timers:
-            timer.join(2 * FAULT_DURATION_SECONDS[1])
+            timer.join(2 * ANNOUNCED_SECONDS[1])
         for engine in self.fleet.engines.values():
             engine.faults.clear()
 
@@ -308,7 +371,7 @@
             )
 
     def _send_crashing(self, name, request_id):
-        outcome = Outcome(request_id, RESUMABLE_PATH, CRASHING_BODY)
+        outcome = Outcome(request_id, RESUMABLE_PATH, CRASHING_BODY, daemon=name)
         try:
             self._exchange(self.fleet.connect(name), outcome, "100,10")
         except Exception as error:  # http.client raises undocumented exceptions
@@ -342,7 +405,7 @@
     def _run_client(self, number):
         """Send requests one after the other, reusing the connection while open."""
         rng = random.Random(f"{self.seed}/{number}")
-        connection, count = None, 0
+        connection, name, count = None, "", 0
         while not self.finished.is_set():
             count += 1
             request_id = f"c{number}-{count}"
@@ -353,6 +416,7 @@
                     name = f"entry-{rng.randrange(self.daemons)}"
                     connection = self.fleet.connect(name)
                     connection.timeout = CLIENT_TIMEOUT_SECONDS
+                outcome.daemon = name
                 tokens = rng.choice(("100,10", "2000,10", "9000,10"))
                 closing = self._exchange(connection, outcome, tokens)
             except Exception as error:  # http.client raises undocumented exceptions
@@ -367,11 +431,14 @@
     def _exchange(self, connection, outcome, tokens):
         """Make one exchange; return True when the connection is to be closed."""
         fields = {"body": outcome.sent, "X_Mulberrydock_Token_Counts": tokens}
+        outcome.sent_at = time.monotonic()
         send(connection, outcome.prefix, outcome.id, **fields)
         response = connection.getresponse()
         outcome.status = response.status
         outcome.signature = response.headers.get(wire.SIGNATURE, "")
+        outcome.leaving = wire.SERVER_LEAVING in response.headers
         outcome.body = response.read()
+        outcome.answered_at = time.monotonic()
         outcome.complete = True
         return response.headers.get("Connection", "").lower() == "close"
 
@@ -388,10 +455,53 @@
         violations += [
             f"UNASKED: {request} ran, but no client sent it" for request in runs
         ]
+        violations += self._drain_violations()
+        violations += self._pause_violations()
         violations += self._order_violations()
         violations += self._version_violations()
         return violations
 
+    def _arrivals(self):
+        """Return (instance, outcome, time) of each arrival of a client's request."""
+        outcomes = {outcome.id: outcome for outcome in self.outcomes}
+        return [
+            (engine, outcomes[request_id], at)
+            for engine in self.fleet.engines.values()
+            for request_id, at in zip(engine.arrived_ids, engine.arrival_times)
+            if request_id in outcomes
+        ]
+
+    def _drain_violations(self):
+        told_at = {}
+        for outcome in self.outcomes:
+            if outcome.leaving:
+                key = outcome.daemon, outcome.signature
+                told_at.setdefault(key, outcome.answered_at)
+        for engine, outcome, at in self._arrivals():
+            told = told_at.get((outcome.daemon, f"signature-of-{engine.id}"), at)
+            if outcome.sent_at <= told + DRAIN_SECONDS:
+                continue
+            if not self._is_disturbed({outcome.daemon}, told, at):
+                yield f"DRAIN: {outcome.id} reached {engine.id}, which leaves"
+
+    def _pause_violations(self):
+        times = collections.defaultdict(list)
+        daemons = {outcome.id: outcome.daemon for outcome in self.outcomes}
+        for engine, outcome, at in self._arrivals():
+            times[engine.id, outcome.daemon].append(at)
+        for engine in self.fleet.engines.values():
+            for request_id, at, pause in engine.refusals:
+                name, end = daemons.get(request_id), at + pause
+                sends = sum(
+                    at + NOTICE_SECONDS < moment < end
+                    for moment in times[engine.id, name]
+                )
+                names = {name, engine.listen_address}
+                if sends > MAX_SENDS_IN_A_PAUSE and not self._is_disturbed(
+                    names, at, end
+                ):
+                    yield f"BUDGET: {sends} sends of {name} in a pause of {engine.id}"
+
     def _order_violations(self):
         for engine in self.fleet.engines.values():
             tokens = [order["fencing_token"] for order in engine.orders]
