Limits are learned from every response, leaves also from reports

Change: limits are recorded where all responses pass; a report that states a leave marks the engine, which then gets no order. Measured: test_engine_that_reports_its_leave_is_not_ordered fails without the change; the tests of limits, records and stages pass.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -87,6 +87,8 @@
             return
         if metadata.leaving:
             self.instances.mark_leaving(instance.id, "response", now)
+        if metadata.limit is not None:
+            self.limits.observe(instance.id, metadata.limit, now, now)
         if status in PAUSE_STATUSES and metadata.retry_after is not None:
             self.backoffs.record(instance.id, metadata.retry_after, now)
 
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -71,13 +71,14 @@
 
     ``busy`` is true while an order is being carried out; ``orders`` counts the
     orders accepted since its start at ``started_at_ms``, Unix milliseconds or None as
-    in :class:`InstanceRecord`.
+    in :class:`InstanceRecord`. ``leaving`` is true when it is about to terminate.
     """
 
     stage: Stage
     busy: bool
     orders: int
     started_at_ms: int | None = None
+    leaving: bool = False
 
 
 @attrs.define(eq=False)
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -185,6 +185,7 @@
             # the field of the same name counts heartbeats.
             _count(row["sequence"], "sequence"),
             _started_at_ms(row),
+            row.get("state") == DRAINING,
         )
     except DECODE_ERRORS as error:
         raise UpstreamError(f"invalid engine report: {error!r}") from error
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -146,9 +146,8 @@
             return False
         own = metadata.instance in ("", instance.record.id)
         # A refusal that names no limit doesn't show that the limit has been lifted.
-        if own and (metadata.limit is not None or not metadata.not_executed):
-            now = time.monotonic()
-            self.fleet.limits.observe(instance.id, metadata.limit, sent_at, now)
+        if own and metadata.limit is None and not metadata.not_executed:
+            self.fleet.limits.observe(instance.id, None, sent_at, time.monotonic())
         return True
 
     def _accept_call_response(self, instance, call, status, headers):
--- a/src/mulberrydock/stage_controller.py
+++ b/src/mulberrydock/stage_controller.py
@@ -124,6 +124,9 @@
             # The decision was based on the state of the former incarnation.
             self.fleet.instances.mark_restarted(instance, report.started_at_ms)
             return stages.REFUSED_SETTLE_SECONDS
+        if report.leaving:
+            self.fleet.instances.mark_leaving(instance.id, "report", now)
+            return stages.REFUSED_SETTLE_SECONDS
         if report.busy:
             return stages.ORDER_SETTLE_SECONDS
         # Check the lease again right before sending.
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -9,7 +9,10 @@
 import attrs
 import pytest
 
+from mulberrydock.fleet_view import FleetView
+from mulberrydock.instances import InstanceRecord
 from mulberrydock.rate_limits import CLEAR_RESPONSES, TAKEOVER_SECONDS, RateLimits
+from mulberrydock.request import ResponseMetadata
 
 #: Seconds from the first response with the limit until the fleet must keep to it,
 #: seconds of a window, and requests that it may contain beyond one and a half times the
@@ -24,6 +27,7 @@
 DEMAND = 60.0
 STEP_SECONDS = 0.1
 SMALL = {"dc1": 3, "dc2": 3, "dc3": 2}
+LIMITED = InstanceRecord("e1", "llm", "10.0.0.1:80", "dc1", 64, False)
 LARGE = {f"dc{n}": 39 for n in range(1, 6)}
 
 
@@ -232,3 +236,15 @@
     assert limits.permits("e1", TAKEOVER_SECONDS)
     members.clear()
     assert not limits.permits("e1", 2 * TAKEOVER_SECONDS)
+
+
+# Guards against a limit that is stated only in a refusal, or in the response to a call
+# of this system, and so isn't learned.
+@pytest.mark.parametrize("status", [200, 202, 409, 421, 500, 503])
+def test_limit_is_learned_from_every_response(status):
+    fleet = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
+    fleet.instances.put(LIMITED, 0.0)
+    (instance,) = fleet.instances.serving("llm")
+    metadata = ResponseMetadata("", "", False, status != 200, None, False, 2.0)
+    fleet.record_response(instance, status, metadata, 1.0)
+    assert fleet.limits.limits[instance.id].rate == 2.0
--- a/tests/test_stage_controller.py
+++ b/tests/test_stage_controller.py
@@ -25,16 +25,20 @@
 
 @attrs.define
 class Engines:
-    """Stands in for wire, relay and store; ``status`` is the response to each order."""
+    """Stands in for wire, relay and store; ``status`` is the response to each order.
+
+    ``leaving`` is what the engines' reports state.
+    """
 
     status: int
+    leaving: bool = False
     ordered: list = attrs.field(factory=list)
 
     def report_call(self, record):
         return "report"
 
     def read_report(self, body):
-        return EngineReport(Stage.DECODE, False, 0)
+        return EngineReport(Stage.DECODE, False, 0, leaving=self.leaving)
 
     def stage_order_call(self, record, stage, orders, holder, token):
         return (record.id, stage)
@@ -80,3 +84,14 @@
     asyncio.run(controller.run_pass(10.0 + PREFILL_SHORTAGE_SECONDS))
     assert len(engines.ordered) == at_once
     assert len(set(engines.ordered)) == at_once
+
+
+# Guards against a stage order, and further requests, for an engine whose report states
+# that it leaves while its record doesn't.
+def test_engine_that_reports_its_leave_is_not_ordered():
+    engines = Engines(202, leaving=True)
+    controller = controller_over(engines, 40)
+    asyncio.run(controller.run_pass(10.0))
+    asyncio.run(controller.run_pass(10.0 + PREFILL_SHORTAGE_SECONDS))
+    assert engines.ordered == []
+    assert len(controller.fleet.instances.serving("llm")) == 39
