The entry's watch of stored crashes survives a full read

An entry of the product's own front learned of no crash that another entry had seen. Cause: its watch called finish_reload without the two arguments that it takes, so the task ended with a TypeError at its first full read. Change: the crash guard ends the full read with its own jitter and time. Measured: test_watch_of_crashes_survives_a_full_read fails before (TypeError), passes now.

--- a/src/mulberrydock/crash_guard.py
+++ b/src/mulberrydock/crash_guard.py
@@ -12,6 +12,7 @@
 from .exceptions import ConnectionCut
 from .quarantine import Quarantine
 from .quarantine_sync import QuarantineSync
+from .rendezvous import rank
 
 
 @attrs.define
@@ -30,6 +31,11 @@
         quarantine = Quarantine()
         return cls(quarantine, QuarantineSync(quarantine, store, name, is_leader))
 
+    def finish_reload(self):
+        """End a full read of the crashes in the store."""
+        jitter = rank("crashes", self.sync.name)[0] / 256
+        self.quarantine.finish_reload(jitter, time.monotonic())
+
     def is_quarantined(self, work):
         """Return whether ``work``, a fingerprint, must not be sent to any upstream."""
         return self.quarantine.is_quarantined(work, time.monotonic())
--- a/src/mulberrydock/entry.py
+++ b/src/mulberrydock/entry.py
@@ -65,7 +65,7 @@
             defaults.CRASH_PREFIX,
             self.crash_guard.sync.apply,
             self.crash_guard.quarantine.begin_reload,
-            self.crash_guard.quarantine.finish_reload,
+            self.crash_guard.finish_reload,
         )
         self.background_tasks = set()
         self.vm_list = VmList(settings.vm_list.address, self._on_vm_list)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -14,6 +14,7 @@
 from mulberrydock.admission import RetryBudget
 from mulberrydock.completion import Completion
 from mulberrydock.crash_guard import CrashGuard
+from mulberrydock.entry import EntryDaemon
 from mulberrydock.exceptions import ResultCode
 from mulberrydock.idempotency import IdempotentCall
 from mulberrydock.metrics import EntryMetrics
@@ -195,3 +196,17 @@
         return outcome.status, outcome.code
 
     assert asyncio.run(run()) == (status, code)
+
+
+# Guards against an entry whose watch of the stored crashes ends at its first full read:
+# it would learn of no crash that another entry saw.
+def test_watch_of_crashes_survives_a_full_read():
+    settings = parse_settings(default_settings_text("lagos"))
+    daemon = EntryDaemon(settings, settings.entries[0], None)
+    watch = daemon.crash_watch
+    for number in range(CRASH_LIMIT):
+        daemon.crash_guard.quarantine.apply(Crash.of("work", f"e{number}").key, 1.0)
+    assert daemon.crash_guard.is_quarantined("work")
+    watch.on_reset()
+    watch.on_loaded()
+    assert not daemon.crash_guard.is_quarantined("work")
