Numbers in a client's headers are finite

A client whose headers hold nan or inf got no answer: reading its request raised an error on the front's connection, or gave a deadline that never comes. Cause: float() accepts both, int() of them raises. Measured: test_request_with_any_numbers_is_read fails before, passes now.

--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -88,6 +88,9 @@
 
 #: Deadline of a request that states none, in milliseconds after its arrival.
 DEFAULT_DEADLINE_MS = 60_000
+#: Maximum of a client's number: milliseconds, tokens or events. Larger ones overflow
+#: where they are multiplied.
+MAX_QUANTITY = 10**9
 
 
 class PlatformWire(Wire):
@@ -102,9 +105,9 @@
             headers=_end_to_end(headers, SEPARATE_HEADERS),
             body=body,
             arrived=now,
-            deadline=now + _number(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000,
+            deadline=now + _quantity(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000,
             prompt=_prompt(headers),
-            last_event_id=int(_number(headers.get(LAST_EVENT_ID), 0)),
+            last_event_id=int(_quantity(headers.get(LAST_EVENT_ID), 0)),
             authorization=tuple(headers.get_list(AUTHORIZATION)),
         )
 
@@ -214,6 +217,13 @@
         return default
 
 
+def _quantity(text, default):
+    """Return a client's number, ``default`` if it is none that can be counted with."""
+    number = _number(text, default)
+    # Also false for NaN.
+    return min(number, MAX_QUANTITY) if number >= 0 else default
+
+
 def _keep_alive(headers):
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
@@ -236,8 +246,8 @@
 
 def _prompt(headers):
     counts = headers.get(TOKEN_COUNTS, "").split(",")
-    tokens = int(_number(counts[0], 0))
-    output = int(_number(counts[1], 0)) if len(counts) > 1 else 0
+    tokens = int(_quantity(counts[0], 0))
+    output = int(_quantity(counts[1], 0)) if len(counts) > 1 else 0
     return Prompt(tokens, output, _parts(headers.get(PROMPT_PREFIX, "")))
 
 
@@ -246,7 +256,7 @@
     for entry in text.split(","):
         part_id, _, tokens = entry.strip().partition(":")
         if part_id:
-            parts.append(PromptPart(part_id, int(_number(tokens, 0))))
+            parts.append(PromptPart(part_id, int(_quantity(tokens, 0))))
     return tuple(parts)
 
 
