A configuration with an infinite version is refused

A daemon would exit on it: int(inf) raises OverflowError, which wasn't among the errors of decoding, so the watch's task ended. Change: it is one of them; the configuration before stays in force. Measured: test_configuration_with_an_invalid_version_is_rejected[1e999] fails before, passes now.

--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -22,8 +22,8 @@
 READY = "ready"
 DRAINING = "draining"
 #: Raised while decoding a malformed document; RecursionError when JSON is nested too
-#: deeply for the parser.
-DECODE_ERRORS = (ValueError, KeyError, TypeError, RecursionError)
+#: deeply for the parser, OverflowError when a number is infinite.
+DECODE_ERRORS = (ValueError, KeyError, TypeError, RecursionError, OverflowError)
 
 
 def read_config(key, text):
--- a/tests/test_instance_records.py
+++ b/tests/test_instance_records.py
@@ -11,7 +11,7 @@
 from mulberrydock.fleet_view import FleetView
 from mulberrydock.instance_feed import MAX_REFUSED_IDS, InstanceFeed
 from mulberrydock.instances import InstanceRegistry
-from mulberrydock.platform import documents, read_instance
+from mulberrydock.platform import documents, read_config, read_instance
 from mulberrydock.platform.store import _event
 from mulberrydock.suspicion import Suspicion
 
@@ -294,3 +294,12 @@
     """Guards against an order that is based on an invalid report."""
     with pytest.raises(UpstreamError):
         documents.read_report(body)
+
+
+@pytest.mark.parametrize("version", ["1e999", "NaN", '"x"', "null", "[]"])
+# Guards against a watch that ends with an error, and a daemon that exits, on a version
+# that isn't a number to count with.
+def test_configuration_with_an_invalid_version_is_rejected(version):
+    text = f'{{"version": {version}, "routes": [], "services": []}}'
+    with pytest.raises(SettingsError):
+        read_config("op/config", text)
