The stand-in engine cancels a run when a write shows that its client left

test_caller_who_leaves_frees_the_engine failed in 3 of 25 and 2 of 34 runs beside load: the engine went on generating, never cancelled, though the proxy had closed both connections. Cause: the stand-in, not the entry. When an event is written before tornado has called the close callback, flush raises StreamClosedError; the handler returned, which finished the request and so removed the callback: nobody told the batch. Change: the handler marks the run as cancelled before it returns.

--- a/src/mulberrydock/standin/engine.py
+++ b/src/mulberrydock/standin/engine.py
@@ -262,6 +262,9 @@
             try:
                 await self.flush()
             except tornado.iostream.StreamClosedError:
+                # Returning finishes the request, which removes its close callback
+                # before tornado has called it.
+                self.on_connection_close()
                 return
         if item == ABORTED:
             self._abort()
