A dropped notice of a leave neither ends it nor breaks the messages

Cause, found in reading the diff: beyond 1,000 notices the oldest is dropped; for an instance that is still registered the next record then cleared its leave, and building the next message to the peers raised KeyError, which ends the daemon. And a record with the same start but another address discarded the notice of that incarnation. Change: a registered instance keeps its leave, a missing notice is an old one; a notice is discarded only where the address alone tells two processes apart.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -32,8 +32,6 @@
 #: Share of the fleet-wide retry budget that the VMs spend together: their time
 #: windows and their counts of each other differ slightly.
 RETRY_BUDGET_SHARE = 0.7
-
-
 #: Statuses whose ``Retry-After`` asks for a pause.
 PAUSE_STATUSES = (429, 503)
 
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -174,7 +174,7 @@
         known.unreadable = False
         if record.draining and self.leave_notices.add(known.id, now):
             logger.info("instance draining", instance=known.id)
-        known.leaving = known.id in self.leave_notices
+        known.leaving = known.leaving or known.id in self.leave_notices
 
     def mark_leaving(self, incarnation, source, now):
         """Record that an incarnation announced its leave.
@@ -249,7 +249,8 @@
             return known
         if known.id != record.incarnation:
             self.terminated_ids.add(known.id)
-        else:
+        elif record.started_at_ms is None:
+            # Only the address shows that this is another process.
             self.leave_notices.discard(known.id)
         self._drop(record.id, "started again")
         return None
--- a/src/mulberrydock/leave_notices.py
+++ b/src/mulberrydock/leave_notices.py
@@ -4,6 +4,8 @@
 outdated, expire in an outage and be written again: so the notice outlives the record.
 """
 
+import math
+
 import attrs
 
 #: Maximum number of notices that are remembered; the oldest are dropped first.
@@ -37,4 +39,4 @@
 
     def is_recent(self, incarnation, seconds, now):
         """Return whether a notice was learned in the last ``seconds``."""
-        return now - self.learned_at[incarnation] <= seconds
+        return now - self.learned_at.get(incarnation, -math.inf) <= seconds
--- a/tests/test_leave_notices.py
+++ b/tests/test_leave_notices.py
@@ -62,21 +62,27 @@
 
 
 @pytest.mark.parametrize(
-    "successor",
+    ("started_at_ms", "change", "serves"),
     [
-        attrs.evolve(RECORD, started_at_ms=6),
-        attrs.evolve(RECORD, id="e2"),
-        attrs.evolve(RECORD, address="10.0.0.2:80"),
+        (5, {"started_at_ms": 6}, True),
+        (5, {"id": "e2"}, True),
+        (None, {"address": "10.0.0.2:80"}, True),
+        (5, {"address": "10.0.0.2:80"}, False),
+        (5, {"slots": 8}, False),
     ],
-    ids=["restarted", "other id", "other address"],
+    ids=["restarted", "other id", "other process", "other address", "same"],
 )
-# Guards against a new engine without work because its predecessor left.
-def test_leave_of_one_incarnation_does_not_apply_to_the_next(successor):
+# Guards against a new engine without work because its predecessor left, and against
+# taking another record of the same incarnation for a new engine.
+def test_leave_of_one_incarnation_does_not_apply_to_the_next(
+    started_at_ms, change, serves
+):
     registry = InstanceRegistry()
-    registry.put(RECORD, 0.0)
-    registry.mark_leaving(RECORD.incarnation, "response", 1.0)
-    registry.put(successor, 2.0)
-    assert [i.record for i in registry.serving("llm")] == [successor]
+    first = attrs.evolve(RECORD, started_at_ms=started_at_ms)
+    registry.put(first, 0.0)
+    registry.mark_leaving(first.incarnation, "response", 1.0)
+    registry.put(attrs.evolve(first, **change), 2.0)
+    assert bool(registry.serving("llm")) is serves
 
 
 # Guards against attributing a statement to the engine that was called when another one
@@ -104,6 +110,19 @@
     assert f"e{2 * MAX_NOTICES - 1}" in notices
 
 
+# Guards against an engine that serves again, and messages that can't be built, once its
+# notice was dropped for newer ones.
+def test_registered_instance_goes_on_leaving_without_its_notice():
+    registry = InstanceRegistry()
+    registry.put(RECORD, 0.0)
+    registry.mark_leaving(RECORD.incarnation, "response", 1.0)
+    for number in range(MAX_NOTICES):
+        registry.mark_leaving(f"x{number}", "peer", 2.0)
+    registry.put(RECORD, 3.0)
+    assert registry.serving("llm") == []
+    assert registry.leave_updates(1.0, 3.0) == []
+
+
 # Guards against a leave that only the VM knows which was told, in small fleets and in
 # those whose data centres exchange sums, also when a VM starts later.
 @pytest.mark.parametrize(
