--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -7,10 +7,10 @@
 import asyncio
 import time
 
-import attrs
 from loguru import logger
 
 from . import refusal
+from .call_counter import CallCounter
 from .connections import BufferedResponse
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
@@ -43,38 +43,6 @@
     )
 
 
-@attrs.define
-class CallCounter:
-    """Counts a request's calls of one kind.
-
-    ``made`` are all calls, ``maybe_received`` those that an instance may have received,
-    ``rejected`` those that it stated not to have executed.
-    """
-
-    made: int = 0
-    maybe_received: int = 0
-    rejected: int = 0
-
-    @property
-    def maybe_executed(self):
-        """The number of calls that an instance may have executed."""
-        return self.maybe_received - self.rejected
-
-    def record_call(self):
-        """Record a call that is about to be made."""
-        self.made += 1
-        self.maybe_received += 1
-
-    def record_not_sent(self):
-        """Record that the last call wasn't sent, as nobody accepted its connection.
-
-        :returns: the number of retries reserved from the retry budget for it, which the
-            next attempt may use.
-        """
-        self.maybe_received -= 1
-        return int(self.maybe_received > 0)
-
-
 class RequestLifecycle:
     """Serves one request; :meth:`run` answers it through ``sink``.
 
@@ -407,11 +375,11 @@
         else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
-        suspected = not isinstance(
-            error, CallWithheld
-        ) and self.fleet.suspicion.record_failure(
-            instance.id, time.monotonic(), unreachable=not_sent
-        )
+        suspected = False
+        if not isinstance(error, CallWithheld):
+            suspected = self.fleet.suspicion.record_failure(
+                instance.id, time.monotonic(), unreachable=not_sent
+            )
         logger.warning(
             "attempt failed",
             request=self.request.id,
