Test fleets release their ports when they stop

Cause: a stopped fleet left its stand-ins and proxies listening, 7 ports a fleet; the new tests start 18 fleets and three larger soaks. Change: PlatformFleet.stop closes the stand-ins, the soak its proxies.

--- a/src/mulberrydock/standin/faultproxy.py
+++ b/src/mulberrydock/standin/faultproxy.py
@@ -90,6 +90,14 @@
         self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.reserved.bind(self.listen_address)
 
+    def release(self):
+        """Stop for good: close all connections and release the port."""
+        self.acceptor.stop()
+        if self.reserved is not None:
+            self.reserved.close()
+        for pipe in list(self.pipes):
+            pipe.close()
+
     def set_mode(self, mode, delay_seconds=0.0):
         """Switch the fault mode.
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -128,8 +128,8 @@
         state = platform_store.PlatformStoreState()
         app = platform_store.make_app(state)
         self.store_port = free_ports(1)[0]
-        server = tornado.httpserver.HTTPServer(app)
-        server.listen(self.store_port, address="127.0.0.1")
+        self.store_server = tornado.httpserver.HTTPServer(app)
+        self.store_server.listen(self.store_port, address="127.0.0.1")
         self.expiry_task = asyncio.ensure_future(platform_store.expire_leases(state))
         return state
 
@@ -253,9 +253,18 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        self.call_on_loop(self._close_standins)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(10)
 
+    def _close_standins(self):
+        """Release the ports of the stand-ins, which tests of this process share."""
+        self.store_server.stop()
+        for engine in self.engines.values():
+            engine.stop()
+            for reader in list(engine.readers):
+                reader.close()
+
 
 def send(connection, prefix, request_id, body=b"prompt", **headers):
     """Send one client request on an open connection."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -563,6 +563,8 @@
         for process in soak.fleet.daemons.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
+        for proxy in soak.proxies:
+            soak.fleet.call_on_loop(proxy.release)
         soak.fleet.stop()
 
 
