Tests of statements wait for an arrival, not for a time

Cause: two tests sent load for one and for three seconds and then asked for an arrival, which a busy machine may not bring in that time. Change: they send until a request has arrived.

--- a/tests/stated_fleet.py
+++ b/tests/stated_fleet.py
@@ -66,6 +66,16 @@
     return statuses
 
 
+def send_until_arrival(fleet, engine, names=VMS[:1]):
+    """Send requests by the named daemons until one has reached ``engine``."""
+    for number in range(100):
+        for name in names:
+            send_round(fleet, f"until-{number}", name)
+        if engine.arrived_ids:
+            return
+    raise AssertionError(f"no request reached {engine.id}")
+
+
 def busiest(fleet, kind):
     """Return the instance of a kind that gets the most requests of sequential clients.
 
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -7,7 +7,14 @@
 
 import pytest
 from platform_fleet import IDEMPOTENT_PATH
-from stated_fleet import KINDS, VMS, busiest, send_round, started_fleet
+from stated_fleet import (
+    KINDS,
+    VMS,
+    busiest,
+    send_round,
+    send_until_arrival,
+    started_fleet,
+)
 
 from mulberrydock.standin.platform_engine import Fault
 
@@ -73,12 +80,11 @@
 def test_engine_gets_requests_again_after_its_pause(fleet, kind):
     engine = busiest(fleet, kind)
     engine.retry_after, engine.faults = 1.0, [Fault.REFUSE]
-    send_load(fleet, 1.0)
+    send_until_arrival(fleet, engine)
     assert engine.faults == []
     time.sleep(1.0)
     engine.arrived_ids.clear()
-    send_load(fleet, 3.0)
-    assert engine.arrived_ids
+    send_until_arrival(fleet, engine, VMS)
 
 
 # Guards against a request that waits for the only engines of its service, or is sent to
--- a/tests/test_server_leaving.py
+++ b/tests/test_server_leaving.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from stated_fleet import busiest, send_round, started_fleet
+from stated_fleet import busiest, send_round, send_until_arrival, started_fleet
 
 from mulberrydock.standin.platform_engine import Fault
 
@@ -22,15 +22,6 @@
         yield running
 
 
-def send_until_arrival(fleet, engine):
-    """Send requests by the first daemon until one has reached ``engine``."""
-    for number in range(20):
-        send_round(fleet, f"before-{number}")
-        if engine.arrived_ids:
-            return
-    raise AssertionError(f"no request reached {engine.id}")
-
-
 def arrivals_after_drain(fleet, engine, name="entry-1"):
     """Return the ids of requests that reach ``engine`` although it is leaving."""
     time.sleep(DRAIN_SECONDS)
