Both fronts end a full read of the crash records in one place

Cause: the mend of the entry's watch wrote the jitter of serve.py a second time. Change: QuarantineSync.finish_reload does it for both; behaviour is the same. The text of record_not_sent names no single reason any more.

--- a/src/mulberrydock/call_counter.py
+++ b/src/mulberrydock/call_counter.py
@@ -26,7 +26,7 @@
         self.maybe_received += 1
 
     def record_not_sent(self):
-        """Record that the last call wasn't sent, as nobody accepted its connection.
+        """Record that the last call wasn't sent.
 
         :returns: the number of retries reserved from the retry budget for it, which the
             next attempt may use.
--- a/src/mulberrydock/crash_guard.py
+++ b/src/mulberrydock/crash_guard.py
@@ -12,7 +12,6 @@
 from .exceptions import ConnectionCut
 from .quarantine import Quarantine
 from .quarantine_sync import QuarantineSync
-from .rendezvous import rank
 
 
 @attrs.define
@@ -33,8 +32,7 @@
 
     def finish_reload(self):
         """End a full read of the crashes in the store."""
-        jitter = rank("crashes", self.sync.name)[0] / 256
-        self.quarantine.finish_reload(jitter, time.monotonic())
+        self.sync.finish_reload(time.monotonic())
 
     def is_quarantined(self, work):
         """Return whether ``work``, a fingerprint, must not be sent to any upstream."""
--- a/src/mulberrydock/quarantine_sync.py
+++ b/src/mulberrydock/quarantine_sync.py
@@ -13,6 +13,7 @@
 
 from . import records
 from .exceptions import StoreError
+from .rendezvous import rank
 
 #: Seconds between two checks for pending writes, which are sent in one call.
 POLL_INTERVAL_SECONDS = 0.1
@@ -38,6 +39,11 @@
     is_leader: object
     last_expiry_at: float = 0.0
 
+    def finish_reload(self, now):
+        """End a full read of the records, at ``now`` in monotonic seconds."""
+        jitter = rank("crashes", self.name)[0] / 256
+        self.quarantine.finish_reload(jitter, now)
+
     def apply(self, key, value, revision):
         """Apply a record, or its removal when ``value`` is None."""
         if value is None:
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -31,7 +31,6 @@
 from .quarantine_sync import QuarantineSync
 from .rate_limits import RateLimits
 from .relay import Relay
-from .rendezvous import rank
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
 from .usage import UsageLedger
@@ -274,8 +273,7 @@
 
     def _on_loaded(self):
         now = time.monotonic()
-        jitter = rank("crashes", self.settings.name)[0] / 256
-        self.fleet.quarantine.finish_reload(jitter, now)
+        self.quarantine.finish_reload(now)
         self.fleet.instances.finish_reload(now)
         self.membership.finish_reload()
 
