A VM says when it can connect to no instance of a service

A VM's log didn't tell an instance that is down from its own link to it: only the logs of all VMs side by side did. A line when no instance of a stage can be connected to while all are registered, one when one can again, and a gauge. No decision uses it yet.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -171,12 +171,16 @@
 class ConnectionPool:
     """Connections to one address, for one incarnation of the server there.
 
+    An owner may set ``on_connect``: it is called after each attempt to connect, with
+    whether it succeeded.
+
     :param limit: maximum number of open connections.
     """
 
     def __init__(self, address, limit=1000):
         self.address = address
         self.limit = limit
+        self.on_connect = lambda connected: None
         self.idle = []
         self.open = 0
 
@@ -224,10 +228,12 @@
                 error,
                 (OSError, asyncio.TimeoutError, tornado.iostream.StreamClosedError),
             ):
+                self.on_connect(False)
                 raise UpstreamError(
                     f"can't connect to {self.address}: {error!r}", ResultCode.NOT_RUN
                 ) from error
             raise
+        self.on_connect(True)
         return Connection(stream)
 
     async def acquire(self, now):
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -7,6 +7,7 @@
 from .estimates import FleetEstimates
 from .exceptions import CallWithheld
 from .instances import InstanceRegistry, Stage
+from .links import Links
 from .peer_loads import LoadTracker
 from .placement import (
     REMOTE_TRANSFER_FACTOR,
@@ -56,6 +57,7 @@
         self.instances = InstanceRegistry(on_removed)
         self.loads = LoadTracker()
         self.suspicion = Suspicion()
+        self.links = Links(self.instances)
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
         self.quarantine = Quarantine()
@@ -69,6 +71,7 @@
     def forget(self, instance_id):
         """Drop all state of a terminated incarnation."""
         self.suspicion.forget(instance_id)
+        self.links.forget(instance_id)
         self.limits.forget(instance_id)
         self.loads.forget(instance_id)
         self.estimates.cache.forget(instance_id)
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -119,6 +119,12 @@
             ["code"],
             registry=self.registry,
         )
+        self.links_lost = prometheus_client.Gauge(
+            "mulberrydock_links_lost",
+            "Whether this VM can't connect to any instance of a stage of the service.",
+            ["service"],
+            registry=self.registry,
+        )
         self.config_version = prometheus_client.Gauge(
             "mulberrydock_config_version",
             "Version of the configuration in force here.",
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -42,6 +42,9 @@
         pool = self.connection_pools.get(instance.id)
         if pool is None:
             pool = ConnectionPool(instance.address)
+            pool.on_connect = lambda connected: self.fleet.links.record(
+                instance, connected, time.monotonic()
+            )
             self.connection_pools[instance.id] = pool
         # This VM's share of the cap shrinks as more entry VMs become known.
         pool.limit = self.fleet.connection_limit(instance)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -119,6 +119,9 @@
                 is not None,
             ),
         )
+        self.fleet.links.on_change = (
+            lambda service, lost: self.metrics.links_lost.labels(service).set(int(lost))
+        )
         self.instance_feed = InstanceFeed(self.fleet.instances)
         self.usage_ledger = UsageLedger()
         self.relay = Relay(self.fleet, wire, self.metrics)
@@ -298,7 +301,9 @@
 
     async def _sweep(self):
         while True:
-            self.fleet.instances.sweep(time.monotonic())
+            now = time.monotonic()
+            self.fleet.instances.sweep(now)
+            self.fleet.links.update_lost(now)
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
     def _listen(self):
