Failing test: a VM without links to any instance fails its clients

Stand-in for the link of each pair of a VM and an instance (standin/pair_link.py): each daemon reads the store through a view in which the instances' addresses are those of its links.

--- a/src/mulberrydock/standin/platform_store.py
+++ b/src/mulberrydock/standin/platform_store.py
@@ -92,21 +92,22 @@
     return base64.b64encode(raw).decode("ascii")
 
 
-def _row(key, item, revision=None):
-    return {
-        "key": key,
-        "value": item.value,
-        "revision": item.version,
-        "created": item.create_revision,
-        "lease": item.lease,
-    }
-
-
 class _Handler(tornado.web.RequestHandler):
     writes = False
 
-    def initialize(self, state):
+    def initialize(self, state, view):
         self.state = state
+        self.view = view
+
+    def row(self, key, item):
+        """Return an item as it is read."""
+        return {
+            "key": key,
+            "value": self.view(key, item.value),
+            "revision": item.version,
+            "created": item.create_revision,
+            "lease": item.lease,
+        }
 
     async def prepare(self):
         self.state.calls[self.request.path] += 1
@@ -141,14 +142,14 @@
         if item is None:
             self.answer({"store_revision": self.state.revision}, 404)
             return
-        self.answer(_row(key, item) | {"store_revision": self.state.revision})
+        self.answer(self.row(key, item) | {"store_revision": self.state.revision})
 
 
 class _RangeHandler(_Handler):
     def get(self):
         prefix = self.get_argument("path_prefix", "")
         rows = [
-            _row(key, item)
+            self.row(key, item)
             for key, item in sorted(self.state.items.items())
             if key.startswith(prefix)
         ]
@@ -181,7 +182,7 @@
     def _event(self, revision, key, item):
         if item is None:
             return {"key": key, "revision": revision, "tombstone": True}
-        return _row(key, item) | {"revision": revision}
+        return self.row(key, item) | {"revision": revision}
 
 
 class _TxnHandler(_Handler):
@@ -193,7 +194,7 @@
         for row in body["expected"]:
             item = state.items.get(row["key"])
             if (item.version if item else 0) != row["revision"]:
-                items = [_row(row["key"], item)] if item else [{"key": row["key"]}]
+                items = [self.row(row["key"], item)] if item else [{"key": row["key"]}]
                 self.answer({"items": items}, 412)
                 return
         for row in body["puts"]:
@@ -240,9 +241,12 @@
         await asyncio.sleep(EXPIRY_SWEEP_SECONDS)
 
 
-def make_app(state):
-    """Return the tornado application that serves ``state``."""
-    args = {"state": state}
+def make_app(state, view=lambda key, value: value):
+    """Return the tornado application that serves ``state``.
+
+    :param view: called with a key and its value; returns the value that is read.
+    """
+    args = {"state": state, "view": view}
     return tornado.web.Application(
         [
             (r"/kv-key", _KeyHandler, args),
--- /dev/null
+++ b/tests/link_fleet.py
@@ -0,0 +1,192 @@
+"""A fleet in which each VM reaches each instance over a link of its own.
+
+Each daemon reads the store through a view of its own, in which the addresses are those
+of its links.
+"""
+
+import base64
+import collections
+import contextlib
+import json
+import threading
+import time
+
+import tornado.httpserver
+from platform_fleet import (
+    IDEMPOTENT_PATH,
+    NON_IDEMPOTENT_PATH,
+    RESUMABLE_PATH,
+    STREAM_PATH,
+    PlatformFleet,
+    config,
+    event_ids,
+    wait_until,
+)
+
+from mulberrydock.fleet import free_ports
+from mulberrydock.standin import platform_store
+from mulberrydock.standin.pair_link import PairLink
+
+PATHS = (RESUMABLE_PATH, STREAM_PATH, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH)
+#: Token counts of a prompt that decode engines prefill and of one that they don't.
+TOKEN_COUNTS = ("100,10", "30000,10")
+#: Instances: (id, service, stage).
+INSTANCES = (
+    ("p1", "llm", "prefill"),
+    ("p2", "llm", "prefill"),
+    ("d1", "llm", "decode"),
+    ("d2", "llm", "decode"),
+    ("a1", "app", ""),
+    ("a2", "app", ""),
+)
+#: Event ids of a complete stream of the stand-ins.
+STREAM_EVENT_IDS = [1, 2, 3, 4]
+#: Clients of each VM, each of which sends one request after the other.
+CLIENTS_PER_VM = 4
+
+
+class LinkFleet(PlatformFleet):
+    """``links`` maps (VM, target) to the :class:`PairLink` between them."""
+
+    def __init__(self, directory):
+        super().__init__(directory)
+        self.links = {}
+        self.store_servers = []
+
+    def start(self, name="entry-1", grace=3.0):
+        self.store_address = f"127.0.0.1:{free_ports(1)[0]}"
+        self.call_on_loop(self._serve_view, name)
+        return super().start(name, grace)
+
+    def _serve_view(self, name):
+        app = platform_store.make_app(
+            self.store, lambda key, value: self.view(name, key, value)
+        )
+        server = tornado.httpserver.HTTPServer(app)
+        server.listen(int(self.store_address.split(":")[1]), address="127.0.0.1")
+        self.store_servers.append(server)
+
+    def view(self, name, key, value):
+        """Return a record of the store as the VM ``name`` reads it."""
+        if not key.startswith("servers/"):
+            return value
+        document = json.loads(base64.b64decode(value))
+        target = key.removeprefix("servers/")
+        document["address"] = self.link(name, target, document["address"])
+        return base64.b64encode(json.dumps(document).encode()).decode()
+
+    def link(self, name, target, address):
+        """Return the address of a VM's link to ``target``, which is at ``address``."""
+        link = self.links.get((name, target))
+        if link is None:
+            link = PairLink(f"127.0.0.1:{free_ports(1)[0]}", address)
+            link.open()
+            self.links[name, target] = link
+        host, port = link.listen_address
+        return f"{host}:{port}"
+
+    def cut(self, names, cut, targets=None):
+        """Cut the links of VMs to ``targets``, by default all instances."""
+        targets = targets or self.engines
+        for (name, target), link in self.links.items():
+            if name in names and target in targets:
+                self.call_on_loop(link.cut, cut)
+
+    def restore(self):
+        """Restore all links."""
+        for link in self.links.values():
+            self.call_on_loop(link.restore)
+
+    def _close_standins(self):
+        for server in self.store_servers:
+            server.stop()
+        for link in self.links.values():
+            link.release()
+        super()._close_standins()
+
+
+@contextlib.contextmanager
+def started_fleet(directory, names, instances=INSTANCES):
+    """Start a fleet of the named VMs and stop it at the end."""
+    fleet = LinkFleet(directory)
+    fleet.write("op/config", config(3))
+    for instance, service, stage in instances:
+        fleet.add_instance(instance, service, stage)
+    for name in names:
+        fleet.start(name)
+    try:
+        for name in names:
+            fleet.wait_ready(name)
+        wait_until(lambda: all(_has_seen(fleet, name, names) for name in names))
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def _has_seen(fleet, name, names):
+    return {row["peer"] for row in fleet.log_records("peer seen", name)} >= set(names)
+
+
+def is_served(response):
+    """Return whether a client got a whole response of an instance."""
+    if response.status != 200 or not response.complete:
+        return False
+    ids = event_ids(response.content)
+    return not ids or ids == STREAM_EVENT_IDS
+
+
+class Load:
+    """Clients that send requests of each kind to the named VMs until stopped.
+
+    ``results`` lists (VM, request id, time of sending, whether it was served).
+    """
+
+    def __init__(self, fleet, names):
+        self.fleet = fleet
+        self.results = []
+        self.stopped = threading.Event()
+        self.threads = [
+            threading.Thread(target=self._run, args=(name, number), daemon=True)
+            for name in names
+            for number in range(CLIENTS_PER_VM)
+        ]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join(20)
+
+    def _run(self, name, number):
+        count = 0
+        while not self.stopped.wait(0.02):
+            path = PATHS[(count + number) % len(PATHS)]
+            tokens = TOKEN_COUNTS[count // len(PATHS) % len(TOKEN_COUNTS)]
+            request_id = f"{name}/{number}-{count}"
+            sent_at = time.monotonic()
+            served = self._send(path, request_id, name, tokens)
+            self.results.append((name, request_id, sent_at, served))
+            count += 1
+
+    def _send(self, path, request_id, name, tokens):
+        headers = {"X-Mulberrydock-Token-Counts": tokens}
+        try:
+            return is_served(self.fleet.request(path, request_id, name=name, **headers))
+        except Exception:  # http.client raises undocumented exceptions
+            return False
+
+    def served_share(self, name, since):
+        """Return the share of a VM's requests sent from ``since`` on that were served.
+
+        It is 0 if none were sent.
+        """
+        counts = collections.Counter(
+            served
+            for vm, _, sent_at, served in self.results
+            if vm == name and sent_at >= since
+        )
+        return counts[True] / max(1, counts.total())
