--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 import functools
+import math
 import socket
 import time
 
@@ -112,14 +113,16 @@
 class _Delegate(tornado.httputil.HTTPMessageDelegate):
     """Passes one response on, or skips it when it names another request."""
 
-    def __init__(self, listener, accept_response):
+    def __init__(self, listener, accept_response, on_progress):
         self.listener = listener
         self.accept_response = accept_response
+        self.on_progress = on_progress
         self.done = asyncio.get_running_loop().create_future()
         self.skipped = False
         self.headers = None
 
     def headers_received(self, start_line, headers):
+        self.on_progress()
         if start_line.code < 200:
             return
         self.skipped = not self.accept_response(start_line.code, headers)
@@ -129,6 +132,7 @@
         self.listener.on_headers(start_line.code, headers)
 
     def data_received(self, chunk):
+        self.on_progress()
         if self.skipped:
             return None
         return self.listener.on_data(chunk)
@@ -183,6 +187,8 @@
         self.on_connect = lambda connected: None
         self.idle = []
         self.open = 0
+        self.waiting_since = {}
+        self.heard_at = -math.inf
 
     @property
     def exhausted(self):
@@ -211,16 +217,22 @@
             self._discard(connection)
         return None
 
-    async def _connect(self):
+    def silent_since(self):
+        """Return since when the peer owes a response without sending anything.
+
+        :returns: monotonic seconds, None while no exchange is in progress.
+        """
+        oldest = min(self.waiting_since.values(), default=None)
+        return None if oldest is None else max(oldest, self.heard_at)
+
+    async def _connect(self, timeout=CONNECT_TIMEOUT_SECONDS):
         host, port = split_address(self.address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _configure(sock)
         stream = _Stream(sock)
         self.open += 1
         try:
-            await asyncio.wait_for(
-                stream.connect((host, port)), CONNECT_TIMEOUT_SECONDS
-            )
+            await asyncio.wait_for(stream.connect((host, port)), timeout)
         except BaseException as error:
             self.open -= 1
             stream.close()
@@ -251,13 +263,15 @@
             )
         return await self._connect()
 
-    async def probe(self, now):
+    async def probe(self, now, timeout=CONNECT_TIMEOUT_SECONDS):
         """Return whether the peer accepts connections, None when it doesn't respond.
 
         The connection made for this is pooled for the next exchange.
+
+        :param timeout: seconds within which it has to respond.
         """
         try:
-            connection = await self._connect()
+            connection = await self._connect(timeout)
         except UpstreamError as error:
             return False if _is_connection_refused(error.__cause__) else None
         self.release(
@@ -300,6 +314,7 @@
         """
         connection = await self.acquire(time.monotonic())
         reusable = False
+        self.waiting_since[connection] = time.monotonic()
         try:
             if check_send is not None:
                 check_send()
@@ -310,6 +325,7 @@
                 connection, response_headers, keep_alive
             )
         finally:
+            del self.waiting_since[connection]
             # Also on cancellation: closing the connection tells the peer to stop its
             # work.
             if not reusable:
@@ -341,7 +357,7 @@
                 f"{error}"
             ) from error
         for _ in range(1 + MAX_STALE_RESPONSES):
-            delegate = _Delegate(listener, accept_response)
+            delegate = _Delegate(listener, accept_response, self._on_progress)
             complete, read_task = await self._read(http, delegate)
             if not complete:
                 break
@@ -359,6 +375,9 @@
             f"{self.address} closed the connection before the response was complete"
         )
 
+    def _on_progress(self):
+        self.heard_at = time.monotonic()
+
     async def _read(self, http, delegate):
         read_task = asyncio.ensure_future(http.read_response(delegate))
         read_task.add_done_callback(functools.partial(_on_read_done, delegate))
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -184,17 +184,12 @@
         # Decode engines prefill what no prefill engine accepts.
         prefills = self.suspicion.accepting(prefills, now)
         decoders = [i for i in engines if i.record.stage is not Stage.PREFILL]
-        suspected_by_peers = self.loads.suspected_by_peers(now)
-        healthy = self.suspicion.healthy
-        return healthy(prefills, now, suspected_by_peers), healthy(
-            decoders, now, suspected_by_peers
-        )
+        return self._healthy(prefills, now), self._healthy(decoders, now)
 
     def _healthy(self, instances, now):
         """Return the instances that neither this VM nor its peers avoid, or all."""
-        return self.suspicion.healthy(
-            instances, now, self.loads.suspected_by_peers(now)
-        )
+        avoided = self.loads.suspected_by_peers(now) | self.links.down()
+        return self.suspicion.healthy(instances, now, avoided)
 
     def _spec(self, service):
         config = self.routes.config
--- /dev/null
+++ b/src/mulberrydock/forward_attempt.py
@@ -0,0 +1,208 @@
+"""One attempt at a request that goes through a peer."""
+
+import time
+
+import attrs
+from loguru import logger
+
+from . import forward_messages
+from .exceptions import ResultCode, UpstreamError
+from .forward_messages import ForwardedRequest, ForwardOutcome
+from .sends import ProgressTimeouts, StreamListener, run_exchange
+
+#: Seconds, beyond those that the peer may take, after which a peer without progress is
+#: abandoned: one round trip, and a busy VM.
+FORWARD_MARGIN_SECONDS = 0.3
+#: Outcomes in which the peer has sent nothing to an instance that may have executed it.
+NOT_SERVED_CODES = (
+    ResultCode.NO_UPSTREAM,
+    ResultCode.NOT_READY,
+    ResultCode.DRAINING,
+    ResultCode.BAD_REQUEST,
+)
+#: Outcomes that no other VM would change.
+FINAL_REFUSAL_CODES = (ResultCode.SHED, ResultCode.QUARANTINED)
+
+
+class ForwardedResponse(StreamListener):
+    """Relays the response of a peer.
+
+    ``outcome`` is what the peer has stated, None before. A response that has it in its
+    headers ``is_whole``, not a stream.
+    """
+
+    outcome: ForwardOutcome | None = None
+    is_whole = False
+
+    def on_headers(self, status, headers):
+        super().on_headers(status, headers)
+        self.outcome = ForwardOutcome.from_headers(headers)
+        self.is_whole = self.outcome is not None
+        for name, _ in self.outcome.headers() if self.outcome else ():
+            del headers[name]
+
+    @property
+    def is_signed_stream(self):
+        return super().is_signed_stream and not self.is_whole
+
+    def pass_on(self, events):
+        """Pass events on, without the comment that ends an incomplete stream."""
+        events, self.outcome = forward_messages.split_comment(events)
+        return super().pass_on(events) if events else None
+
+
+@attrs.define(frozen=True)
+class PeerTimeouts(ProgressTimeouts):
+    """Also abandons a peer whose messages stop.
+
+    ``silent_at`` returns when the peer counts as unreachable, None if unknown.
+    """
+
+    silent_at: object = None
+
+    def expires_at(self, started, last_progress_at):
+        expires_at = super().expires_at(started, last_progress_at)
+        silent_at = self.silent_at()
+        return expires_at if silent_at is None else min(expires_at, silent_at)
+
+
+class ForwardAttempt:
+    """An attempt of ``lifecycle`` through the peer of ``plan``; :meth:`run` makes it.
+
+    :param lifecycle: the :class:`~mulberrydock.serving.RequestLifecycle`.
+    :param plan: the :class:`~mulberrydock.forwarding.ForwardPlan`.
+    """
+
+    def __init__(self, lifecycle, plan):
+        self.lifecycle = lifecycle
+        self.plan = plan
+        self.forwarding = lifecycle.relay.forwarding
+
+    async def run(self):
+        """Make the attempt.
+
+        :returns: the :class:`ResultCode` if the client was answered, else None.
+        """
+        life, plan = self.lifecycle, self.plan
+        now = time.monotonic()
+        timeouts = self._timeouts(now)
+        data = self._encode(now)
+        life.sends.record_call()
+        life.forwards += 1
+        logger.info(
+            "forward",
+            request=life.request.id,
+            peer=plan.name,
+            attempt=life.forwards,
+            service=life.service,
+        )
+        life.relay.metrics.forwards.labels(life.service).inc()
+        listener = ForwardedResponse(life.wire, life.stream)
+        life.begun_elsewhere = True
+        try:
+            exchange = self.forwarding.exchange(plan, data, listener)
+            await run_exchange(exchange, listener, timeouts)
+        except UpstreamError as error:
+            self._record_failure(error)
+            return None
+        finally:
+            life.begun_elsewhere = False
+        return self._deliver(listener)
+
+    def _encode(self, now):
+        life = self.lifecycle
+        request = attrs.evolve(
+            life.request,
+            deadline=life.deadline,
+            last_event_id=life.stream.splitter.last_id,
+        )
+        prior = life.take_prior_calls()
+        forwarded = ForwardedRequest(
+            request, life.route.priority, prior, self.forwarding.name
+        )
+        return forward_messages.encode(forwarded, now)
+
+    def _timeouts(self, now):
+        """Return the :class:`PeerTimeouts`, None for no timeout."""
+        life = self.lifecycle
+        attempts_left = life.route.max_attempts - life.sends.maybe_received
+        timeouts = life.attempt_timeouts(life.estimate_wait(now))
+        if timeouts is None:
+            return None
+        # The peer may abandon instances too.
+        first = timeouts.first_event_seconds * attempts_left + FORWARD_MARGIN_SECONDS
+        return PeerTimeouts(
+            first,
+            timeouts.event_gap_seconds + first,
+            timeouts.may_abandon,
+            lambda: self.forwarding.silent_at(self.plan.name),
+        )
+
+    def _record_failure(self, error):
+        """Record that the peer gave no whole response."""
+        life = self.lifecycle
+        if error.code == ResultCode.NOT_RUN:
+            life.reserved_retries += life.sends.record_not_sent()
+        else:
+            life.may_have_run = True
+        self._refused(str(error))
+
+    def _refused(self, reason):
+        """Let neither this request nor others be forwarded to the peer for now."""
+        life, plan = self.lifecycle, self.plan
+        life.cause = f"{plan.name}: {reason}"
+        life.refused_by.add(plan.name)
+        self.forwarding.avoid(plan.name, life.service, time.monotonic())
+        logger.warning(
+            "forward failed", request=life.request.id, peer=plan.name, reason=reason
+        )
+
+    def _deliver(self, response):
+        """Pass the peer's whole response on unless another attempt may do better."""
+        life, outcome = self.lifecycle, response.outcome
+        if outcome is None:
+            if response.is_signed_stream:
+                life.served = True
+                life.sink.finish()
+                return ResultCode.OK
+            life.may_have_run = True
+            self._refused(f"status {response.status} without an outcome")
+            return None
+        self._count_calls(outcome)
+        life.cause = f"{self.plan.name}: {outcome.code.name} {outcome.cause}"
+        if outcome.code in NOT_SERVED_CODES:
+            self._refused(outcome.cause or outcome.code.name)
+            return None
+        if outcome.code in FINAL_REFUSAL_CODES:
+            return self._refuse(response)
+        life.may_have_run = True
+        passed_on = (
+            response.metadata.signed
+            and not response.is_signed_stream
+            and life.pass_on(response)
+        )
+        return ResultCode.OK if passed_on else None
+
+    def _count_calls(self, outcome):
+        """Count the calls that the peer made instead of the one to the peer."""
+        life = self.lifecycle
+        life.sends.maybe_received += outcome.sends - 1
+        life.sends.rejected += outcome.rejected
+        life.prefills.maybe_received += outcome.prefills
+        if not outcome.sends:
+            life.reserved_retries += int(life.sends.maybe_received > 0)
+
+    def _refuse(self, response):
+        """Pass a refusal on; it states that the request has not run."""
+        life = self.lifecycle
+        if life.may_have_run:
+            return None
+        code = response.outcome.code
+        life.relay.reject(
+            life.request,
+            life.sink,
+            response.status,
+            life.cause,
+            response.metadata.retry_after,
+        )
+        return code
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -75,9 +75,11 @@
         self.chunks.append(chunk)
 
     def finish(self):
-        sink = ConnectionSink(self.connection, self.front.closing)
         self.task = self.front.start(
-            self.start_line, self.headers, b"".join(self.chunks), sink
+            self.start_line,
+            self.headers,
+            b"".join(self.chunks),
+            self.front.make_sink(self.connection),
         )
         self.connection.set_close_callback(self.on_connection_close)
 
@@ -109,10 +111,18 @@
     def start_request(self, server_conn, request_conn):
         return RequestReader(self, request_conn)
 
+    def make_sink(self, connection):
+        """Return the sink of one request on ``connection``."""
+        return ConnectionSink(connection, self.closing)
+
     def start(self, start_line, headers, body, sink):
         """Start serving one whole request; return its task."""
         request = self.wire.read_request(start_line, headers, body, self.clock())
-        task = asyncio.ensure_future(self._serve(request, sink))
+        return self.track(self._serve(request, sink))
+
+    def track(self, coroutine):
+        """Run ``coroutine`` as the task of a request; return the task."""
+        task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
--- a/src/mulberrydock/links.py
+++ b/src/mulberrydock/links.py
@@ -10,6 +10,8 @@
 import attrs
 from loguru import logger
 
+from .instances import Stage
+
 #: Maximum number of instances of one stage whose connections must have failed, one
 #: after the other, before the links to that stage count as lost. With fewer, the crash
 #: of a part of a large pool could look like lost links.
@@ -21,15 +23,26 @@
     """When connecting to one instance last succeeded and last failed.
 
     Both are monotonic seconds, infinitely long ago before the first time.
+    ``down_since`` is when the first failure since the last success was, None without
+    one.
     """
 
     connected_at: float = -math.inf
     failed_at: float = -math.inf
+    down_since: float | None = None
 
     @property
     def is_down(self):
         """True when the last attempt to connect failed."""
-        return self.failed_at > self.connected_at
+        return self.down_since is not None
+
+    def record(self, connected, now):
+        """Record an attempt to connect."""
+        if connected:
+            self.connected_at, self.down_since = now, None
+        else:
+            self.failed_at = now
+            self.down_since = self.down_since or now
 
 
 class Links:
@@ -57,10 +70,17 @@
         """The services to which this VM has lost its links."""
         return frozenset(self.lost_since)
 
+    def get(self, instance_id):
+        """Return the :class:`Link` to an instance."""
+        return self.links.get(instance_id, Link())
+
     def is_down(self, instance_id):
         """Return whether the last attempt to connect to an instance failed."""
-        link = self.links.get(instance_id)
-        return link is not None and link.is_down
+        return self.get(instance_id).is_down
+
+    def down(self):
+        """Return the ids of the instances whose links are down."""
+        return {name for name, link in self.links.items() if link.is_down}
 
     def record(self, instance, connected, now):
         """Record an attempt to connect to ``instance``.
@@ -68,12 +88,19 @@
         :param connected: whether a connection was made.
         """
         link = self.links.setdefault(instance.id, Link())
-        if connected:
-            link.connected_at = now
-        else:
-            link.failed_at = now
+        if link.is_down == connected:
+            event = "link back" if connected else "link down"
+            logger.info(event, instance=instance.id)
+        link.record(connected, now)
         self.update(instance.record.service, now)
 
+    def can_run(self, service):
+        """Return whether an instance of ``service`` that runs requests can be reached.
+
+        Without links to the prefill engines only, requests still run.
+        """
+        return not self._lost_stages(service) - {Stage.PREFILL}
+
     def forget(self, instance_id):
         """Drop a terminated incarnation."""
         self.links.pop(instance_id, None)
@@ -83,7 +110,8 @@
         lost = self._lost_stages(service)
         if lost and service not in self.lost_since:
             self.lost_since[service] = now
-            logger.warning("links lost", service=service, stages=lost)
+            stages = sorted(stage.value or "plain" for stage in lost)
+            logger.warning("links lost", service=service, stages=stages)
             self.on_change(service, True)
         elif not lost and service in self.lost_since:
             seconds = round(now - self.lost_since.pop(service), 3)
@@ -96,16 +124,12 @@
             self.update(service, now)
 
     def _lost_stages(self, service):
-        """Return the names of the stages to which this VM has no link."""
+        """Return the stages to which this VM has no link."""
         links_by_stage = {}
         for instance in self.instances.serving(service):
             links = links_by_stage.setdefault(instance.record.stage, [])
-            links.append(self.links.get(instance.id, Link()))
-        return sorted(
-            stage.value or "plain"
-            for stage, links in links_by_stage.items()
-            if _all_failed(links)
-        )
+            links.append(self.get(instance.id))
+        return {s for s, links in links_by_stage.items() if _all_failed(links)}
 
 
 def _all_failed(links):
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -23,12 +23,15 @@
 class Peer:
     """An entry VM as registered; addresses are ``host:port``.
 
-    ``peer_address`` is where it receives datagrams of its peers, empty if nowhere.
+    ``peer_address`` is where it receives datagrams of its peers and requests that they
+    forward, empty if nowhere. ``forward_key`` signs such requests; without one, the VM
+    takes none.
     """
 
     address: str
     data_centre: str
     peer_address: str = ""
+    forward_key: bytes = attrs.field(default=b"", repr=False)
 
 
 class Membership:
@@ -38,8 +41,10 @@
     :param entry: this entry's name, address and data centre, as a
         :class:`~mulberrydock.serve.EntryVm` or a row of the settings.
     :param ttl: seconds of the registration lease.
-    :param peer_address: ``host:port`` where this entry receives datagrams, empty if
-        nowhere.
+    :param peer_address: ``host:port`` where this entry receives datagrams and forwarded
+        requests, empty if nowhere.
+    :param forward_key: the key that signs requests forwarded to this entry, empty if it
+        takes none.
 
     ``peers`` maps names to registered entries. ``expired`` holds those whose record
     was removed: the store may have dropped the lease in an outage while the entry
@@ -52,11 +57,13 @@
         entry,
         ttl=defaults.ENTRY_LEASE_TTL_SECONDS,
         peer_address="",
+        forward_key=b"",
     ):
         self.store = store
         self.entry = entry
         self.ttl = ttl
         self.peer_address = peer_address
+        self.forward_key = forward_key
         self.lease = 0
         self.registered = False
         self.leaving = False
@@ -85,6 +92,7 @@
                 leaving=self.leaving,
                 startedAt=time.time(),
                 peerAddress=self.peer_address,
+                forwardKey=self.forward_key,
             )
         )
 
@@ -165,7 +173,9 @@
             return
         if name not in self.peers:
             logger.info("peer seen", peer=name, revision=revision)
-        self.peers[name] = Peer(record.address, record.dataCentre, record.peerAddress)
+        self.peers[name] = Peer(
+            record.address, record.dataCentre, record.peerAddress, record.forwardKey
+        )
 
     def _expire(self, name):
         peer = self.peers.pop(name, None)
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -113,6 +113,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.forwards = prometheus_client.Counter(
+            "mulberrydock_forwards_total",
+            "Requests forwarded to a peer, as this VM has no links to the instances.",
+            ["service"],
+            registry=self.registry,
+        )
         self.rejected = prometheus_client.Counter(
             "mulberrydock_rejected_total",
             "Requests ended with an answer of this process's own.",
--- a/src/mulberrydock/peer_groups.py
+++ b/src/mulberrydock/peer_groups.py
@@ -73,6 +73,28 @@
         own = set() if self.membership.leaving else {self.name}
         return frozenset((self.known_peers().keys() - silent) | own)
 
+    def without_links(self, now, service=None):
+        """Return the names of the peers that have no links to a service.
+
+        :param service: the service, None for any service. Of VMs in other data centres
+            it isn't known which service it is.
+        """
+        direct = {
+            name
+            for name, services in self.tracker.lost_services(now).items()
+            if service is None or service in services
+        }
+        return direct | self.tracker.remote_vms_without_links(now)
+
+    def forwarders(self, service, now):
+        """Return the live peers that can serve requests for a service, by name."""
+        without_links = self.without_links(now, service)
+        return {
+            name: peer
+            for name, peer in self.live_peers(now).items()
+            if peer.forward_key and peer.peer_address and name not in without_links
+        }
+
     def _select_reporters(self, names):
         key = "reporter"
         return sorted(names, key=lambda name: rank(key, name))[
--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -80,6 +80,8 @@
     until the peer's next message. ``leaving`` is True for a VM that is about to leave,
     ``cordoned`` are the instances that it gives no new work for now, ``suspects`` those
     that it avoids because its own requests failed there or were refused with a pause.
+    ``lost_services`` are those to whose instances it has no link. The sum of a data
+    centre names the VMs without links to some service in ``vms_without_links`` instead.
     """
 
     sequence: int
@@ -89,14 +91,21 @@
     cordoned: frozenset = frozenset()
     interval: float = DEFAULT_INTERVAL_SECONDS
     suspects: frozenset = frozenset()
+    lost_services: frozenset = frozenset()
+    vms_without_links: frozenset = frozenset()
 
     def is_fresh(self, now):
         """Return whether the counts are recent enough to be used."""
         return now - self.received_at <= LOAD_EXPIRY_INTERVALS * self.interval
 
+    @property
+    def unreachable_at(self):
+        """When the peer counts as unreachable unless another message arrives."""
+        return self.received_at + UNREACHABLE_INTERVALS * self.interval
+
     def is_reachable(self, now):
         """Return whether the peer counts as reachable."""
-        return now - self.received_at <= UNREACHABLE_INTERVALS * self.interval
+        return now <= self.unreachable_at
 
 
 @attrs.define(eq=False)
@@ -241,6 +250,19 @@
             counts.update(report.suspects)
         return {name for name, count in counts.items() if count >= MIN_SUSPECTING_PEERS}
 
+    def lost_services(self, now):
+        """Return the services to which each direct peer has no links, by its name."""
+        return {
+            name: report.lost_services
+            for name, report in self.fresh_reports(now).items()
+            if report.lost_services
+        }
+
+    def remote_vms_without_links(self, now):
+        """Return the VMs of other data centres without links to some service."""
+        reports = self._fresh_sums(now)
+        return frozenset().union(*(report.vms_without_links for report in reports))
+
     def receive_sum(self, data_centre, reporter, report):
         """Store the sum of a data centre; return False if it was received before.
 
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -131,6 +131,8 @@
         crashes=[attrs.asdict(crash) for crash in update.crashes],
         limits=[limit.row for limit in update.limits],
         leavingInstances=update.leaving_instances,
+        lostServices=sorted(report.lost_services),
+        vmsWithoutLinks=sorted(report.vms_without_links),
     )
     # Packed, as traffic between data centres is paid for: 210 instead of 420 bytes
     # with loads of six instances.
@@ -165,6 +167,8 @@
         frozenset(message.held),
         message.intervalMs / 1000,
         frozenset(message.suspects),
+        frozenset(message.lostServices),
+        frozenset(message.vmsWithoutLinks),
     )
     return PeerUpdate(
         message.name,
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -56,6 +56,7 @@
         are added, None to ignore them.
     :param instances: the :class:`~mulberrydock.instances.InstanceRegistry`, None to
         exchange no leaves of instances.
+    :param lost_services: returns the services to whose instances this VM has no link.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         limits=None,
         usage=None,
         instances=None,
+        lost_services=frozenset,
     ):
         self.name = name
         self.tracker = tracker
@@ -81,6 +83,7 @@
         self.limits = limits
         self.usage = usage
         self.instances = instances
+        self.lost_services = lost_services
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -207,7 +210,7 @@
             1.0, len(self.groups.direct_peers()) / PEERS_AT_FULL_RATE
         )
 
-    def _report(self, now, loads, cordoned, interval, suspects=()):
+    def _report(self, now, loads, cordoned, interval, **fields):
         self.sequence += 1
         return PeerReport(
             self.sequence,
@@ -216,14 +219,19 @@
             self.leaving(),
             frozenset(cordoned),
             interval,
-            frozenset(suspects),
+            **{name: frozenset(values) for name, values in fields.items()},
         )
 
     def message(self, now):
         """Return this VM's message at ``now`` as the bytes of a datagram."""
         cordoned = self.tracker.own_cordoned(now)
         report = self._report(
-            now, self.tracker.own(), cordoned, self.interval(), self.suspects(now)
+            now,
+            self.tracker.own(),
+            cordoned,
+            self.interval(),
+            suspects=self.suspects(now),
+            lost_services=self.lost_services(),
         )
         self.message_count += 1
         limits = self._limit_updates(now, self.message_count)
@@ -248,7 +256,11 @@
         """Return the sum of this VM's data centre at ``now`` as a datagram."""
         cordoned = self.tracker.direct_cordoned(now)
         report = self._report(
-            now, self.tracker.direct_total(now), cordoned, SUM_INTERVAL_SECONDS
+            now,
+            self.tracker.direct_total(now),
+            cordoned,
+            SUM_INTERVAL_SECONDS,
+            vms_without_links=self._vms_without_links(now),
         )
         prefills, self.local_prefills = self.local_prefills, {}
         pools = []
@@ -266,6 +278,11 @@
         )
         return peer_messages.encode(update)
 
+    def _vms_without_links(self, now):
+        """Return the VMs of this data centre without links to some service."""
+        own = {self.name} if self.lost_services() else set()
+        return own | self.tracker.lost_services(now).keys()
+
     def send_to(self, peers, data):
         """Send ``data`` to each of ``peers``."""
         for peer in peers:
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -135,6 +135,7 @@
             instance=self.engine.id,
             error=str(error),
         )
+        await self.relay.check_link(self.engine, error)
         if isinstance(error, ConnectionCut) and not self.plan.queued_work:
             # A prompt still in the engine's queue can't have crashed it.
             await self.relay.probe_after_cut(self.request, self.engine)
--- a/src/mulberrydock/records.py
+++ b/src/mulberrydock/records.py
@@ -20,6 +20,7 @@
 PeerMessage = messages.PeerMessage
 CrashRecord = messages.CrashRecord
 UsageDecisions = messages.UsageDecisions
+ForwardedRequest = messages.ForwardedRequest
 
 
 def encode(message):
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -8,7 +8,15 @@
 
 from .connections import BufferedResponse, ConnectionPool
 from .crash_probe import CrashProbe
-from .exceptions import ResultCode, UpstreamError
+from .exceptions import (
+    CallRefused,
+    CallWithheld,
+    ConnectionCut,
+    ResultCode,
+    UpstreamError,
+)
+from .forward_messages import ForwardOutcome
+from .link_monitor import LinkMonitor
 from .refusal import RETRY_AFTER_SECONDS
 from .serving import RequestLifecycle
 from .teams import KeyProblem
@@ -25,7 +33,8 @@
     :param metrics: a :class:`~mulberrydock.metrics.ServeMetrics`.
 
     An owner may set ``on_begin``: it is called with a team and the seconds since its
-    request began at an instance, once for each request of a team.
+    request began at an instance, once for each request of a team; and ``forwarding``, a
+    :class:`~mulberrydock.forwarding.Forwarding`, without which nothing is forwarded.
     """
 
     def __init__(self, fleet, wire, metrics):
@@ -33,7 +42,9 @@
         self.wire = wire
         self.metrics = metrics
         self.on_begin = lambda team, age: None
+        self.forwarding = None
         self.connection_pools = {}
+        self.links = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool)
         self.background_tasks = set()
 
@@ -42,7 +53,7 @@
         pool = self.connection_pools.get(instance.id)
         if pool is None:
             pool = ConnectionPool(instance.address)
-            pool.on_connect = lambda connected: self.fleet.links.record(
+            pool.on_connect = lambda connected: self.links.record(
                 instance, connected, time.monotonic()
             )
             self.connection_pools[instance.id] = pool
@@ -52,6 +63,7 @@
 
     def forget(self, instance_id):
         """Close the idle connections of a terminated instance."""
+        self.links.forget(instance_id)
         self.crash_probe.forget(instance_id)
         pool = self.connection_pools.pop(instance_id, None)
         if pool is not None:
@@ -76,6 +88,33 @@
             return
         service = routes.service_for(route)
         lifecycle = RequestLifecycle(self, request, route, service, sink)
+        code = await self._run(lifecycle)
+        seconds = time.monotonic() - request.arrived
+        self.metrics.latency.labels(route.name, code.name).observe(seconds)
+
+    async def serve_forwarded(self, forwarded, sink):
+        """Answer a request that a peer has forwarded; it isn't forwarded again.
+
+        :param forwarded: the
+            :class:`~mulberrydock.forward_messages.ForwardedRequest`.
+        :returns: the :class:`~mulberrydock.forward_messages.ForwardOutcome`.
+        """
+        request, routes = forwarded.request, self.fleet.routes
+        logger.info("forwarded request", request=request.id, sender=forwarded.sender)
+        route = routes.match(request.host, request.path) if routes.config else None
+        service = routes.service_for(route) if route else None
+        if route is None or not self.fleet.links.can_run(service):
+            cause = "no links to the instances" if route else "no route"
+            self.reject(request, sink, 503, cause)
+            return ForwardOutcome(ResultCode.NO_UPSTREAM, cause=cause)
+        route = attrs.evolve(route, priority=forwarded.priority)
+        lifecycle = RequestLifecycle(
+            self, request, route, service, sink, forwarded.prior
+        )
+        return lifecycle.outcome(await self._run(lifecycle))
+
+    async def _run(self, lifecycle):
+        """Run a request's lifecycle; return its :class:`ResultCode`."""
         try:
             code = await lifecycle.run()
         except asyncio.CancelledError:
@@ -83,9 +122,15 @@
             raise
         finally:
             self.fleet.quarantine.record_request_end(
-                request.fingerprint, lifecycle.served, time.monotonic()
+                lifecycle.request.fingerprint, lifecycle.served, time.monotonic()
             )
-        self._log_end(lifecycle, code)
+        logger.info(
+            "answered",
+            **self._summary(lifecycle),
+            code=code.name,
+            cause="" if code is ResultCode.OK else lifecycle.cause,
+        )
+        return code
 
     def authenticate(self, request, route, sink):
         """Find the team that sent ``request`` and remove its key.
@@ -193,6 +238,18 @@
         task.add_done_callback(self.background_tasks.discard)
         return task
 
+    async def check_link(self, instance, error):
+        """Find out whether a failed call shows that this VM has lost its links.
+
+        :param error: the :class:`~mulberrydock.exceptions.UpstreamError` of the call.
+        """
+        if isinstance(error, CallWithheld | CallRefused | ConnectionCut):
+            return
+        if error.code == ResultCode.NOT_RUN:
+            await self.links.settle(instance.record.service, time.monotonic())
+        else:
+            self.links.doubt(instance)
+
     async def probe_after_cut(self, request, instance):
         """Probe whether ``instance`` crashed: its connection was cut in ``request``.
 
@@ -266,16 +323,6 @@
         self.metrics.rejected.labels(str(status)).inc()
         sink.respond(status, headers, b"")
 
-    def _log_end(self, lifecycle, code):
-        seconds = time.monotonic() - lifecycle.request.arrived
-        self.metrics.latency.labels(lifecycle.route.name, code.name).observe(seconds)
-        logger.info(
-            "answered",
-            **self._summary(lifecycle),
-            code=code.name,
-            cause="" if code is ResultCode.OK else lifecycle.cause,
-        )
-
     def _summary(self, lifecycle):
         """Return the log fields that describe a finished request."""
         arrived = lifecycle.request.arrived
@@ -289,6 +336,7 @@
             "output": lifecycle.request.prompt.max_output_tokens,
             "prefills": lifecycle.prefills.made,
             "sends": lifecycle.sends.made,
+            "forwards": lifecycle.forwards,
             "first_event": None if first is None else round(first - arrived, 4),
             "seconds": round(time.monotonic() - arrived, 4),
         }
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -10,7 +10,9 @@
   dataCentre @2 :Text;
   leaving @3 :Bool;
   startedAt @4 :Float64;   # Unix time in seconds
-  peerAddress @5 :Text;    # host:port for datagrams from its peers, empty when none
+  peerAddress @5 :Text;    # host:port for datagrams from its peers and for requests that
+                           # they forward, empty when none
+  forwardKey @6 :Data;     # signs requests forwarded to this VM, empty when it takes none
 }
 
 struct LeaderRecord {
@@ -136,4 +138,43 @@
   limits @12 :List(LimitNews);   # changed ones in every message, all of them in some
   usage @13 :UsageNews;    # when set, the message holds nothing else but the name
   leavingInstances @14 :List(Text);   # incarnations that announced it in a response
+  lostServices @15 :List(Text);   # services to whose instances the sender has no link
+  vmsWithoutLinks @16 :List(Text);   # in a sum: VMs without links to some service
+}
+
+struct PromptPartRecord {
+  # A part of a prompt that requests may share.
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct HeaderRecord {
+  # One header field of a request.
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ForwardedRequest {
+  # A client's request that one VM passes to another, which has links to the instances.
+  id @0 :Text;
+  method @1 :Text;
+  target @2 :Text;
+  host @3 :Text;
+  headers @4 :List(HeaderRecord);
+  body @5 :Data;
+  leftMs @6 :UInt32;       # until the deadline
+  promptTokens @7 :UInt32;
+  outputTokens @8 :UInt32;
+  parts @9 :List(PromptPartRecord);
+  lastEventId @10 :UInt64; # of the last event that the client has
+  authorization @11 :List(Text);   # empty where clients need API keys
+  team @12 :Text;
+  priority @13 :Int32;
+  sends @14 :UInt32;       # sends that an instance may have received so far
+  rejected @15 :UInt32;    # those of them that an instance stated not to have executed
+  prefills @16 :UInt32;    # prefill calls that an engine may have received so far
+  reservedRetries @17 :UInt32;   # retries granted by the sender's retry budget
+  mayHaveRun @18 :Bool;
+  begun @19 :Bool;         # the sender has counted the request's begin
+  sender @20 :Text;        # name of the VM that received the request
 }
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -84,13 +84,13 @@
     """Relays one engine's stream to the client, in whole events only.
 
     :param stream: the client's :class:`ClientStream`.
-    :param in_flight_send: the send as counted in the load tracker.
+    :param on_first_event: called without arguments when the first event arrives.
     """
 
-    def __init__(self, wire, stream, in_flight_send):
+    def __init__(self, wire, stream, on_first_event=lambda: None):
         self.wire = wire
         self.stream = stream
-        self.in_flight_send = in_flight_send
+        self.on_first_event = on_first_event
         self.status = 0
         self.headers = None
         self.metadata = None
@@ -124,12 +124,14 @@
             # Tornado logs an exception raised here and drops its type.
             self.error = error
             raise
-        if not events:
-            return None
+        return self.pass_on(events) if events else None
+
+    def pass_on(self, events):
+        """Pass whole events on to the client."""
         self.last_progress_at = time.monotonic()
         if self.first_progress_at is None:
             self.first_progress_at = self.last_progress_at
-            self.in_flight_send.mark_prefilled()
+            self.on_first_event()
         return self.stream.write(self.status, self.headers, events)
 
     def check(self):
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import secrets
 import signal
 import time
 
@@ -13,13 +14,14 @@
 import tornado.httpserver
 from loguru import logger
 
-from . import defaults, platform, records
+from . import defaults, forward_front, platform, records
 from ._http import split_address
 from .clock import boot_seconds
 from .directory import Directory
 from .duties import Duties
 from .exceptions import SettingsError
 from .fleet_view import FleetView
+from .forwarding import Forwarding
 from .front import Front
 from .instance_feed import InstanceFeed
 from .lease import LeaderLease
@@ -66,6 +68,8 @@
 #: Seconds after which an idle client connection is closed; far above the configured
 #: limit, so that no client sends a request on a connection that is being closed.
 CLIENT_IDLE_TIMEOUT_SECONDS = 120
+#: Bytes of the key that signs requests forwarded to this VM, as long as a SHA-256 hash.
+FORWARD_KEY_BYTES = 32
 #: Seconds between two sweeps of the instances whose records have expired.
 SWEEP_INTERVAL_SECONDS = 0.25
 
@@ -101,11 +105,13 @@
         self.leader_exists = False
         self.leader = ""
         peer_port = settings.listen.peer_ports[0]
+        forward_key = secrets.token_bytes(FORWARD_KEY_BYTES)
         self.membership = Membership(
             store,
             EntryVm(settings.name, settings.listen.front, settings.data_centre),
             max(ENTRY_LEASE_SECONDS, settings.store.least_lease_seconds),
             f"{settings.ip}:{peer_port}",
+            forward_key,
         )
         self.fleet = FleetView(
             settings.data_centre,
@@ -129,6 +135,8 @@
         self.groups = PeerGroups(
             self.membership, self.fleet.loads, settings.data_centre
         )
+        self.relay.forwarding = Forwarding(self.groups)
+        self.forward_front = forward_front.make_front(self.relay, forward_key)
         self.directory = Directory(self.groups, settings.listen.front)
         self.lease = LeaderLease(
             store,
@@ -174,6 +182,7 @@
             self.fleet.limits,
             self.usage_ledger,
             self.fleet.instances,
+            lambda: self.fleet.links.lost,
         )
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
@@ -301,9 +310,7 @@
 
     async def _sweep(self):
         while True:
-            now = time.monotonic()
-            self.fleet.instances.sweep(now)
-            self.fleet.links.update_lost(now)
+            self.fleet.instances.sweep(time.monotonic())
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
     def _listen(self):
@@ -313,6 +320,10 @@
         )
         host, port = split_address(listen.front)
         self.front_server.listen(port, address=host)
+        forward_server = tornado.httpserver.HTTPServer(
+            self.forward_front, idle_connection_timeout=CLIENT_IDLE_TIMEOUT_SECONDS
+        )
+        forward_server.listen(listen.peer_ports[0], address=self.settings.ip)
         pages = make_pages(self)
         server = tornado.httpserver.HTTPServer(pages)
         for address in {listen.ready, listen.directory}:
@@ -340,6 +351,7 @@
             asyncio.ensure_future(self.peers.run()),
             asyncio.ensure_future(self.quarantine.run()),
             asyncio.ensure_future(self._sweep()),
+            asyncio.ensure_future(self.relay.links.run()),
             *(asyncio.ensure_future(duty.run()) for duty in self.duties.tasks),
         ]
         for task in tasks:
@@ -370,6 +382,10 @@
         self.fleet.timing = settings.timing
         logger.info("reloaded")
 
+    def _requests(self):
+        """Return the tasks of the requests in progress, forwarded ones included."""
+        return self.front.tasks | self.forward_front.tasks
+
     async def _leave(self):
         await self.membership.mark_leaving()
         await self.lease.release()
@@ -382,22 +398,26 @@
         """
         grace = self.settings.timing.grace_seconds
         started = time.monotonic()
+        fronts = (self.front, self.forward_front)
         self.draining = True
-        self.front.draining = True
-        logger.info("draining", in_flight=len(self.front.tasks))
+        for front in fronts:
+            front.draining = True
+        logger.info("draining", in_flight=len(self._requests()))
         self.peers.send()
         leaving = asyncio.ensure_future(self._leave())
         await asyncio.sleep(grace * ACCEPT_SHARE)
-        self.front.refusing = True
+        for front in fronts:
+            front.refusing = True
         self.front_server.stop()
-        logger.info("refusing new requests", in_flight=len(self.front.tasks))
+        logger.info("refusing new requests", in_flight=len(self._requests()))
         # Wait even if no request is in progress: more may arrive on open connections
         # and must be refused before the process ends.
         await asyncio.sleep(MIN_REFUSE_SECONDS)
         left = started + grace * FINISH_SHARE - time.monotonic()
-        if self.front.tasks and left > 0:
-            await asyncio.wait(set(self.front.tasks), timeout=left)
+        requests = self._requests()
+        if requests and left > 0:
+            await asyncio.wait(requests, timeout=left)
         leaving.cancel()
         # Write the crashes that the last requests revealed before the process ends.
         await self.quarantine.step(time.monotonic(), time.time())
-        logger.info("drained", in_flight=len(self.front.tasks))
+        logger.info("drained", in_flight=len(self._requests()))
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -14,6 +14,9 @@
 from .connections import BufferedResponse
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
+from .forward_attempt import ForwardAttempt
+from .forward_messages import ForwardOutcome, PriorCalls
+from .forwarding import ForwardPlan
 from .placement import PRIORITY_MAX
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
@@ -52,10 +55,15 @@
     ``error_response`` is an instance's failure that is passed on if no attempt gives
     better, ``cause`` says why the last attempt failed. ``begun_at`` is when a
     plain request began at an instance, None before. ``served`` is True once an
-    instance has answered with success.
+    instance has answered with success. ``forwards`` counts the attempts through peers,
+    ``refused_by`` names the peers that didn't take the request; while
+    ``begun_elsewhere``, a peer counts its begin.
+
+    :param prior: the :class:`~mulberrydock.forward_messages.PriorCalls` of a request
+        that a peer has forwarded, None for a client's.
     """
 
-    def __init__(self, relay, request, route, service, sink):
+    def __init__(self, relay, request, route, service, sink, prior=None):
         self.relay = relay
         self.fleet = relay.fleet
         self.wire = relay.wire
@@ -68,15 +76,22 @@
             relay.wire,
             sink,
             EventSplitter(request.last_event_id),
-            lambda: relay.record_begin(request, time.monotonic()),
+            lambda: self._record_begin(time.monotonic()),
+        )
+        self.is_forwarded = prior is not None
+        self.prior = prior or PriorCalls()
+        self.sends = CallCounter(
+            self.prior.sends, self.prior.sends, self.prior.rejected
         )
-        self.sends = CallCounter()
-        self.prefills = CallCounter()
-        self.reserved_retries = 0
+        self.prefills = CallCounter(self.prior.prefills, self.prior.prefills)
+        self.reserved_retries = self.prior.reserved_retries
         self.planned_at = request.arrived
         self.tried = set()
-        self.may_have_run = False
+        self.forwards = 0
+        self.refused_by = set()
+        self.may_have_run = self.prior.may_have_run
         self.begun_at = None
+        self.begun_elsewhere = self.prior.begun
         self.served = False
         self.error_response = None
         self.cause = "no instance serves the route"
@@ -86,11 +101,8 @@
 
         :returns: the :class:`ResultCode` of the outcome.
         """
-        self.fleet.budget(self.service).record_request(self.request.arrived)
-        if self.request.prompt.tokens:
-            self.fleet.record_demand(
-                self.request.prompt, self.route, self.service, self.request.arrived
-            )
+        if not self.is_forwarded:
+            self._record_arrival()
         loop = asyncio.get_running_loop()
         seconds_left = self._seconds_left(time.monotonic())
         try:
@@ -101,10 +113,51 @@
         finally:
             self._record_plain_begin()
 
+    def _record_arrival(self):
+        """Record a client's request; a forwarded one was recorded by its sender."""
+        arrived = self.request.arrived
+        self.fleet.budget(self.service).record_request(arrived)
+        if self.request.prompt.tokens:
+            self.fleet.record_demand(
+                self.request.prompt, self.route, self.service, arrived
+            )
+
+    def _record_begin(self, begun_at):
+        """Record that an instance began to run the request."""
+        if not self.begun_elsewhere:
+            self.relay.record_begin(self.request, begun_at)
+
     def _record_plain_begin(self):
         """Record the begin of a plain request that an instance ran or may have run."""
         if self.begun_at is not None and self.sends.maybe_executed:
-            self.relay.record_begin(self.request, self.begun_at)
+            self._record_begin(self.begun_at)
+
+    def take_prior_calls(self):
+        """Return the :class:`PriorCalls` to forward, with all reserved retries."""
+        if not self.sends.maybe_executed:
+            self.begun_at = None
+        reserved, self.reserved_retries = self.reserved_retries, 0
+        return PriorCalls(
+            self.sends.maybe_received,
+            self.sends.rejected,
+            self.prefills.maybe_received,
+            reserved,
+            self.may_have_run,
+            self.stream.has_started or self.begun_at is not None,
+        )
+
+    def outcome(self, code):
+        """Return the :class:`ForwardOutcome` of a forwarded request.
+
+        :param code: what :meth:`run` returned.
+        """
+        return ForwardOutcome(
+            code,
+            self.sends.maybe_received - self.prior.sends,
+            self.sends.rejected - self.prior.rejected,
+            self.prefills.maybe_received - self.prior.prefills,
+            "" if code is ResultCode.OK else self.cause,
+        )
 
     def _seconds_left(self, now):
         """Return the seconds until the request's deadline."""
@@ -128,23 +181,32 @@
         )
 
     async def _attempts(self):
-        attempt = (
-            self._attempt_stream
-            if self.route.kind is Kind.STREAMING
-            else self._attempt_plain
-        )
         while True:
             plan = self._next_plan(time.monotonic())
             if plan is None:
                 return self._give_up()
-            refused = self._refusal(plan, time.monotonic())
-            if refused is not None:
-                return self._shed(refused)
-            if await attempt(plan):
-                return ResultCode.OK
+            code = await self._attempt(plan)
+            if code is not None:
+                return code
             if self.may_have_run and not self.route.retryable:
                 return self._give_up()
 
+    async def _attempt(self, plan):
+        """Make one attempt.
+
+        :returns: the :class:`ResultCode` if the client was answered, else None.
+        """
+        if isinstance(plan, ForwardPlan):
+            return await ForwardAttempt(self, plan).run()
+        refused = self._refusal(plan, time.monotonic())
+        if refused is not None:
+            return self._shed(refused)
+        if self.route.kind is Kind.STREAMING:
+            answered = await self._attempt_stream(plan)
+        else:
+            answered = await self._attempt_plain(plan)
+        return ResultCode.OK if answered else None
+
     def _next_plan(self, now):
         """Return the plan of the next attempt, None when there is no other."""
         if self._is_quarantined(now):
@@ -153,14 +215,38 @@
             return None
         if self.may_have_run and self.sends.maybe_received >= self.route.max_attempts:
             return None
-        plan = self.fleet.plan(self.request, self.route, self.service, self.tried, now)
+        plan = self._plan(now)
         self.planned_at = now
-        if plan is None and self.fleet.is_held_back(self.service, now):
-            self.cause = "the instances take no more requests for now"
         if plan is None or not self.reserve_retries(plan, now):
             return None
         return plan
 
+    def _plan(self, now):
+        """Return the plan of an attempt, through a peer if the links are lost."""
+        if self.service in self.fleet.links.lost:
+            plan = None if self.is_forwarded else self._forward_plan(now)
+            if plan is not None or not self.fleet.links.can_run(self.service):
+                self.cause = self.cause if plan else "no VM has links to the instances"
+                return plan
+        plan = self._local_plan(now)
+        if plan is None and self.fleet.is_held_back(self.service, now):
+            self.cause = "the instances take no more requests for now"
+        return plan
+
+    def _local_plan(self, now):
+        return self.fleet.plan(self.request, self.route, self.service, self.tried, now)
+
+    def _forward_plan(self, now):
+        forwarding = self.relay.forwarding
+        if forwarding is None:
+            return None
+        return forwarding.choose(self.service, self.request.id, self.refused_by, now)
+
+    def estimate_wait(self, now):
+        """Return the estimate of seconds to the first event at any instance."""
+        plan = self._local_plan(now)
+        return plan.wait if plan else 0.0
+
     def _is_quarantined(self, now):
         """Return whether the request's work is quarantined for crashes.
 
@@ -219,12 +305,24 @@
             return None
         return ProgressTimeouts(first, gap, self._may_abandon)
 
+    def attempt_timeouts(self, wait):
+        """Return the :class:`ProgressTimeouts` of the next attempt, None for none.
+
+        :param wait: the estimate of seconds to the first event.
+        """
+        if self.route.kind is Kind.STREAMING:
+            return self._progress_timeouts(
+                FIRST_EVENT_MARGIN_SECONDS + WAIT_TIMEOUT_FACTOR * wait,
+                EVENT_GAP_TIMEOUT_SECONDS,
+            )
+        return self._progress_timeouts(
+            PLAIN_RESPONSE_TIMEOUT_SECONDS, PLAIN_RESPONSE_TIMEOUT_SECONDS
+        )
+
     async def _attempt_plain(self, plan):
         """Send a plain request once; return whether the client was answered."""
         response = BufferedResponse()
-        timeouts = self._progress_timeouts(
-            PLAIN_RESPONSE_TIMEOUT_SECONDS, PLAIN_RESPONSE_TIMEOUT_SECONDS
-        )
+        timeouts = self.attempt_timeouts(plan.wait)
         in_flight_send = self.fleet.loads.begin(plan.target.id, 0)
         if not self.sends.maybe_executed:
             self.begun_at = time.monotonic()
@@ -259,11 +357,10 @@
             in_flight_send = self.fleet.loads.begin(plan.target.id, tokens, urgency)
             estimates = self.fleet.estimates.pool(self.service)
             estimates.demand.record(Demand(decode_engine_work=tokens), time.monotonic())
-            listener = StreamListener(self.wire, self.stream, in_flight_send)
-            timeouts = self._progress_timeouts(
-                FIRST_EVENT_MARGIN_SECONDS + WAIT_TIMEOUT_FACTOR * plan.wait,
-                EVENT_GAP_TIMEOUT_SECONDS,
+            listener = StreamListener(
+                self.wire, self.stream, in_flight_send.mark_prefilled
             )
+            timeouts = self.attempt_timeouts(plan.wait)
             complete = await self._send(
                 plan, listener, in_flight_send, timeouts, handle
             )
@@ -297,8 +394,14 @@
 
         :returns: True when it went to the client.
         """
-        if not self._record_response(plan.target, metadata, response.status):
-            return False
+        recorded = self._record_response(plan.target, metadata, response.status)
+        return recorded and self.pass_on(response)
+
+    def pass_on(self, response):
+        """Pass an instance's whole response on unless another attempt may do better.
+
+        :returns: True when it went to the client.
+        """
         self.error_response = response
         failed = response.status >= 500
         if self.stream.has_started or (failed and self.route.retryable):
@@ -388,6 +491,7 @@
             error=str(error),
             suspected=suspected,
         )
+        await self.relay.check_link(instance, error)
         if not_sent or _ran_past_blame(listener, time.monotonic()):
             return
         if isinstance(error, ConnectionCut):
--- a/src/mulberrydock/suspicion.py
+++ b/src/mulberrydock/suspicion.py
@@ -27,13 +27,14 @@
     ``failures`` counts those since the last complete response. The instance is avoided
     as suspect until ``suspect_until`` and for lack of a slot until ``no_slot_until``
     (monotonic seconds). ``refusing`` is True if it refused the last call without
-    running it.
+    running it, ``unreachable`` if the last failure was that of connecting to it.
     """
 
     failures: int = 0
     suspect_until: float = 0.0
     no_slot_until: float = 0.0
     refusing: bool = False
+    unreachable: bool = False
 
 
 class Suspicion:
@@ -61,6 +62,7 @@
         """
         health = self.health(instance_id)
         health.failures += 1
+        health.unreachable = unreachable
         tolerated = 0 if unreachable else TOLERATED_FAILURES
         steps = health.failures - tolerated - 1
         if steps < 0:
@@ -75,7 +77,15 @@
         Engines do so during a stage change and refuse the next calls as well.
         """
         self.record_failure(instance_id, now, unreachable=True)
-        self.health(instance_id).refusing = True
+        health = self.health(instance_id)
+        health.refusing, health.unreachable = True, False
+
+    def record_link_back(self, instance_id):
+        """Record that an instance can be connected to again, if it couldn't before."""
+        health = self.health(instance_id)
+        if health.unreachable:
+            health.failures, health.suspect_until = 0, 0.0
+            health.unreachable = False
 
     def accepting(self, instances, now):
         """Return the instances that are not avoided for refusing the last call."""
@@ -98,18 +108,18 @@
         """Drop an instance that is terminated."""
         self.health_by_id.pop(instance_id, None)
 
-    def healthy(self, instances, now, suspected_by_peers=frozenset()):
+    def healthy(self, instances, now, avoided_ids=frozenset()):
         """Return the instances that are neither suspect nor without a slot.
 
         If that leaves none, return all of them: when all instances are suspect, the
         cause is more likely at this VM or in the network.
 
-        :param suspected_by_peers: ids of the instances that peers suspect.
+        :param avoided_ids: ids of the instances to avoid for other reasons.
         """
         healthy = []
         for instance in instances:
             health = self.health(instance.id)
             avoided = max(health.suspect_until, health.no_slot_until) > now
-            if not avoided and instance.id not in suspected_by_peers:
+            if not avoided and instance.id not in avoided_ids:
                 healthy.append(instance)
         return healthy or list(instances)
--- a/tests/link_fleet.py
+++ b/tests/link_fleet.py
@@ -5,12 +5,12 @@
 """
 
 import base64
-import collections
 import contextlib
 import json
 import threading
 import time
 
+import attrs
 import tornado.httpserver
 from platform_fleet import (
     IDEMPOTENT_PATH,
@@ -135,10 +135,22 @@
     return not ids or ids == STREAM_EVENT_IDS
 
 
+@attrs.define(frozen=True)
+class Result:
+    """One request of a :class:`Load`; ``status`` is 0 without a response."""
+
+    vm: str
+    id: str
+    path: str
+    sent_at: float
+    status: int
+    served: bool
+
+
 class Load:
     """Clients that send requests of each kind to the named VMs until stopped.
 
-    ``results`` lists (VM, request id, time of sending, whether it was served).
+    ``results`` lists a :class:`Result` for each.
     """
 
     def __init__(self, fleet, names):
@@ -166,27 +178,28 @@
         while not self.stopped.wait(0.02):
             path = PATHS[(count + number) % len(PATHS)]
             tokens = TOKEN_COUNTS[count // len(PATHS) % len(TOKEN_COUNTS)]
-            request_id = f"{name}/{number}-{count}"
-            sent_at = time.monotonic()
-            served = self._send(path, request_id, name, tokens)
-            self.results.append((name, request_id, sent_at, served))
+            self.results.append(self._send(name, f"{number}-{count}", path, tokens))
             count += 1
 
-    def _send(self, path, request_id, name, tokens):
+    def _send(self, name, number, path, tokens):
+        request_id = f"{name}/{number}/{id(self)}"
         headers = {"X-Mulberrydock-Token-Counts": tokens}
+        sent_at, status, served = time.monotonic(), 0, False
         try:
-            return is_served(self.fleet.request(path, request_id, name=name, **headers))
+            response = self.fleet.request(path, request_id, name=name, **headers)
+            status, served = response.status, is_served(response)
         except Exception:  # http.client raises undocumented exceptions
-            return False
+            pass
+        return Result(name, request_id, path, sent_at, status, served)
 
     def served_share(self, name, since):
         """Return the share of a VM's requests sent from ``since`` on that were served.
 
         It is 0 if none were sent.
         """
-        counts = collections.Counter(
-            served
-            for vm, _, sent_at, served in self.results
-            if vm == name and sent_at >= since
-        )
-        return counts[True] / max(1, counts.total())
+        served = [
+            result.served
+            for result in self.results
+            if result.vm == name and result.sent_at >= since
+        ]
+        return sum(served) / max(1, len(served))
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -3,11 +3,26 @@
 The daemons are real processes; the store, the instances and the links are stand-ins.
 """
 
+import http.client
+import json
+import signal
 import time
 
 import pytest
-from link_fleet import Load, started_fleet
+from link_fleet import PATHS, Load, is_served, started_fleet
+from platform_fleet import (
+    HOST,
+    IDEMPOTENT_PATH,
+    NON_IDEMPOTENT_PATH,
+    RESUMABLE_PATH,
+    STREAM_PATH,
+    send,
+    wait_until,
+)
 
+from mulberrydock import forward_messages
+from mulberrydock.forward_messages import ForwardedRequest, PriorCalls
+from mulberrydock.request import Request
 from mulberrydock.standin.pair_link import CUTS
 
 VMS = ("entry-1", "entry-2", "entry-3")
@@ -17,6 +32,8 @@
 LOAD_SECONDS = 4.0
 #: Minimum share of the requests that are served.
 MIN_SERVED_SHARE = 2 / 3
+#: Seconds for an event of a slow stream: shorter than an engine may be silent.
+SLOW_EVENT_SECONDS = 0.4
 
 
 @pytest.fixture
@@ -37,3 +54,156 @@
         time.sleep(LOAD_SECONDS)
     for name in VMS:
         assert load.served_share(name, since) >= MIN_SERVED_SHARE
+
+
+def runs_of(fleet, request_id):
+    """Return (instance, run) of each run of a request."""
+    return [
+        (engine, run)
+        for engine in fleet.engines.values()
+        for run in engine.runs
+        if run.id == request_id
+    ]
+
+
+def lose_links(fleet, names, cut="silent"):
+    """Cut the links of VMs to all instances; wait until they have noticed."""
+    with Load(fleet, names):
+        fleet.cut(names, CUTS[cut])
+        for name in names:
+            wait_until(lambda: len(lost_services(fleet, name)) == 2)
+
+
+def lost_services(fleet, name):
+    """Return the services to which a VM has lost its links, by its log."""
+    lost = set()
+    for line in fleet.log(name).splitlines():
+        row = json.loads(line) if line.startswith("{") else {}
+        if row.get("event") == "links lost":
+            lost.add(row["service"])
+        if row.get("event") == "links back":
+            lost.discard(row["service"])
+    return lost
+
+
+# Guards against requests that run twice, or run after a promise that they haven't, when
+# they go on through a peer.
+@pytest.mark.parametrize("cut", CUTS)
+def test_promises_hold_when_links_are_lost_and_back(fleet, cut):
+    with Load(fleet, VMS) as load:
+        for _ in range(2):
+            time.sleep(0.7)
+            fleet.cut({"entry-1", "entry-2"}, CUTS[cut])
+            time.sleep(1.5)
+            fleet.restore()
+    for result in load.results:
+        runs = runs_of(fleet, result.id)
+        if result.path in (STREAM_PATH, NON_IDEMPOTENT_PATH):
+            assert len(runs) <= 1
+        if result.status in (429, 503):
+            assert not runs
+
+
+# Guards against a VM that still forwards, or holds back, after its links are back.
+@pytest.mark.parametrize("cut", ["silent", "refused, reset"])
+def test_vm_uses_its_own_links_again_once_they_are_back(fleet, cut):
+    lose_links(fleet, {"entry-1"}, cut)
+    fleet.restore()
+    wait_until(lambda: not lost_services(fleet, "entry-1"))
+    forwards = len(fleet.log_records("forward", "entry-1"))
+    for path in PATHS:
+        assert is_served(fleet.request(path, f"after{path}"))
+    assert len(fleet.log_records("forward", "entry-1")) == forwards
+
+
+# Guards against a VM that goes on trying its own links for a service while those to
+# another are up, and the other way round.
+def test_links_to_each_service_are_lost_by_themselves(fleet):
+    with Load(fleet, {"entry-1"}):
+        fleet.cut({"entry-1"}, CUTS["silent"], {"a1", "a2"})
+        wait_until(lambda: lost_services(fleet, "entry-1") == {"app"})
+    for path in PATHS:
+        assert is_served(fleet.request(path, f"r{path}"))
+    forwarded = {row["service"] for row in fleet.log_records("forward")}
+    assert forwarded == {"app"}
+
+
+# Guards against a request that waits, or is sent in vain, when no VM has links.
+def test_request_is_refused_at_once_when_no_vm_has_links(fleet):
+    lose_links(fleet, set(VMS))
+    wait_until(lambda: _is_refused_at_once(fleet, "probe"))
+    for path in PATHS:
+        assert _is_refused_at_once(fleet, f"r{path}", path)
+
+
+def _is_refused_at_once(fleet, request_id, path=IDEMPOTENT_PATH):
+    """Return whether a request was refused without any send or hop."""
+    response = fleet.request(path, request_id)
+    sent = [
+        row
+        for event in ("send", "prefill", "forward")
+        for row in fleet.log_records(event)
+        if row["request"] == request_id
+    ]
+    has_time = float(response.getheader("Retry-After", 0)) > 0
+    return response.status == 503 and has_time and not sent
+
+
+# Guards against a stream that ends because the links of its VM are lost on the way.
+@pytest.mark.parametrize("cut", ["silent", "refused, reset"])
+def test_stream_goes_on_through_a_peer(fleet, cut):
+    for engine in fleet.engines.values():
+        engine.event_interval_seconds = SLOW_EVENT_SECONDS
+    connection = fleet.connect("entry-1")
+    headers = {"X_Mulberrydock_Deadline_Ms": "9000"}
+    send(connection, RESUMABLE_PATH, "stream", **headers)
+    response = connection.getresponse()
+    fleet.cut({"entry-1"}, CUTS[cut])
+    response.content, response.complete = response.read(), True
+    assert is_served(response)
+
+
+# Guards against work that goes on at an instance after the client of a forwarded
+# request has left.
+def test_instance_stops_when_the_client_of_a_forwarded_request_leaves(fleet):
+    lose_links(fleet, {"entry-1"})
+    for engine in fleet.engines.values():
+        engine.event_interval_seconds = SLOW_EVENT_SECONDS
+    connection = fleet.connect("entry-1")
+    send(connection, RESUMABLE_PATH, "left")
+    connection.getresponse()
+    ((_, run),) = runs_of(fleet, "left")
+    connection.close()
+    wait_until(lambda: run.ended == "cancelled")
+
+
+# Guards against a request that fails because the peer that it went through is killed.
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGTERM])
+def test_request_goes_on_when_its_peer_is_stopped(fleet, how):
+    lose_links(fleet, {"entry-1"})
+    with Load(fleet, {"entry-1"}) as load:
+        time.sleep(0.5)
+        fleet.daemons["entry-2"].send_signal(how)
+        time.sleep(CONTACT_SECONDS)
+        since = time.monotonic()
+        time.sleep(2.0)
+    assert load.served_share("entry-1", since) == 1.0
+
+
+# Guards against a stranger who presents a request as one that a VM has admitted.
+def test_forwarded_request_without_a_valid_signature_is_declined(fleet):
+    request = Request("x", "POST", "/letters/x", HOST, [], b"", 0.0, 9.0)
+    body = forward_messages.encode(
+        ForwardedRequest(request, 0, PriorCalls(), "entry-9"), 0.0
+    )
+    port = fleet.settings["entry-1"]["peer"]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    signature = forward_messages.sign(b"guess", body)
+    connection.request(
+        "POST",
+        forward_messages.FORWARD_PATH,
+        body,
+        {forward_messages.SIGNATURE_HEADER: signature},
+    )
+    assert connection.getresponse().status == 503
+    assert not runs_of(fleet, "x")
