Failures over lost links aren't told to the peers

What callers could see: two VMs that lose their links suspect all instances and say so; VMs in good order avoid what two peers suspect. While the suspicions began and lapsed at different times, these VMs left sound instances idle. Found by reading; failed before: test_failures_over_lost_links_are_not_told_to_peers, two rows of four. Fix: instances of a service to which the links are lost aren't told.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -153,8 +153,19 @@
         return min(pauses, default=0.0)
 
     def avoided(self, now):
-        """Return the ids of the instances that peers had better avoid as well."""
-        return self.suspicion.suspects(now) | self.backoffs.paused(now)
+        """Return the ids of the instances that peers had better avoid as well.
+
+        Failures at instances of a service to which this VM has lost its links say
+        nothing about the instances.
+        """
+        suspects = self.suspicion.suspects(now)
+        if self.links.lost:
+            suspects = {i for i in suspects if not self._is_link_lost(i)}
+        return suspects | self.backoffs.paused(now)
+
+    def _is_link_lost(self, instance_id):
+        instance = self.instances.get_incarnation(instance_id)
+        return instance is not None and instance.record.service in self.links.lost
 
     def check_call(self, instance, now):
         """Check that an instance hasn't asked this VM for a pause.
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,7 +1,9 @@
 """Which links of a VM count as lost."""
 
+import attrs
 import pytest
 
+from mulberrydock.fleet_view import FleetView
 from mulberrydock.instances import InstanceRecord, InstanceRegistry, Stage
 from mulberrydock.links import MAX_FAILED_INSTANCES, Links
 
@@ -74,3 +76,27 @@
     links.instances.put(record("b"), 1.0)
     links.update_lost(2.0)
     assert not links.lost
+
+
+def fleet_without_links(attempts):
+    """Return the fleet view of a VM that made ``attempts`` and suspects all failures."""
+    fleet = FleetView("dc1", None, lambda: 3, lambda instance: None)
+    for name in "ab":
+        fleet.instances.put(record(name), 0.0)
+    fleet.instances.put(attrs.evolve(record("x"), service="other"), 0.0)
+    for attempt in attempts.split():
+        instance = fleet.instances.instances[attempt.lstrip("-")]
+        fleet.links.record(instance, not attempt.startswith("-"), 0.0)
+        if attempt.startswith("-"):
+            fleet.suspicion.record_failure(instance.id, 0.0, unreachable=True)
+    return fleet
+
+
+# Guards against VMs in good order that avoid the instances which VMs without links
+# couldn't connect to: they would leave them idle, or all crowd at the last one.
+@pytest.mark.parametrize(
+    ("attempts", "told"),
+    [("-a", {"a"}), ("-a -b", set()), ("-a -b -x", set()), ("-a b", {"a"})],
+)
+def test_failures_over_lost_links_are_not_told_to_peers(attempts, told):
+    assert fleet_without_links(attempts).avoided(0.5) == told
