Lost links aren't taken for crashes of the instances

A VM whose links are reset and then refused found nobody listening behind each connection that was cut, which is how it tells a crash; three such findings quarantine the work on all VMs. Found by reading; failed before: test_lost_links_are_not_taken_for_crashes (four streams, two records). Fix: a crash counts only if another instance of the service accepts a connection; otherwise the end of the instance's record decides, as before where the probe told nothing.

--- a/src/mulberrydock/crash_probe.py
+++ b/src/mulberrydock/crash_probe.py
@@ -2,7 +2,8 @@
 
 Both end the exchanges on a connection in the same way. An instance that broke off one
 response, or whose connections were reset on the way, still accepts a new connection; at
-the address of a crashed one nobody listens.
+the address of a crashed one nobody listens. A VM that has lost its own links may find
+the same, so another instance has to accept a connection.
 """
 
 import asyncio
@@ -24,12 +25,14 @@
 
     :param connection_pool: returns the
         :class:`~mulberrydock.connections.ConnectionPool` of an instance.
+    :param links: the :class:`~mulberrydock.link_monitor.LinkMonitor`.
 
     ``down_at`` is when an incarnation was found crashed, monotonic seconds.
     """
 
-    def __init__(self, connection_pool):
+    def __init__(self, connection_pool, links):
         self.connection_pool = connection_pool
+        self.links = links
         self.probes = {}
         self.down_at = {}
 
@@ -51,6 +54,8 @@
     async def _probe(self, instance):
         try:
             accepts = await self.connection_pool(instance).probe(time.monotonic())
+            if accepts is False and await self.links.are_lost(instance.record.service):
+                accepts = None
         finally:
             self.probes.pop(instance.id, None)
         logger.info("instance probed", instance=instance.id, accepts=accepts)
--- a/src/mulberrydock/link_monitor.py
+++ b/src/mulberrydock/link_monitor.py
@@ -85,6 +85,11 @@
                 return
             await asyncio.wait(probes)
 
+    async def are_lost(self, service):
+        """Return whether the links to ``service`` are lost, once that is known."""
+        await self.settle(service, time.monotonic())
+        return service in self.links.lost
+
     def choose(self, now):
         """Return the instances whose links are to be probed at ``now``."""
         instances = self.fleet.instances.instances.values()
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -45,7 +45,7 @@
         self.forwarding = None
         self.connection_pools = {}
         self.links = LinkMonitor(fleet, self)
-        self.crash_probe = CrashProbe(self.connection_pool)
+        self.crash_probe = CrashProbe(self.connection_pool, self.links)
         self.background_tasks = set()
 
     def connection_pool(self, instance):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -79,7 +79,7 @@
 
 
 def fleet_without_links(attempts):
-    """Return the fleet view of a VM that made ``attempts`` and suspects all failures."""
+    """Return the fleet view of a VM that made ``attempts`` to connect."""
     fleet = FleetView("dc1", None, lambda: 3, lambda instance: None)
     for name in "ab":
         fleet.instances.put(record(name), 0.0)
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -207,3 +207,18 @@
     )
     assert connection.getresponse().status == 503
     assert not runs_of(fleet, "x")
+
+
+# Guards against sound work that is quarantined: connections that are reset and then
+# refused look like crashes of the instances that ran it.
+def test_lost_links_are_not_taken_for_crashes(fleet):
+    for engine in fleet.engines.values():
+        engine.event_interval_seconds = SLOW_EVENT_SECONDS
+    connections = [fleet.connect("entry-1") for _ in range(4)]
+    for number, connection in enumerate(connections):
+        send(connection, RESUMABLE_PATH, f"stream-{number}")
+        connection.getresponse()
+    fleet.cut({"entry-1"}, CUTS["refused, reset"])
+    wait_until(lambda: len(fleet.log_records("attempt failed")) >= len(connections))
+    wait_until(lambda: "llm" in lost_services(fleet, "entry-1"))
+    assert not fleet.log_records("instance crashed")
