Clients are sent to VMs that have links to the instances

What callers saw: nothing wrong, but each of their requests took a hop more, and of a VM's processor time, than at a VM with links.

--- a/src/mulberrydock/directory.py
+++ b/src/mulberrydock/directory.py
@@ -33,17 +33,23 @@
     def addresses(self, draining, now, data_centre=""):
         """Return front addresses of live VMs that aren't leaving.
 
+        VMs without links to the instances are left out while there are others.
+
         :param draining: whether this VM is draining; it is then left out if there is
             another one.
         :param data_centre: the client's data centre, empty if unknown.
         """
-        rows = [
-            (p.data_centre, p.address) for p in self.groups.live_peers(now).values()
-        ]
+        name = self.groups.name
+        rows = {
+            peer_name: (peer.data_centre, peer.address)
+            for peer_name, peer in self.groups.live_peers(now).items()
+        }
         if not draining or not rows:
-            rows.append((self.groups.data_centre, self.own_address))
+            rows[name] = (self.groups.data_centre, self.own_address)
+        without_links = self.groups.without_links(now)
+        with_links = [row for key, row in rows.items() if key not in without_links]
+        rows = with_links or list(rows.values())
         # Where not all addresses fit, each VM answers with a different selection.
-        name = self.groups.name
         rows.sort(key=lambda row: (row[0] != data_centre, rank(name, row[1])))
         local = sum(row[0] == data_centre for row in rows)
         count = (
--- a/src/mulberrydock/peer_groups.py
+++ b/src/mulberrydock/peer_groups.py
@@ -28,11 +28,13 @@
     :param tracker: the :class:`~mulberrydock.peer_loads.LoadTracker`, whose reports
         show which peers are reachable.
     :param data_centre: the data centre of this VM.
+    :param lost_services: returns the services to whose instances this VM has no link.
     """
 
     membership: object
     tracker: object
     data_centre: str
+    lost_services: object = frozenset
 
     @property
     def name(self):
@@ -74,15 +76,16 @@
         return frozenset((self.known_peers().keys() - silent) | own)
 
     def without_links(self, now, service=None):
-        """Return the names of the peers that have no links to a service.
+        """Return the names of the VMs, this one included, without links to a service.
 
         :param service: the service, None for any service. Of VMs in other data centres
             it isn't known which service it is.
         """
+        lost = self.tracker.lost_services(now) | {self.name: self.lost_services()}
         direct = {
             name
-            for name, services in self.tracker.lost_services(now).items()
-            if service is None or service in services
+            for name, services in lost.items()
+            if (services if service is None else service in services)
         }
         return direct | self.tracker.remote_vms_without_links(now)
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -133,7 +133,10 @@
         self.relay = Relay(self.fleet, wire, self.metrics)
         self.front = Front(self.relay, wire, time.monotonic)
         self.groups = PeerGroups(
-            self.membership, self.fleet.loads, settings.data_centre
+            self.membership,
+            self.fleet.loads,
+            settings.data_centre,
+            lambda: self.fleet.links.lost,
         )
         self.relay.forwarding = Forwarding(self.groups)
         self.forward_front = forward_front.make_front(self.relay, forward_key)
@@ -182,7 +185,7 @@
             self.fleet.limits,
             self.usage_ledger,
             self.fleet.instances,
-            lambda: self.fleet.links.lost,
+            self.groups.lost_services,
         )
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -38,6 +38,7 @@
     tracker: LoadTracker
     groups: PeerGroups
     link: PeerLink
+    lost_services: set
     next_message: float = 0.0
     next_sum: float = 0.0
 
@@ -71,13 +72,22 @@
         """Add a VM without peers."""
         membership = Membership(None, EntryVm(name, name, data_centre))
         tracker = LoadTracker()
-        groups = PeerGroups(membership, tracker, data_centre)
+        lost_services = set()
+        groups = PeerGroups(membership, tracker, data_centre, lambda: lost_services)
         limits = RateLimits(name, groups.senders)
         link = PeerLink(
-            name, tracker, groups, bool, limits=limits, instances=InstanceRegistry()
+            name,
+            tracker,
+            groups,
+            bool,
+            limits=limits,
+            instances=InstanceRegistry(),
+            lost_services=lambda: lost_services,
         )
         link.transport = Transport(self, name)
-        self.vms[name] = Vm(name, data_centre, membership, tracker, groups, link)
+        self.vms[name] = Vm(
+            name, data_centre, membership, tracker, groups, link, lost_services
+        )
 
     def deliver(self, sender, receiver, data):
         """Deliver a datagram, unless a VM has failed or their link is cut."""
