VMs without links aren't among the senders of a limited instance

What callers could see: refusals while an instance with a declared limit is idle, as the few VMs that may send to it can't reach it. Fix: the senders are chosen among the VMs with links, which all VMs know from the messages.

--- a/src/mulberrydock/peer_groups.py
+++ b/src/mulberrydock/peer_groups.py
@@ -63,7 +63,8 @@
 
         This VM is included unless it is leaving. A VM whose record was removed may
         be alive, as the store drops records in an outage: it counts while its
-        messages arrive, or always if it doesn't send to this VM.
+        messages arrive, or always if it doesn't send to this VM. VMs without links to
+        the instances are left out while there are others.
         """
         reports, direct = self.tracker.reports, self.direct_peers()
         silent = {
@@ -73,7 +74,8 @@
             and not (name in reports and reports[name].is_reachable(now))
         }
         own = set() if self.membership.leaving else {self.name}
-        return frozenset((self.known_peers().keys() - silent) | own)
+        alive = frozenset((self.known_peers().keys() - silent) | own)
+        return alive - self.without_links(now) or alive
 
     def without_links(self, now, service=None):
         """Return the names of the VMs, this one included, without links to a service.
--- a/tests/test_lost_links_fleet.py
+++ b/tests/test_lost_links_fleet.py
@@ -39,3 +39,15 @@
             addresses = directory.addresses(False, fleet.now, asked)
             found = {fleet.vms[address].data_centre for address in addresses}
             assert found and found <= set(listed)
+
+
+# Guards against a limited instance whose few senders can't reach it.
+@pytest.mark.parametrize("sizes", [SMALL, LARGE])
+@pytest.mark.parametrize(("lost", "senders"), [("a", "bcde"), ("abcde", "abcde")])
+def test_limited_instance_is_left_to_vms_with_links(peer_fleet, sizes, lost, senders):
+    fleet = fleet_with_lost_links(peer_fleet, sizes, lost)
+    for vm in fleet.vms.values():
+        names = vm.groups.senders(fleet.now)
+        assert {fleet.vms[name].data_centre for name in names} == set(senders) & set(
+            sizes
+        )
