A leader without links to the engines hands its lease over

What callers could see: a pool whose engines are in the wrong stages for as long as the leader can't reach them, since its lease holds. Failed before: test_leader_without_links_hands_over, test_vms_without_links_are_last_to_become_leader.

--- a/src/mulberrydock/directory.py
+++ b/src/mulberrydock/directory.py
@@ -60,11 +60,15 @@
     def takeover_order(self, now):
         """Return the names of the live VMs in the order of acquiring the leader lease.
 
-        VMs that know the same live peers agree on the order.
+        VMs that know the same live peers agree on the order. VMs without links to the
+        instances come last, as a leader gives orders to engines.
         """
         names = [*self.groups.live_peers(now), self.groups.name]
+        without_links = self.groups.without_links(now)
         # "duty" is the hash key that stands for the leader lease.
-        return sorted(names, key=lambda name: rank("duty", name))
+        return sorted(
+            names, key=lambda name: (name in without_links, rank("duty", name))
+        )
 
     def takeover_rank(self, now):
         """Return how many live VMs come before this one in :meth:`takeover_order`."""
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -23,6 +23,7 @@
 from .fleet_view import FleetView
 from .forwarding import Forwarding
 from .front import Front
+from .handover import LeaderHandover
 from .instance_feed import InstanceFeed
 from .lease import LeaderLease
 from .membership import Membership
@@ -160,6 +161,7 @@
             settings.name,
             settings.timing.lease_seconds,
         )
+        self.handover = LeaderHandover(self.fleet, self.groups, self.lease)
         self.quarantine = QuarantineSync(
             self.fleet.quarantine,
             store,
@@ -355,6 +357,7 @@
             asyncio.ensure_future(self.quarantine.run()),
             asyncio.ensure_future(self._sweep()),
             asyncio.ensure_future(self.relay.links.run()),
+            asyncio.ensure_future(self.handover.run()),
             *(asyncio.ensure_future(duty.run()) for duty in self.duties.tasks),
         ]
         for task in tasks:
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -222,3 +222,17 @@
     wait_until(lambda: len(fleet.log_records("attempt failed")) >= len(connections))
     wait_until(lambda: "llm" in lost_services(fleet, "entry-1"))
     assert not fleet.log_records("instance crashed")
+
+
+# Guards against engines that get no orders, as the leader can't reach them while its
+# lease holds.
+def test_leader_without_links_hands_over(fleet):
+    wait_until(lambda: leaders(fleet))
+    (leader,) = leaders(fleet)
+    lose_links(fleet, {leader})
+    wait_until(lambda: len(leaders(fleet)) > 1)
+
+
+def leaders(fleet):
+    """Return the VMs that have become the leader so far."""
+    return {name for name in VMS if fleet.log_records("control active", name)}
--- a/tests/test_lost_links_fleet.py
+++ b/tests/test_lost_links_fleet.py
@@ -41,6 +41,16 @@
             assert found and found <= set(listed)
 
 
+# Guards against a leader that can't give its orders to the engines.
+@pytest.mark.parametrize("sizes", [SMALL, LARGE])
+def test_vms_without_links_are_last_to_become_leader(peer_fleet, sizes):
+    fleet = fleet_with_lost_links(peer_fleet, sizes, "a")
+    for vm in fleet.vms.values():
+        order = Directory(vm.groups, vm.name).takeover_order(fleet.now)
+        places = [fleet.vms[name].data_centre for name in order]
+        assert "a" not in places[: -sizes["a"]]
+
+
 # Guards against a limited instance whose few senders can't reach it.
 @pytest.mark.parametrize("sizes", [SMALL, LARGE])
 @pytest.mark.parametrize(("lost", "senders"), [("a", "bcde"), ("abcde", "abcde")])
