--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -7,7 +7,7 @@
 
 from . import forward_messages
 from .exceptions import ResultCode, UpstreamError
-from .forward_messages import ForwardedRequest, ForwardOutcome
+from .forward_messages import ForwardedRequest, ForwardOutcome, PriorCalls
 from .sends import ProgressTimeouts, StreamListener, run_exchange
 
 #: Seconds, beyond those that the peer may take, after which a peer without progress is
@@ -98,7 +98,6 @@
         )
         life.relay.metrics.forwards.labels(life.service).inc()
         listener = ForwardedResponse(life.wire, life.stream)
-        life.begun_elsewhere = True
         try:
             exchange = self.forwarding.exchange(plan, data, listener)
             await run_exchange(exchange, listener, timeouts)
@@ -106,7 +105,7 @@
             self._record_failure(error)
             return None
         finally:
-            life.begun_elsewhere = False
+            life.begin.take_back()
         return self._deliver(listener)
 
     def _encode(self, now):
@@ -116,7 +115,7 @@
             deadline=life.deadline,
             last_event_id=life.stream.splitter.last_id,
         )
-        prior = life.take_prior_calls()
+        prior = PriorCalls.from_lifecycle(life)
         forwarded = ForwardedRequest(
             request, life.route.priority, prior, self.forwarding.name
         )
--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -47,6 +47,23 @@
     may_have_run: bool = False
     begun: bool = False
 
+    @classmethod
+    def from_lifecycle(cls, lifecycle):
+        """Build the calls of a request, and take its reserved retries.
+
+        :param lifecycle: the :class:`~mulberrydock.serving.RequestLifecycle`.
+        """
+        begun = lifecycle.begin.hand_over(lifecycle.sends, lifecycle.stream.has_started)
+        reserved, lifecycle.reserved_retries = lifecycle.reserved_retries, 0
+        return cls(
+            lifecycle.sends.maybe_received,
+            lifecycle.sends.rejected,
+            lifecycle.prefills.maybe_received,
+            reserved,
+            lifecycle.may_have_run,
+            begun,
+        )
+
 
 @attrs.define(frozen=True)
 class ForwardedRequest:
@@ -74,6 +91,22 @@
     prefills: int = 0
     cause: str = ""
 
+    @classmethod
+    def from_lifecycle(cls, lifecycle, code):
+        """Build the outcome of a forwarded request.
+
+        :param lifecycle: the :class:`~mulberrydock.serving.RequestLifecycle`.
+        :param code: what its ``run`` returned.
+        """
+        prior = lifecycle.prior
+        return cls(
+            code,
+            lifecycle.sends.maybe_received - prior.sends,
+            lifecycle.sends.rejected - prior.rejected,
+            lifecycle.prefills.maybe_received - prior.prefills,
+            "" if code is ResultCode.OK else lifecycle.cause,
+        )
+
     @classmethod
     def from_headers(cls, headers):
         """Read the outcome in a response's headers, None if there is none."""
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -111,7 +111,8 @@
         lifecycle = RequestLifecycle(
             self, request, route, service, sink, forwarded.prior
         )
-        return lifecycle.outcome(await self._run(lifecycle))
+        code = await self._run(lifecycle)
+        return ForwardOutcome.from_lifecycle(lifecycle, code)
 
     async def _run(self, lifecycle):
         """Run a request's lifecycle; return its :class:`ResultCode`."""
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -9,17 +9,18 @@
 
 from loguru import logger
 
-from . import refusal
+from . import final_response, refusal
 from .call_counter import CallCounter
 from .connections import BufferedResponse
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 from .forward_attempt import ForwardAttempt
-from .forward_messages import ForwardOutcome, PriorCalls
+from .forward_messages import PriorCalls
 from .forwarding import ForwardPlan
 from .placement import PRIORITY_MAX
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
+from .request_begin import RequestBegin
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 
@@ -53,11 +54,10 @@
     ``reserved_retries`` is the number of calls that the retry budget has granted and
     that were not made yet, ``tried`` the ids of the instances called so far.
     ``error_response`` is an instance's failure that is passed on if no attempt gives
-    better, ``cause`` says why the last attempt failed. ``begun_at`` is when a
-    plain request began at an instance, None before. ``served`` is True once an
-    instance has answered with success. ``forwards`` counts the attempts through peers,
-    ``refused_by`` names the peers that didn't take the request; while
-    ``begun_elsewhere``, a peer counts its begin.
+    better, ``cause`` says why the last attempt failed. ``begin`` is its
+    :class:`RequestBegin`. ``served`` is True once an instance has answered with
+    success. ``forwards`` counts the attempts through peers, ``refused_by`` names the
+    peers that didn't take the request.
 
     :param prior: the :class:`~mulberrydock.forward_messages.PriorCalls` of a request
         that a peer has forwarded, None for a client's.
@@ -76,7 +76,7 @@
             relay.wire,
             sink,
             EventSplitter(request.last_event_id),
-            lambda: self._record_begin(time.monotonic()),
+            lambda: self.begin.record(time.monotonic()),
         )
         self.is_forwarded = prior is not None
         self.prior = prior or PriorCalls()
@@ -90,8 +90,7 @@
         self.forwards = 0
         self.refused_by = set()
         self.may_have_run = self.prior.may_have_run
-        self.begun_at = None
-        self.begun_elsewhere = self.prior.begun
+        self.begin = RequestBegin(relay, request, self.prior.begun)
         self.served = False
         self.error_response = None
         self.cause = "no instance serves the route"
@@ -104,14 +103,14 @@
         if not self.is_forwarded:
             self._record_arrival()
         loop = asyncio.get_running_loop()
-        seconds_left = self._seconds_left(time.monotonic())
+        seconds_left = self.seconds_left(time.monotonic())
         try:
             async with asyncio.timeout_at(loop.time() + seconds_left):
                 return await self._attempts()
         except TimeoutError:
-            return self._expire()
+            return final_response.expire(self)
         finally:
-            self._record_plain_begin()
+            self.begin.record_plain(self.sends)
 
     def _record_arrival(self):
         """Record a client's request; a forwarded one was recorded by its sender."""
@@ -122,44 +121,7 @@
                 self.request.prompt, self.route, self.service, arrived
             )
 
-    def _record_begin(self, begun_at):
-        """Record that an instance began to run the request."""
-        if not self.begun_elsewhere:
-            self.relay.record_begin(self.request, begun_at)
-
-    def _record_plain_begin(self):
-        """Record the begin of a plain request that an instance ran or may have run."""
-        if self.begun_at is not None and self.sends.maybe_executed:
-            self._record_begin(self.begun_at)
-
-    def take_prior_calls(self):
-        """Return the :class:`PriorCalls` to forward, with all reserved retries."""
-        if not self.sends.maybe_executed:
-            self.begun_at = None
-        reserved, self.reserved_retries = self.reserved_retries, 0
-        return PriorCalls(
-            self.sends.maybe_received,
-            self.sends.rejected,
-            self.prefills.maybe_received,
-            reserved,
-            self.may_have_run,
-            self.stream.has_started or self.begun_at is not None,
-        )
-
-    def outcome(self, code):
-        """Return the :class:`ForwardOutcome` of a forwarded request.
-
-        :param code: what :meth:`run` returned.
-        """
-        return ForwardOutcome(
-            code,
-            self.sends.maybe_received - self.prior.sends,
-            self.sends.rejected - self.prior.rejected,
-            self.prefills.maybe_received - self.prior.prefills,
-            "" if code is ResultCode.OK else self.cause,
-        )
-
-    def _seconds_left(self, now):
+    def seconds_left(self, now):
         """Return the seconds until the request's deadline."""
         return self.deadline - now
 
@@ -175,7 +137,7 @@
         most_urgent = self.fleet.routes.is_most_urgent(
             self.route.priority, self.service
         )
-        seconds_left = self._seconds_left(now)
+        seconds_left = self.seconds_left(now)
         return refusal.refuse(
             plan, self.route.client_idle_timeout, most_urgent, seconds_left
         )
@@ -184,12 +146,12 @@
         while True:
             plan = self._next_plan(time.monotonic())
             if plan is None:
-                return self._give_up()
+                return final_response.give_up(self, time.monotonic())
             code = await self._attempt(plan)
             if code is not None:
                 return code
             if self.may_have_run and not self.route.retryable:
-                return self._give_up()
+                return final_response.give_up(self, time.monotonic())
 
     async def _attempt(self, plan):
         """Make one attempt.
@@ -200,7 +162,7 @@
             return await ForwardAttempt(self, plan).run()
         refused = self._refusal(plan, time.monotonic())
         if refused is not None:
-            return self._shed(refused)
+            return final_response.shed(self, refused)
         if self.route.kind is Kind.STREAMING:
             answered = await self._attempt_stream(plan)
         else:
@@ -209,7 +171,7 @@
 
     def _next_plan(self, now):
         """Return the plan of the next attempt, None when there is no other."""
-        if self._is_quarantined(now):
+        if self.is_quarantined(now):
             return None
         if self.sends.maybe_received > self.route.max_attempts:
             return None
@@ -247,7 +209,7 @@
         plan = self._local_plan(now)
         return plan.wait if plan else 0.0
 
-    def _is_quarantined(self, now):
+    def is_quarantined(self, now):
         """Return whether the request's work is quarantined for crashes.
 
         Checked before every call: another VM may have reported the last crash since.
@@ -324,8 +286,7 @@
         response = BufferedResponse()
         timeouts = self.attempt_timeouts(plan.wait)
         in_flight_send = self.fleet.loads.begin(plan.target.id, 0)
-        if not self.sends.maybe_executed:
-            self.begun_at = time.monotonic()
+        self.begin.expect(self.sends, time.monotonic())
         if not await self._send(plan, response, in_flight_send, timeouts):
             return False
         return self._deliver_buffered(
@@ -350,7 +311,7 @@
             )
         handle_used = False
         try:
-            if plan is None or self._is_quarantined(time.monotonic()):
+            if plan is None or self.is_quarantined(time.monotonic()):
                 return False
             tokens = plan.tokens if handle is None else 0
             urgency = min(PRIORITY_MAX, self.route.priority)
@@ -408,7 +369,7 @@
             self.cause = f"status {response.status}"
             return False
         self.served = response.status < 400
-        self._respond(response)
+        self.respond(response)
         return True
 
     def _record_response(self, instance, metadata, status):
@@ -445,7 +406,7 @@
         self.tried.add(target.id)
         options = SendOptions(
             instance=target.record.id,
-            deadline_ms=int(self._seconds_left(now) * 1000),
+            deadline_ms=int(self.seconds_left(now) * 1000),
             priority=min(PRIORITY_MAX, self.route.priority),
             last_event_id=self.stream.splitter.last_id,
             kv_source=handle,
@@ -507,57 +468,14 @@
         self.tried.add(plan.prefill.id)
         call = PrefillCall(self.relay, self.request, self.service, plan)
         try:
-            return await call.run(self._seconds_left(time.monotonic()))
+            return await call.run(self.seconds_left(time.monotonic()))
         except UpstreamError as error:
             if error.code == ResultCode.NOT_RUN:
                 self.reserved_retries += self.prefills.record_not_sent()
             self.cause = f"prefill at {plan.prefill.id}: {error}"
             return None
 
-    def _respond(self, response):
+    def respond(self, response):
+        """Send an instance's whole response to the client."""
         headers = self.wire.response_headers(response.headers)
         self.sink.respond(response.status, headers, response.body)
-
-    def _give_up(self):
-        """Give the final response when no attempt is left."""
-        if self.stream.has_started:
-            self.sink.abort()
-            return ResultCode.STREAM_CUT
-        if self.error_response is not None:
-            self._respond(self.error_response)
-            return ResultCode.UPSTREAM_FAILED
-        if self.may_have_run:
-            self.relay.reject(self.request, self.sink, 502, self.cause)
-            return ResultCode.UPSTREAM_FAILED
-        now = time.monotonic()
-        if self._is_quarantined(now):
-            retry_after = refusal.QUARANTINE_RETRY_SECONDS
-            self.relay.reject(self.request, self.sink, 503, self.cause, retry_after)
-            return ResultCode.QUARANTINED
-        retry_after = refusal.retry_after(
-            bool(self.tried),
-            self.fleet.pause_seconds(self.service, now),
-            self._seconds_left(now),
-        )
-        self.relay.reject(self.request, self.sink, 503, self.cause, retry_after)
-        return ResultCode.NO_UPSTREAM
-
-    def _shed(self, refused):
-        """Refuse the request before its first attempt."""
-        self.cause = refused.reason
-        self.relay.reject(
-            self.request, self.sink, 503, refused.reason, refused.retry_after
-        )
-        return ResultCode.SHED
-
-    def _expire(self):
-        """Give the final response at the deadline, while an attempt is in progress."""
-        if self.stream.has_started:
-            self.sink.abort()
-            return ResultCode.STREAM_CUT
-        if self.sends.maybe_received:
-            self.relay.reject(self.request, self.sink, 504, "deadline")
-            return ResultCode.OUTCOME_UNKNOWN
-        retry_after = refusal.RETRY_AFTER_SECONDS
-        self.relay.reject(self.request, self.sink, 503, "deadline", retry_after)
-        return ResultCode.SHED
