The soak cuts links between VMs and instances

A random set of daemons loses its links to one service or all instances, in one of seven ways, for 1 to 6 s, beside the other faults.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,8 @@
 
 Several ``mulberrydock serve`` processes run against stand-ins of the store, engines and
 services, each behind a loopback proxy. The seed decides which faults happen and when:
-connections are delayed, reset, cut or silenced; daemons are paused, killed, stopped and
+connections are delayed, reset, cut or silenced; daemons lose their links to instances;
+daemons are paused, killed, stopped and
 restarted; the store refuses, stops answering, loses responses and compacts its history;
 instances misbehave, drain, announce their leave before the store shows it, ask for
 pauses and are replaced; one request crashes whatever runs it and is
@@ -26,12 +27,12 @@
 
 import attrs
 import defopt
+from link_fleet import LinkFleet
 from platform_fleet import (
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
     RESUMABLE_PATH,
     STREAM_PATH,
-    PlatformFleet,
     config,
     event_ids,
     send,
@@ -41,6 +42,7 @@
 from mulberrydock.fleet import free_ports
 from mulberrydock.platform import wire
 from mulberrydock.standin.faultproxy import FaultProxy
+from mulberrydock.standin.pair_link import CUTS
 from mulberrydock.standin.platform_engine import Fault
 
 #: By route, whether a request that may have run may be sent again.
@@ -59,6 +61,9 @@
 FAULT_INTERVAL_SECONDS = (0.05, 0.4)
 #: Range of the random duration of a fault that ends by itself.
 FAULT_DURATION_SECONDS = (0.3, 2.5)
+#: Range of the random duration of a cut of links; longer than the contact time, so that
+#: requests are forwarded for a while.
+LINK_CUT_SECONDS = (1.0, 6.0)
 #: Timeout of a client's connection; twice the requests' deadline.
 CLIENT_TIMEOUT_SECONDS = 6.0
 #: Time in which requests must be served again once all faults are over.
@@ -126,7 +131,7 @@
     :param finished: set when the clients are to stop.
     """
 
-    fleet: PlatformFleet
+    fleet: LinkFleet
     seed: int
     daemons: int
     random: random.Random
@@ -142,8 +147,8 @@
     @classmethod
     def from_seed(cls, directory, seed, daemons):
         """Start the fleet, with a proxy before each stand-in, and the daemons."""
-        soak = cls(PlatformFleet(directory), seed, daemons, random.Random(seed))
-        soak.fleet.store_address = soak._add_proxy(soak.fleet.store_address)
+        soak = cls(LinkFleet(directory), seed, daemons, random.Random(seed))
+        soak.fleet.add_proxy = soak._add_proxy
         soak.fleet.write("op/config", config(soak.version))
         for stage in ("prefill", "prefill", "decode", "decode", "decode"):
             soak.add_instance("llm", stage)
@@ -181,11 +186,15 @@
 
     def _handle_crash(self, engine, proxy):
         proxy.set_mode("partition")
+        for link in self.fleet.links_of(targets={engine.id}):
+            link.set_target_down(True)
         # The next incarnation hasn't asked for a pause.
         engine.refusals.clear()
 
     def _handle_restart(self, engine, proxy):
         proxy.set_mode("pass")
+        for link in self.fleet.links_of(targets={engine.id}):
+            link.set_target_down(False)
         key = f"servers/{engine.id}"
         if key in self.fleet.store.items and engine not in self.replaced:
             self.fleet.store.write(key, engine.store_document())
@@ -200,6 +209,21 @@
         self._record_disturbance(proxy.target, seconds)
         return f"{mode} before {proxy.target}"
 
+    def cut_links(self):
+        names = self.random.sample(
+            sorted(self.fleet.daemons), self.random.randint(1, self.daemons)
+        )
+        cut = self.random.choice(list(CUTS))
+        services = self.random.choice((("llm",), ("app",), ("llm", "app")))
+        targets = {
+            engine.id
+            for engine in self.fleet.engines.values()
+            if engine.service in services
+        }
+        self.fleet.cut(names, CUTS[cut], targets)
+        self._call_later(self.fleet.restore, names, targets, within=LINK_CUT_SECONDS)
+        return f"links of {names} to {services} cut: {cut}"
+
     def break_store(self):
         name, value = self.random.choice(
             (("refusing", True), ("silent", True), ("lose_write_answers", 2))
@@ -326,7 +350,7 @@
         kinds = (
             [self.break_connection] * 4
             + [self.break_instance] * 4
-            + [self.announce_leave, self.ask_for_pause] * 2
+            + [self.announce_leave, self.ask_for_pause, self.cut_links] * 2
             + [
                 self.break_store,
                 self.compact_history,
@@ -486,21 +510,36 @@
 
     def _pause_violations(self):
         times = collections.defaultdict(list)
-        daemons = {outcome.id: outcome.daemon for outcome in self.outcomes}
+        senders = self._senders()
         for engine, outcome, at in self._arrivals():
-            times[engine.id, outcome.daemon].append(at)
+            for name in senders[outcome.id, engine.id]:
+                times[engine.id, name].append(at)
         for engine in self.fleet.engines.values():
             for request_id, at, pause in engine.refusals:
-                name, end = daemons.get(request_id), at + pause
-                sends = sum(
-                    at + NOTICE_SECONDS < moment < end
-                    for moment in times[engine.id, name]
-                )
-                names = {name, engine.listen_address}
-                if sends > MAX_SENDS_IN_A_PAUSE and not self._is_disturbed(
-                    names, at, end
-                ):
-                    yield f"BUDGET: {sends} sends of {name} in a pause of {engine.id}"
+                for name in senders[request_id, engine.id]:
+                    end = at + pause
+                    sends = sum(
+                        at + NOTICE_SECONDS < moment < end
+                        for moment in times[engine.id, name]
+                    )
+                    names = {name, engine.listen_address}
+                    if sends > MAX_SENDS_IN_A_PAUSE and not self._is_disturbed(
+                        names, at, end
+                    ):
+                        yield f"BUDGET: {sends} of {name} in a pause of {engine.id}"
+
+    def _senders(self):
+        """Return the daemons that sent each request to each instance, by their logs.
+
+        A daemon may have forwarded its client's request to another one.
+        """
+        senders = collections.defaultdict(set)
+        for name in self.fleet.daemons:
+            for event in ("send", "prefill"):
+                for row in self.fleet.log_records(event, name):
+                    instance = row["instance"].partition("@")[0]
+                    senders[row["request"], instance].add(name)
+        return senders
 
     def _order_violations(self):
         for engine in self.fleet.engines.values():
