--- a/src/mulberrydock/link_monitor.py
+++ b/src/mulberrydock/link_monitor.py
@@ -94,33 +94,37 @@
 
     def choose(self, now):
         """Return the instances whose links are to be probed at ``now``."""
-        instances = self.fleet.instances.instances.values()
-        live = [i for i in instances if not i.leaving and i.id not in self.probes]
-        chosen = [i for i in live if self._is_due(i, now)]
-        chosen += self._controls(live)
+        down = self.links.down()
+        due = {i for i in down if now >= self.retry_at.get(i, now)}
+        due |= self.doubted | self._silent(now)
+        chosen = [self.fleet.instances.get_incarnation(i) for i in due]
+        if down:
+            chosen += self._controls()
+        chosen = [i for i in chosen if i is not None and self._may_probe(i)]
         chosen.sort(key=lambda i: self.links.get(i.id).failed_at)
         return list(dict.fromkeys(chosen))[: MAX_PROBES - len(self.probes)]
 
-    def _is_due(self, instance, now):
-        link = self.links.get(instance.id)
-        if instance.id in self.doubted:
-            return True
-        if link.is_down:
-            return now >= self.retry_at.get(instance.id, now)
-        pool = self.relay.connection_pools.get(instance.id)
-        silent_since = pool.silent_since() if pool else None
-        return (
-            silent_since is not None
-            and now - silent_since >= SILENCE_SECONDS
-            and now - link.connected_at >= PROVEN_SECONDS
-        )
-
-    def _controls(self, live):
+    def _may_probe(self, instance):
+        return not instance.leaving and instance.id not in self.probes
+
+    def _silent(self, now):
+        """Return the ids of the instances that owe a response and are silent."""
+        silent = set()
+        for instance_id, pool in self.relay.connection_pools.items():
+            since = pool.silent_since()
+            if since is None or now - since < SILENCE_SECONDS:
+                continue
+            if now - self.links.get(instance_id).connected_at >= PROVEN_SECONDS:
+                silent.add(instance_id)
+        return silent
+
+    def _controls(self):
         """Return instances to probe because others of their service can't be reached.
 
         One other instance of each stage shows whether the fault is at the instance. If
         several are down, the links of this VM may be, so all others are probed.
         """
+        live = [i for i in self.fleet.instances.instances.values() if not i.leaving]
         down_since = {}
         for instance in live:
             link = self.links.get(instance.id)
--- a/src/mulberrydock/links.py
+++ b/src/mulberrydock/links.py
@@ -72,7 +72,8 @@
 
     def get(self, instance_id):
         """Return the :class:`Link` to an instance."""
-        return self.links.get(instance_id, Link())
+        link = self.links.get(instance_id)
+        return Link() if link is None else link
 
     def is_down(self, instance_id):
         """Return whether the last attempt to connect to an instance failed."""
--- a/src/mulberrydock/trace.py
+++ b/src/mulberrydock/trace.py
@@ -25,9 +25,13 @@
         "instance asks for a pause",
         "instance record lapsed",
         "instance gone",
+        "link down",
+        "link back",
         "order",
     )
 )
+#: Events that log whether a VM has links to the instances of a service.
+LINK_EVENTS = frozenset(("links lost", "links back"))
 #: Events about a request's work, matched by its fingerprint and included from any time
 #: before the request's end: a request may be refused because of crashes that other VMs
 #: saw long before it arrived.
@@ -129,7 +133,7 @@
 
 
 def _is_context(line, instances):
-    if line.event in PROCESS_EVENTS:
+    if line.event in PROCESS_EVENTS | LINK_EVENTS:
         return True
     return line.event in INSTANCE_EVENTS and line.fields.get("instance") in instances
 
@@ -141,6 +145,7 @@
     """
     if not own_lines:
         return "no line names this request: no VM took it, or its lines were dropped"
+    own_lines = _without_peers(own_lines)
     ends = [line for line in own_lines if line.event in ("answered", "client left")]
     if ends:
         return _describe_end(ends[-1].fields, own_lines, ends[-1].event)
@@ -151,6 +156,15 @@
     return f"no end is logged: {own_lines[-1].process} ended or lost power while it ran"
 
 
+def _without_peers(own_lines):
+    """Return the lines of the VM that took the request from its client.
+
+    The VMs to which it forwarded the request log an end of their own.
+    """
+    peers = {line.process for line in own_lines if line.event == "forwarded request"}
+    return [line for line in own_lines if line.process not in peers] or own_lines
+
+
 def _describe_end(fields, own_lines, event):
     if event == "client left":
         return (
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -49,6 +49,15 @@
         [SENT, line(400, "client left", first_event=None, **ENDED)],
         "before e1 gave a first event",
     ),
+    "forwarded": (
+        [
+            line(1, "forward", request="r1", peer="entry-2"),
+            line(2, "forwarded request", "entry-2", request="r1", sender="entry-1"),
+            line(400, "answered", code="NO_UPSTREAM", cause="entry-2: full", **ENDED),
+            line(401, "client left", "entry-2", first_event=None, **ENDED),
+        ],
+        "NO_UPSTREAM after 2.4 s: entry-2: full",
+    ),
     "power lost": ([SENT], "entry-1 ended or lost power"),
 }
 
