--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -83,21 +83,21 @@
 
         :returns: the :class:`ResultCode` if the client was answered, else None.
         """
-        life, plan = self.lifecycle, self.plan
+        lifecycle, plan = self.lifecycle, self.plan
         now = time.monotonic()
         timeouts = self._timeouts(now)
         data = self._encode(now)
-        life.sends.record_call()
-        life.forwards += 1
+        lifecycle.sends.record_call()
+        lifecycle.forwards += 1
         logger.info(
             "forward",
-            request=life.request.id,
+            request=lifecycle.request.id,
             peer=plan.name,
-            attempt=life.forwards,
-            service=life.service,
+            attempt=lifecycle.forwards,
+            service=lifecycle.service,
         )
-        life.relay.metrics.forwards.labels(life.service).inc()
-        listener = ForwardedResponse(life.wire, life.stream)
+        lifecycle.relay.metrics.forwards.labels(lifecycle.service).inc()
+        listener = ForwardedResponse(lifecycle.wire, lifecycle.stream)
         try:
             exchange = self.forwarding.exchange(plan, data, listener)
             await run_exchange(exchange, listener, timeouts)
@@ -105,27 +105,27 @@
             self._record_failure(error)
             return None
         finally:
-            life.begin.take_back()
+            lifecycle.begin.take_back()
         return self._deliver(listener)
 
     def _encode(self, now):
-        life = self.lifecycle
+        lifecycle = self.lifecycle
         request = attrs.evolve(
-            life.request,
-            deadline=life.deadline,
-            last_event_id=life.stream.splitter.last_id,
+            lifecycle.request,
+            deadline=lifecycle.deadline,
+            last_event_id=lifecycle.stream.splitter.last_id,
         )
-        prior = PriorCalls.from_lifecycle(life)
+        prior = PriorCalls.from_lifecycle(lifecycle)
         forwarded = ForwardedRequest(
-            request, life.route.priority, prior, self.forwarding.name
+            request, lifecycle.route.priority, prior, self.forwarding.name
         )
         return forward_messages.encode(forwarded, now)
 
     def _timeouts(self, now):
         """Return the :class:`PeerTimeouts`, None for no timeout."""
-        life = self.lifecycle
-        attempts_left = life.route.max_attempts - life.sends.maybe_received
-        timeouts = life.attempt_timeouts(life.estimate_wait(now))
+        lifecycle = self.lifecycle
+        attempts_left = lifecycle.route.max_attempts - lifecycle.sends.maybe_received
+        timeouts = lifecycle.attempt_timeouts(lifecycle.estimate_wait(now))
         if timeouts is None:
             return None
         # The peer may abandon instances too.
@@ -139,69 +139,72 @@
 
     def _record_failure(self, error):
         """Record that the peer gave no whole response."""
-        life = self.lifecycle
+        lifecycle = self.lifecycle
         if error.code == ResultCode.NOT_RUN:
-            life.reserved_retries += life.sends.record_not_sent()
+            lifecycle.reserved_retries += lifecycle.sends.record_not_sent()
         else:
-            life.may_have_run = True
+            lifecycle.may_have_run = True
         self._refused(str(error))
 
     def _refused(self, reason):
         """Let neither this request nor others be forwarded to the peer for now."""
-        life, plan = self.lifecycle, self.plan
-        life.cause = f"{plan.name}: {reason}"
-        life.refused_by.add(plan.name)
-        self.forwarding.avoid(plan.name, life.service, time.monotonic())
+        lifecycle, plan = self.lifecycle, self.plan
+        lifecycle.cause = f"{plan.name}: {reason}"
+        lifecycle.refused_by.add(plan.name)
+        self.forwarding.avoid(plan.name, lifecycle.service, time.monotonic())
         logger.warning(
-            "forward failed", request=life.request.id, peer=plan.name, reason=reason
+            "forward failed",
+            request=lifecycle.request.id,
+            peer=plan.name,
+            reason=reason,
         )
 
     def _deliver(self, response):
         """Pass the peer's whole response on unless another attempt may do better."""
-        life, outcome = self.lifecycle, response.outcome
+        lifecycle, outcome = self.lifecycle, response.outcome
         if outcome is None:
             if response.is_signed_stream:
-                life.served = True
-                life.sink.finish()
+                lifecycle.served = True
+                lifecycle.sink.finish()
                 return ResultCode.OK
-            life.may_have_run = True
+            lifecycle.may_have_run = True
             self._refused(f"status {response.status} without an outcome")
             return None
         self._count_calls(outcome)
-        life.cause = f"{self.plan.name}: {outcome.code.name} {outcome.cause}"
+        lifecycle.cause = f"{self.plan.name}: {outcome.code.name} {outcome.cause}"
         if outcome.code in NOT_SERVED_CODES:
             self._refused(outcome.cause or outcome.code.name)
             return None
         if outcome.code in FINAL_REFUSAL_CODES:
             return self._refuse(response)
-        life.may_have_run = True
+        lifecycle.may_have_run = True
         passed_on = (
             response.metadata.signed
             and not response.is_signed_stream
-            and life.pass_on(response)
+            and lifecycle.pass_on(response)
         )
         return ResultCode.OK if passed_on else None
 
     def _count_calls(self, outcome):
         """Count the calls that the peer made instead of the one to the peer."""
-        life = self.lifecycle
-        life.sends.maybe_received += outcome.sends - 1
-        life.sends.rejected += outcome.rejected
-        life.prefills.maybe_received += outcome.prefills
+        lifecycle = self.lifecycle
+        lifecycle.sends.maybe_received += outcome.sends - 1
+        lifecycle.sends.rejected += outcome.rejected
+        lifecycle.prefills.maybe_received += outcome.prefills
         if not outcome.sends:
-            life.reserved_retries += int(life.sends.maybe_received > 0)
+            lifecycle.reserved_retries += int(lifecycle.sends.maybe_received > 0)
 
     def _refuse(self, response):
         """Pass a refusal on; it states that the request has not run."""
-        life = self.lifecycle
-        if life.may_have_run:
+        lifecycle = self.lifecycle
+        if lifecycle.may_have_run:
             return None
         code = response.outcome.code
-        life.relay.reject(
-            life.request,
-            life.sink,
+        lifecycle.relay.reject(
+            lifecycle.request,
+            lifecycle.sink,
             response.status,
-            life.cause,
+            lifecycle.cause,
             response.metadata.retry_after,
         )
         return code
