--- a/tests/link_fleet.py
+++ b/tests/link_fleet.py
@@ -95,8 +95,8 @@
 
     def cut(self, names, cut, targets=None):
         """Cut the links of VMs to ``targets``, by default all instances."""
-        for link in self.links_of(names, targets or self.engines):
-            self.call_on_loop(link.cut, cut)
+        links = self.links_of(names, targets or self.engines)
+        self.call_on_loop(lambda: [link.cut(cut) for link in links])
 
     def restore(self, names=None, targets=None):
         """Restore the links of VMs to ``targets``, by default all links."""
