--- a/src/mulberrydock/crash_probe.py
+++ b/src/mulberrydock/crash_probe.py
@@ -25,14 +25,14 @@
 
     :param connection_pool: returns the
         :class:`~mulberrydock.connections.ConnectionPool` of an instance.
-    :param links: the :class:`~mulberrydock.link_monitor.LinkMonitor`.
+    :param link_monitor: the :class:`~mulberrydock.link_monitor.LinkMonitor`.
 
     ``down_at`` is when an incarnation was found crashed, monotonic seconds.
     """
 
-    def __init__(self, connection_pool, links):
+    def __init__(self, connection_pool, link_monitor):
         self.connection_pool = connection_pool
-        self.links = links
+        self.link_monitor = link_monitor
         self.probes = {}
         self.down_at = {}
 
@@ -54,7 +54,9 @@
     async def _probe(self, instance):
         try:
             accepts = await self.connection_pool(instance).probe(time.monotonic())
-            if accepts is False and await self.links.are_lost(instance.record.service):
+            if accepts is False and await self.link_monitor.are_lost(
+                instance.record.service
+            ):
                 accepts = None
         finally:
             self.probes.pop(instance.id, None)
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -159,13 +159,13 @@
         nothing about the instances.
         """
         suspects = self.suspicion.suspects(now)
-        if self.links.lost:
+        if self.links.lost_since:
             suspects = {i for i in suspects if not self._is_link_lost(i)}
         return suspects | self.backoffs.paused(now)
 
     def _is_link_lost(self, instance_id):
         instance = self.instances.get_incarnation(instance_id)
-        return instance is not None and instance.record.service in self.links.lost
+        return instance is not None and self.links.is_lost(instance.record.service)
 
     def check_call(self, instance, now):
         """Check that an instance hasn't asked this VM for a pause.
--- a/src/mulberrydock/forward_front.py
+++ b/src/mulberrydock/forward_front.py
@@ -1,7 +1,6 @@
 """The server that takes requests forwarded by peers."""
 
 import asyncio
-import time
 
 from loguru import logger
 
@@ -96,8 +95,3 @@
         except Exception:
             logger.exception("request fault", request=forwarded.request.id)
             sink.close()
-
-
-def make_front(relay, key):
-    """Return the :class:`ForwardFront` of a VM."""
-    return ForwardFront(relay, key, time.monotonic)
--- a/src/mulberrydock/link_monitor.py
+++ b/src/mulberrydock/link_monitor.py
@@ -58,14 +58,13 @@
 
     def record(self, instance, connected, now):
         """Record an attempt to connect to ``instance``."""
-        was_down = self.links.is_down(instance.id)
-        self.links.record(instance, connected, now)
-        if connected and was_down:
+        if not self.links.record(instance, connected, now):
+            return
+        if connected:
             self.fleet.suspicion.record_link_back(instance.id)
             # The other links may be back as well.
             self.retry_at.clear()
-        if connected == was_down:
-            self.changed.set()
+        self.changed.set()
 
     def doubt(self, instance):
         """Probe the link to ``instance``, as a request made no progress there."""
@@ -81,7 +80,7 @@
             self.step(time.monotonic())
             instances = self.fleet.instances.serving(service)
             probes = [self.probes[i.id] for i in instances if i.id in self.probes]
-            if not probes or service in self.links.lost:
+            if not probes or self.links.is_lost(service):
                 return
             if self.links.is_proven(service, now):
                 return
@@ -90,7 +89,7 @@
     async def are_lost(self, service):
         """Return whether the links to ``service`` are lost, once that is known."""
         await self.settle(service, time.monotonic())
-        return service in self.links.lost
+        return self.links.is_lost(service)
 
     def choose(self, now):
         """Return the instances whose links are to be probed at ``now``."""
--- a/src/mulberrydock/links.py
+++ b/src/mulberrydock/links.py
@@ -70,15 +70,15 @@
         """The services to which this VM has lost its links."""
         return frozenset(self.lost_since)
 
+    def is_lost(self, service):
+        """Return whether this VM has lost its links to ``service``."""
+        return service in self.lost_since
+
     def get(self, instance_id):
         """Return the :class:`Link` to an instance."""
         link = self.links.get(instance_id)
         return Link() if link is None else link
 
-    def is_down(self, instance_id):
-        """Return whether the last attempt to connect to an instance failed."""
-        return self.get(instance_id).is_down
-
     def down(self):
         """Return the ids of the instances whose links are down."""
         return {name for name, link in self.links.items() if link.is_down}
@@ -87,13 +87,18 @@
         """Record an attempt to connect to ``instance``.
 
         :param connected: whether a connection was made.
+        :returns: whether the link is down or back since this attempt.
         """
         link = self.links.setdefault(instance.id, Link())
-        if link.is_down == connected:
+        changed = link.is_down == connected
+        if changed:
             event = "link back" if connected else "link down"
             logger.info(event, instance=instance.id)
         link.record(connected, now)
-        self.update(instance.record.service, now)
+        # A connection can only end a loss.
+        if not connected or self.is_lost(instance.record.service):
+            self.update(instance.record.service, now)
+        return changed
 
     def can_run(self, service):
         """Return whether an instance of ``service`` that runs requests can be reached.
--- a/src/mulberrydock/peer_groups.py
+++ b/src/mulberrydock/peer_groups.py
@@ -77,19 +77,26 @@
         alive = frozenset((self.known_peers().keys() - silent) | own)
         return alive - self.without_links(now) or alive
 
-    def without_links(self, now, service=None):
-        """Return the names of the VMs, this one included, without links to a service.
+    def local_without_links(self, now, service=None):
+        """Return the VMs without links to a service of which this VM hears directly.
 
-        :param service: the service, None for any service. Of VMs in other data centres
-            it isn't known which service it is.
+        :param service: the service, None for any service.
         """
         lost = self.tracker.lost_services(now) | {self.name: self.lost_services()}
-        direct = {
+        return {
             name
             for name, services in lost.items()
             if (services if service is None else service in services)
         }
-        return direct | self.tracker.remote_vms_without_links(now)
+
+    def without_links(self, now, service=None):
+        """Return the names of the VMs, this one included, without links to a service.
+
+        :param service: the service, None for any service. Of VMs in other data centres
+            it isn't known which service it is.
+        """
+        remote = self.tracker.remote_vms_without_links(now)
+        return self.local_without_links(now, service) | remote
 
     def forwarders(self, service, now):
         """Return the live peers that can serve requests for a service, by name."""
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -56,7 +56,6 @@
         are added, None to ignore them.
     :param instances: the :class:`~mulberrydock.instances.InstanceRegistry`, None to
         exchange no leaves of instances.
-    :param lost_services: returns the services to whose instances this VM has no link.
     """
 
     def __init__(
@@ -71,7 +70,6 @@
         limits=None,
         usage=None,
         instances=None,
-        lost_services=frozenset,
     ):
         self.name = name
         self.tracker = tracker
@@ -83,7 +81,6 @@
         self.limits = limits
         self.usage = usage
         self.instances = instances
-        self.lost_services = lost_services
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -231,7 +228,7 @@
             cordoned,
             self.interval(),
             suspects=self.suspects(now),
-            lost_services=self.lost_services(),
+            lost_services=self.groups.lost_services(),
         )
         self.message_count += 1
         limits = self._limit_updates(now, self.message_count)
@@ -260,7 +257,7 @@
             self.tracker.direct_total(now),
             cordoned,
             SUM_INTERVAL_SECONDS,
-            vms_without_links=self._vms_without_links(now),
+            vms_without_links=self.groups.local_without_links(now),
         )
         prefills, self.local_prefills = self.local_prefills, {}
         pools = []
@@ -278,11 +275,6 @@
         )
         return peer_messages.encode(update)
 
-    def _vms_without_links(self, now):
-        """Return the VMs of this data centre without links to some service."""
-        own = {self.name} if self.lost_services() else set()
-        return own | self.tracker.lost_services(now).keys()
-
     def send_to(self, peers, data):
         """Send ``data`` to each of ``peers``."""
         for peer in peers:
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -44,8 +44,8 @@
         self.on_begin = lambda team, age: None
         self.forwarding = None
         self.connection_pools = {}
-        self.links = LinkMonitor(fleet, self)
-        self.crash_probe = CrashProbe(self.connection_pool, self.links)
+        self.link_monitor = LinkMonitor(fleet, self)
+        self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
         self.background_tasks = set()
 
     def connection_pool(self, instance):
@@ -53,7 +53,7 @@
         pool = self.connection_pools.get(instance.id)
         if pool is None:
             pool = ConnectionPool(instance.address)
-            pool.on_connect = lambda connected: self.links.record(
+            pool.on_connect = lambda connected: self.link_monitor.record(
                 instance, connected, time.monotonic()
             )
             self.connection_pools[instance.id] = pool
@@ -63,7 +63,7 @@
 
     def forget(self, instance_id):
         """Close the idle connections of a terminated instance."""
-        self.links.forget(instance_id)
+        self.link_monitor.forget(instance_id)
         self.crash_probe.forget(instance_id)
         pool = self.connection_pools.pop(instance_id, None)
         if pool is not None:
@@ -247,9 +247,9 @@
         if isinstance(error, CallWithheld | CallRefused | ConnectionCut):
             return
         if error.code == ResultCode.NOT_RUN:
-            await self.links.settle(instance.record.service, time.monotonic())
+            await self.link_monitor.settle(instance.record.service, time.monotonic())
         else:
-            self.links.doubt(instance)
+            self.link_monitor.doubt(instance)
 
     async def probe_after_cut(self, request, instance):
         """Probe whether ``instance`` crashed: its connection was cut in ``request``.
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -14,13 +14,14 @@
 import tornado.httpserver
 from loguru import logger
 
-from . import defaults, forward_front, platform, records
+from . import defaults, platform, records
 from ._http import split_address
 from .clock import boot_seconds
 from .directory import Directory
 from .duties import Duties
 from .exceptions import SettingsError
 from .fleet_view import FleetView
+from .forward_front import ForwardFront
 from .forwarding import Forwarding
 from .front import Front
 from .handover import LeaderHandover
@@ -140,7 +141,7 @@
             lambda: self.fleet.links.lost,
         )
         self.relay.forwarding = Forwarding(self.groups)
-        self.forward_front = forward_front.make_front(self.relay, forward_key)
+        self.forward_front = ForwardFront(self.relay, forward_key, time.monotonic)
         self.directory = Directory(self.groups, settings.listen.front)
         self.lease = LeaderLease(
             store,
@@ -187,7 +188,6 @@
             self.fleet.limits,
             self.usage_ledger,
             self.fleet.instances,
-            self.groups.lost_services,
         )
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
@@ -356,7 +356,7 @@
             asyncio.ensure_future(self.peers.run()),
             asyncio.ensure_future(self.quarantine.run()),
             asyncio.ensure_future(self._sweep()),
-            asyncio.ensure_future(self.relay.links.run()),
+            asyncio.ensure_future(self.relay.link_monitor.run()),
             asyncio.ensure_future(self.handover.run()),
             *(asyncio.ensure_future(duty.run()) for duty in self.duties.tasks),
         ]
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -185,7 +185,7 @@
 
     def _plan(self, now):
         """Return the plan of an attempt, through a peer if the links are lost."""
-        if self.service in self.fleet.links.lost:
+        if self.fleet.links.is_lost(self.service):
             plan = None if self.is_forwarded else self._forward_plan(now)
             if plan is not None or not self.fleet.links.can_run(self.service):
                 self.cause = self.cause if plan else "no VM has links to the instances"
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -76,13 +76,7 @@
         groups = PeerGroups(membership, tracker, data_centre, lambda: lost_services)
         limits = RateLimits(name, groups.senders)
         link = PeerLink(
-            name,
-            tracker,
-            groups,
-            bool,
-            limits=limits,
-            instances=InstanceRegistry(),
-            lost_services=lambda: lost_services,
+            name, tracker, groups, bool, limits=limits, instances=InstanceRegistry()
         )
         link.transport = Transport(self, name)
         self.vms[name] = Vm(
