Logs name the software version of an instance and the stream that is taken up

Change: instance records keep the version that they state; the lines 'instance seen' and 'send' name it, 'send' the last event, and 'stream taken up' the request that began the stream. No decision depends on them.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -40,7 +40,8 @@
 
     ``address`` is ``host:port``; ``slots`` is the number of requests that it serves at
     once; ``started_at_ms`` is the Unix time of its start in milliseconds, None if the
-    record has none. The platform may take back a ``reclaimable`` one.
+    record has none. The platform may take back a ``reclaimable`` one. ``version`` is
+    that of its software, empty if the record states none.
     """
 
     id: str
@@ -52,6 +53,7 @@
     stage: Stage = Stage.NONE
     started_at_ms: int | None = None
     reclaimable: bool = False
+    version: str = ""
 
     @property
     def incarnation(self):
@@ -162,6 +164,7 @@
                 instance=record.incarnation,
                 service=record.service,
                 stage=record.stage.value,
+                version=record.version,
             )
         if record.stage is not known.record.stage:
             logger.info(
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -166,6 +166,7 @@
             stage=_stage(row.get("stage")),
             started_at_ms=_started_at_ms(row),
             reclaimable=bool(row.get("spot", False)),
+            version=_version(row.get("version")),
         )
     except DECODE_ERRORS as error:
         raise SettingsError(f"{key}: invalid instance record: {error!r}") from error
@@ -241,5 +242,10 @@
     return Stage(value)
 
 
+def _version(value):
+    """Return the version of an instance's software, empty if it isn't a text."""
+    return value if isinstance(value, str) else ""
+
+
 def _started_at_ms(row):
     return _count(row["born"], "born") if "born" in row else None
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -27,6 +27,7 @@
 NOT_EXECUTED = "X-Mulberrydock-Not-Executed"
 PRIORITY = "X-Mulberrydock-Request-Priority"
 PROMPT_PREFIX = "X-Mulberrydock-Prompt-Prefix"
+RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LIMIT = "Server-Limit"
@@ -109,6 +110,7 @@
             prompt=_prompt(headers),
             last_event_id=int(_quantity(headers.get(LAST_EVENT_ID), 0)),
             authorization=tuple(headers.get_list(AUTHORIZATION)),
+            resumes=headers.get(RESUMES, ""),
         )
 
     def upstream_headers(self, request, options):
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -173,7 +173,9 @@
     headers to pass on, in order, as (name, value) pairs. ``authorization`` holds the
     values of its ``Authorization`` headers, which are passed on only where clients need
     no API key; ``team`` is the name of the team that sent it, empty if none did.
-    ``fingerprint`` is the same for all attempts at the same work.
+    ``fingerprint`` is the same for all attempts at the same work. A request that takes
+    a stream up after ``last_event_id`` names in ``resumes`` the id of the request that
+    brought the stream's first event, empty if it names none.
     """
 
     id: str
@@ -188,6 +190,7 @@
     last_event_id: int = 0
     authorization: tuple = attrs.field(default=(), repr=False)
     team: str = ""
+    resumes: str = ""
     fingerprint: str = attrs.field(init=False)
 
     @fingerprint.default
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -115,6 +115,13 @@
     def _record_arrival(self):
         """Record a client's request; a forwarded one was recorded by its sender."""
         arrived = self.request.arrived
+        if self.request.last_event_id:
+            logger.info(
+                "stream taken up",
+                request=self.request.id,
+                resumes=self.request.resumes,
+                after_event=self.request.last_event_id,
+            )
         self.fleet.budget(self.service).record_request(arrived)
         if self.request.prompt.tokens:
             self.fleet.record_demand(
@@ -416,6 +423,8 @@
             request=self.request.id,
             instance=target.id,
             attempt=self.sends.made,
+            version=target.record.version,
+            after_event=options.last_event_id,
             prefilled=handle is not None,
             wait=round(plan.wait, 3),
             config=self.fleet.routes.version,
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -61,7 +61,8 @@
 class Run:
     """A request that the instance started to execute.
 
-    ``ended`` is "done" or "cancelled", empty while it runs.
+    ``ended`` is "done" or "cancelled", empty while it runs; ``events`` counts the
+    events of its stream that were sent.
     """
 
     id: str
@@ -71,6 +72,7 @@
     body: bytes
     last_event_id: int
     ended: str = ""
+    events: int = 0
 
 
 @attrs.define(eq=False)
@@ -92,6 +94,8 @@
     :param on_restart: called with this object after the process has restarted.
     :param rate_limit: rate limit that its responses declare, in requests per second.
     :param leaving: its responses state that it is about to terminate.
+    :param version: what its record states as the version of its software, None for a
+        record without one.
     :param retry_after: seconds without further calls that its refusals ask for.
 
     For assertions, ``runs`` lists the requests that it started to execute,
@@ -124,6 +128,7 @@
     rate_limit: float | None = None
     leaving: bool = False
     retry_after: float | None = None
+    version: object = "v1"
     arrived_ids: list = attrs.field(factory=list)
     arrival_times: list = attrs.field(factory=list)
     refusals: list = attrs.field(factory=list)
@@ -137,7 +142,6 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
             "slots": 4,
             "state": state,
             "cold_remaining_ms": 0,
@@ -145,6 +149,8 @@
         }
         if self.stage:
             document["stage"] = self.stage
+        if self.version is not None:
+            document["version"] = self.version
         return document | self._start_field()
 
     def _start_field(self):
@@ -346,6 +352,7 @@
             if number - first == 2 and fault is Fault.PAUSE:
                 await asyncio.sleep(PAUSE_SECONDS)
             reader.write(f"id: {number}\ndata: {run.id}\n\n".encode())
+            run.events += 1
             await asyncio.sleep(self.event_interval_seconds)
         reader.finish_stream()
 
