Failing tests: streams go on at another software version

Each stream may hold events of one version only and must go on while its version serves; a stream that nobody knows is refused at once.

--- /dev/null
+++ b/tests/version_fleet.py
@@ -0,0 +1,142 @@
+"""A fleet whose language model service runs several software versions side by side.
+
+Its clients take streams up again as clients do: on a new connection, with the last
+event that they have and the id of the request that brought the first one.
+"""
+
+import contextlib
+import http.client
+
+import attrs
+from link_fleet import LinkFleet, _has_seen
+from platform_fleet import RESUMABLE_PATH, config, event_ids, send, wait_until
+
+VMS = ("entry-1", "entry-2", "entry-3")
+VERSIONS = ("v1", "v1.1", "v2")
+#: Instances: (stage, version); two of each version decode. So many prefill that none is
+#: ordered to change its stage.
+INSTANCES = (("prefill", "v1"),) + tuple(
+    (stage, version)
+    for version in VERSIONS
+    for stage in ("prefill", "decode", "decode")
+)
+#: Instances of two versions, one of each stage.
+ONE_OF_EACH = tuple(
+    (stage, version) for version in VERSIONS[:2] for stage in ("prefill", "decode")
+)
+#: Seconds between two events: slow enough for a client to leave in between.
+EVENT_INTERVAL_SECONDS = 0.15
+#: Deadline of the clients, long enough for several attempts.
+DEADLINE_MS = "9000"
+
+
+@contextlib.contextmanager
+def started_fleet(directory, instances=INSTANCES, names=VMS):
+    """Start a fleet of the named VMs before ``instances``; stop it at the end."""
+    fleet = LinkFleet(directory)
+    fleet.write("op/config", config(3))
+    for number, (stage, version) in enumerate(instances):
+        fleet.add_instance(
+            f"{stage}-{version}-{number}",
+            "llm",
+            stage,
+            version=version,
+            event_interval_seconds=EVENT_INTERVAL_SECONDS,
+        )
+    for name in names:
+        fleet.start(name)
+    try:
+        for name in names:
+            wait_for_vm(fleet, name, names)
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def wait_for_vm(fleet, name, names=VMS):
+    """Wait until a VM is ready and knows the instances and its peers."""
+    fleet.wait_ready(name)
+    wait_until(lambda: _has_seen(fleet, name, names))
+
+
+@attrs.define
+class Stream:
+    """One stream of a client, over all its requests.
+
+    ``ids`` are the ids of its requests, ``events`` those of the events that arrived;
+    ``complete`` is True once one of its responses ended as complete, ``status`` that of
+    the last response, 0 without one. ``retry_after`` is the last response's header.
+    """
+
+    fleet: object
+    name: str
+    tokens: str = "100,10"
+    ids: list = attrs.field(factory=list)
+    events: list = attrs.field(factory=list)
+    complete: bool = False
+    status: int = 0
+    retry_after: str = ""
+    connection: object = None
+
+    def request(self, vm, until=None, **headers):
+        """Send one request to ``vm`` and read the response up to event ``until``.
+
+        The connection stays open if that event has arrived.
+
+        :param until: the id of the last event to read, None to read to the end.
+        """
+        self.ids.append(f"{self.name}/{len(self.ids)}")
+        fields = {
+            "X_Mulberrydock_Deadline_Ms": DEADLINE_MS,
+            "X_Mulberrydock_Token_Counts": self.tokens,
+        }
+        if self.events:
+            fields["Last_Event_Id"] = str(self.events[-1])
+            fields["Resumes"] = self.ids[0]
+        self.connection = self.fleet.connect(vm)
+        fields |= headers
+        fields = {name: value for name, value in fields.items() if value is not None}
+        try:
+            send(self.connection, RESUMABLE_PATH, self.ids[-1], **fields)
+            response = self.connection.getresponse()
+            self.status = response.status
+            self.retry_after = response.getheader("Retry-After", "")
+            self._read(response, until)
+        except (http.client.HTTPException, OSError):
+            self.connection.close()
+        return self
+
+    def _read(self, response, until):
+        if response.status != 200:
+            return
+        data, had = b"", list(self.events)
+        while chunk := response.read1(4096):
+            data += chunk
+            whole = data[: data.rfind(b"\n\n") + 2]
+            self.events = had + event_ids(whole)
+            if until is not None and self.events and self.events[-1] >= until:
+                return
+        # ``read1`` returns no data at a premature end, without an error.
+        self.complete = self.events == [1, 2, 3, 4]
+
+    def leave(self):
+        """Close the connection, as a client does that gives its answer up."""
+        self.connection.close()
+
+    def versions(self):
+        """Return the versions of the instances that sent events of this stream."""
+        return {
+            engine.version
+            for engine in self.fleet.engines.values()
+            for run in engine.runs
+            if run.id in self.ids and run.events
+        }
+
+    def runs(self):
+        """Return the runs of the last request."""
+        return [
+            run
+            for engine in self.fleet.engines.values()
+            for run in engine.runs
+            if run.id == self.ids[-1]
+        ]
