A stream goes on only at the software version that began it

Cause: the record's version was dropped, so the next attempt of a stream took any instance of the service, and a VM at which a client took its stream up couldn't know the version. Class of fault: what belongs to an instance is taken for a property of its service. Change: the first event fixes the version of a stream. Further attempts, also through a peer, go to that version only. Before the first event is passed on, the VM tells three peers of different data centres, which any VM finds by a hash ring; a VM that doesn't know a stream that is taken up asks them (all peers in a fleet of up to 25 VMs). A version that nobody knows is refused at once, unless the service has had one version only for a minute. Prompts are prefilled and decoded by engines of one version.

--- a/src/mulberrydock/exceptions.py
+++ b/src/mulberrydock/exceptions.py
@@ -33,6 +33,7 @@
     IN_PROGRESS = 204
     NOT_READY = 205
     QUARANTINED = 206
+    UNKNOWN_VERSION = 207
     NOT_RUN = 300
     UPSTREAM_FAILED = 301
     OUTCOME_UNKNOWN = 400
--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -31,6 +31,19 @@
     return ResultCode.NO_UPSTREAM
 
 
+def refuse_unknown_version(lifecycle, final):
+    """Refuse to go on with a stream of which nobody knows the version.
+
+    :param final: False if a peer that hasn't answered may know it.
+    """
+    lifecycle.cause = "the version that began the stream isn't known"
+    retry_after = (
+        refusal.UNKNOWN_VERSION_RETRY_SECONDS if final else refusal.RETRY_AFTER_SECONDS
+    )
+    _reject(lifecycle, 503, lifecycle.cause, retry_after)
+    return ResultCode.UNKNOWN_VERSION
+
+
 def shed(lifecycle, refused):
     """Refuse the request before its first attempt.
 
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -22,6 +22,7 @@
 from .rate_limits import RateLimits
 from .route_table import RouteTable
 from .stages import MAX_DECODE_UTILIZATION, StageNeeds, sustainable_streams
+from .stream_origins import StreamOrigins
 from .suspicion import Suspicion
 
 #: Share of an instance's connection limit that the entry VMs use together; the
@@ -61,6 +62,7 @@
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
         self.quarantine = Quarantine()
+        self.stream_origins = StreamOrigins()
         self.placement = Placement(data_centre)
         self.estimates = FleetEstimates(self._kv_capacity)
         self.timing = timing
@@ -125,9 +127,15 @@
         cap = spec.max_connections if spec else 100
         return max(2, int(cap * CONNECTION_SHARE / self.vm_count()))
 
-    def _candidates(self, service, tried, now):
+    def _candidates(self, service, tried, now, version=""):
+        """Return the instances that a request may be sent to.
+
+        :param version: the only version to return, empty for all.
+        """
         excluded = tried | self.loads.cordoned(now)
         serving = self.instances.serving(service)
+        if version:
+            serving = [i for i in serving if i.record.stream_version == version]
         return [i for i in serving if i.id not in excluded and self._permits(i, now)]
 
     def _permits(self, instance, now):
@@ -212,8 +220,8 @@
         spec = self._spec(instance.record.service) if instance else None
         return spec.kv_tokens if spec else 0
 
-    def _pool(self, service, tried, now):
-        candidates = self._candidates(service, tried, now)
+    def _pool(self, service, tried, now, version=""):
+        candidates = self._candidates(service, tried, now, version)
         prefills, decoders = self._split_by_stage(candidates, now)
         spec = self._spec(service)
         estimates = self.estimates.pool(service)
@@ -266,8 +274,11 @@
         return max(link, slots, memory)
 
     def decode_plan(self, request, service, plan, tried, now):
-        """Return ``plan`` with the best decode engine at ``now``, or None."""
-        pool = self._pool(service, tried, now)
+        """Return ``plan`` with the best decode engine at ``now``, or None.
+
+        It is of the version that has prefilled the prompt.
+        """
+        pool = self._pool(service, tried, now).of_version(plan.prefill.record.version)
         prompt_tokens = request.prompt.tokens
         target = self.placement.choose_decoder(
             pool, prompt_tokens, plan.prefill, request_hash_fraction(request.id)
@@ -303,18 +314,19 @@
             seconds(demand.short_prefill_work),
         )
 
-    def plan(self, request, route, service, tried, now):
+    def plan(self, request, route, service, tried, now, version=""):
         """Return the :class:`Plan` of one attempt, None if no instance can be used.
 
         :param tried: ids of the instances that this request was already sent to.
+        :param version: the only version that the attempt may go to, empty for any.
         """
         if not request.prompt.tokens:
-            candidates = self._candidates(service, tried, now)
+            candidates = self._candidates(service, tried, now, version)
             healthy = self._healthy(candidates, now)
             if not healthy:
                 return None
             return Plan(self.placement.least_loaded(healthy, self.loads.total(now)))
-        pool = self._pool(service, tried, now)
+        pool = self._pool(service, tried, now, version)
         return self.placement.plan(
             request.prompt, route, pool, request_hash_fraction(request.id)
         )
--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -21,7 +21,11 @@
     ResultCode.BAD_REQUEST,
 )
 #: Outcomes that no other VM would change.
-FINAL_REFUSAL_CODES = (ResultCode.SHED, ResultCode.QUARANTINED)
+FINAL_REFUSAL_CODES = (
+    ResultCode.SHED,
+    ResultCode.QUARANTINED,
+    ResultCode.UNKNOWN_VERSION,
+)
 
 
 class ForwardedResponse(StreamListener):
@@ -29,17 +33,25 @@
 
     ``outcome`` is what the peer has stated, None before. A response that has it in its
     headers ``is_whole``, not a stream.
+
+    :param on_version: called with the version of the instance that begins a stream.
     """
 
     outcome: ForwardOutcome | None = None
     is_whole = False
 
+    def __init__(self, wire, stream, on_version):
+        super().__init__(wire, stream)
+        self.on_version = on_version
+
     def on_headers(self, status, headers):
         super().on_headers(status, headers)
         self.outcome = ForwardOutcome.from_headers(headers)
         self.is_whole = self.outcome is not None
         for name, _ in self.outcome.headers() if self.outcome else ():
             del headers[name]
+        if forward_messages.VERSION_HEADER in headers:
+            self.on_version(headers.pop(forward_messages.VERSION_HEADER))
 
     @property
     def is_signed_stream(self):
@@ -89,6 +101,7 @@
         data = self._encode(now)
         lifecycle.sends.record_call()
         lifecycle.forwards += 1
+        lifecycle.attempt_version = ""
         logger.info(
             "forward",
             request=lifecycle.request.id,
@@ -97,7 +110,9 @@
             service=lifecycle.service,
         )
         lifecycle.relay.metrics.forwards.labels(lifecycle.service).inc()
-        listener = ForwardedResponse(lifecycle.wire, lifecycle.stream)
+        listener = ForwardedResponse(
+            lifecycle.wire, lifecycle.stream, self._record_version
+        )
         try:
             exchange = self.forwarding.exchange(plan, data, listener)
             await run_exchange(exchange, listener, timeouts)
@@ -108,6 +123,9 @@
             lifecycle.begin.take_back()
         return self._deliver(listener)
 
+    def _record_version(self, version):
+        self.lifecycle.attempt_version = version
+
     def _encode(self, now):
         lifecycle = self.lifecycle
         request = attrs.evolve(
--- a/src/mulberrydock/forward_front.py
+++ b/src/mulberrydock/forward_front.py
@@ -21,13 +21,18 @@
         super().__init__(connection, closing)
         self.response = None
         self.begun = False
+        self.version = ""
+
+    def state_version(self, version):
+        self.version = version
 
     def respond(self, status, headers, body):
         self.response = status, headers, body
 
     def begin(self, status, headers):
         self.begun = True
-        super().begin(status, headers)
+        stated = (forward_messages.VERSION_HEADER, self.version)
+        super().begin(status, [*headers, stated])
 
     def abort(self):
         """Leave the end of the response to :meth:`complete`."""
--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -23,6 +23,8 @@
 CODE_HEADER = "X-Forward-Code"
 CALLS_HEADER = "X-Forward-Calls"
 CAUSE_HEADER = "X-Forward-Cause"
+#: Header of a stream with the version of the instance that begins it.
+VERSION_HEADER = "X-Forward-Version"
 #: Start of the comment that ends an incomplete stream.
 INCOMPLETE_COMMENT = b": forward-incomplete "
 #: Maximum length of a cause.
@@ -37,7 +39,8 @@
     received, ``rejected`` the sends that an instance stated not to have executed.
     ``reserved_retries`` were granted by the sender's retry budget. ``may_have_run`` is
     True if an instance may have executed the request, ``begun`` if the sender has
-    counted its begin.
+    counted its begin. ``version`` is the software version at which its stream goes on,
+    empty while it may begin at any.
     """
 
     sends: int = 0
@@ -46,6 +49,7 @@
     reserved_retries: int = 0
     may_have_run: bool = False
     begun: bool = False
+    version: str = ""
 
     @classmethod
     def from_lifecycle(cls, lifecycle):
@@ -62,6 +66,7 @@
             reserved,
             lifecycle.may_have_run,
             begun,
+            lifecycle.version,
         )
 
 
@@ -196,6 +201,8 @@
         mayHaveRun=prior.may_have_run,
         begun=prior.begun,
         sender=forwarded.sender,
+        version=prior.version,
+        resumes=request.resumes,
     ).to_bytes()
 
 
@@ -224,6 +231,7 @@
             last_event_id=message.lastEventId,
             authorization=tuple(message.authorization),
             team=message.team,
+            resumes=message.resumes,
         )
         prior = PriorCalls(
             message.sends,
@@ -232,5 +240,6 @@
             message.reservedRetries,
             message.mayHaveRun,
             message.begun,
+            message.version,
         )
         return ForwardedRequest(request, message.priority, prior, message.sender)
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from .leave_notices import LeaveNotices
+from .version_history import VersionHistory
 
 #: Seconds after the end of a store outage within which a live instance whose record
 #: expired during the outage registers again (guaranteed by the platform).
@@ -66,6 +67,14 @@
             self.id if self.started_at_ms is None else f"{self.id}@{self.started_at_ms}"
         )
 
+    @property
+    def stream_version(self):
+        """The version at which a stream that began at the instance goes on.
+
+        Without a stated version, that is any version of this incarnation alone.
+        """
+        return self.version or f"@{self.incarnation}"
+
 
 @attrs.define(frozen=True)
 class EngineReport:
@@ -127,13 +136,15 @@
     ``terminated_ids`` holds the incarnations known to have terminated. ``removed_at``
     maps others to the time when their record was last removed, and ``unconfirmed``
     holds the records of those that a restored store contains again. ``leave_notices``
-    are the :class:`~mulberrydock.leave_notices.LeaveNotices` of all incarnations.
+    are the :class:`~mulberrydock.leave_notices.LeaveNotices` of all incarnations,
+    ``versions`` is the :class:`~mulberrydock.version_history.VersionHistory`.
     """
 
     def __init__(self, on_removed=lambda instance_id: None):
         self.instances = {}
         self.terminated_ids = set()
         self.leave_notices = LeaveNotices()
+        self.versions = VersionHistory()
         self.removed_at = {}
         self.unconfirmed = {}
         self.unconfirmed_until = None
@@ -173,6 +184,7 @@
                 stage=record.stage.value,
             )
         known.record = record
+        self.versions.record(record.service, record.stream_version, now)
         known.expired_at = None
         known.unreadable = False
         if record.draining and self.leave_notices.add(known.id, now):
@@ -240,7 +252,7 @@
     def _match_incarnation(self, record):
         """Return the known incarnation that ``record`` is about, or a later one.
 
-        A different start time or address means that the instance has restarted.
+        A different start time, address or version means that the instance restarted.
         The former incarnation is then dropped before anything is sent to the new
         one, and None returned: its cache, its order count and its requests are lost,
         and nothing stored about it may be used for the new one.
@@ -248,12 +260,16 @@
         known = self.instances.get(record.id)
         if known is None or _is_older(record, known.record):
             return known
-        if known.id == record.incarnation and known.address == record.address:
+        same_process = (known.address, known.record.version) == (
+            record.address,
+            record.version,
+        )
+        if known.id == record.incarnation and same_process:
             return known
         if known.id != record.incarnation:
             self.terminated_ids.add(known.id)
         elif record.started_at_ms is None:
-            # Only the address shows that this is another process.
+            # Only the address or version shows that this is another process.
             self.leave_notices.discard(known.id)
         self._drop(record.id, "started again")
         return None
@@ -311,6 +327,7 @@
 
     def mark_store_unavailable(self, now):
         """Record that the store doesn't answer this VM."""
+        self.versions.restart(now)
         if self.unavailable_since is None:
             self.unavailable_since = now
 
@@ -328,6 +345,7 @@
     def sweep(self, now):
         """Remove instances whose record is still missing after the grace period."""
         self._apply_unconfirmed(now)
+        self.versions.observe(self.instances.values(), now)
         if self.records_incomplete(now):
             return
         for instance_id, instance in list(self.instances.items()):
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -8,6 +8,7 @@
 from .peer_loads import Load, PeerReport
 from .prefill_cost import PrefillCost
 from .quarantine import Crash
+from .stream_origins import OriginMessageKind, StreamOrigin
 from .usage import UsageUpdate
 
 
@@ -67,6 +68,15 @@
     update: UsageUpdate
 
 
+@attrs.define(frozen=True)
+class OriginMessage:
+    """A message of the VM ``name`` about a stream's origin, and nothing else."""
+
+    name: str
+    kind: OriginMessageKind
+    origin: StreamOrigin
+
+
 def _pool_row(update):
     row = {
         "service": update.service,
@@ -146,16 +156,33 @@
     ).to_bytes_packed()
 
 
+def encode_origin(message):
+    """Encode an :class:`OriginMessage` as the bytes of a datagram."""
+    row = {"kind": int(message.kind), **attrs.asdict(message.origin)}
+    return records.PeerMessage.new_message(
+        name=message.name, streamOrigin=row
+    ).to_bytes_packed()
+
+
+def _decode_origin(message):
+    row = message.streamOrigin
+    origin = StreamOrigin(row.key, row.version)
+    return OriginMessage(message.name, OriginMessageKind(row.kind), origin)
+
+
 def decode(data, now):
     """Decode the datagram that arrived at ``now``.
 
-    :returns: a :class:`PeerUpdate` or a :class:`UsageMessage`.
+    :returns: a :class:`PeerUpdate`, a :class:`UsageMessage` or an
+        :class:`OriginMessage`.
     :raises Exception: one of capnp's undocumented types, when ``data`` is no valid
         message.
     """
     message = records.PeerMessage.from_bytes_packed(data)
     if message._has("usage"):
         return UsageMessage(message.name, usage_records.decode_update(message.usage))
+    if message._has("streamOrigin"):
+        return _decode_origin(message)
     report = PeerReport(
         message.sequence,
         now,
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -1,6 +1,7 @@
 """Datagrams between entry VMs: liveness, leaving VMs, loads and estimates."""
 
 import asyncio
+import functools
 import math
 import socket
 import time
@@ -10,7 +11,7 @@
 from . import peer_messages
 from ._http import split_address
 from .peer_loads import PeerReport
-from .peer_messages import LimitUpdate, PeerUpdate, UsageMessage
+from .peer_messages import LimitUpdate, OriginMessage, PeerUpdate, UsageMessage
 from .rate_limits import UPDATE_REPEAT_SECONDS
 from .rendezvous import rank
 
@@ -56,6 +57,10 @@
         are added, None to ignore them.
     :param instances: the :class:`~mulberrydock.instances.InstanceRegistry`, None to
         exchange no leaves of instances.
+
+    An owner may set ``origins``, an
+    :class:`~mulberrydock.origin_exchange.OriginExchange`, without which messages about
+    streams are ignored.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
         self.limits = limits
         self.usage = usage
         self.instances = instances
+        self.origins = None
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -112,6 +118,11 @@
         except Exception as error:  # capnp raises undocumented types
             logger.warning("peer message refused", source=addr[0], error=repr(error))
             return
+        if isinstance(update, OriginMessage):
+            if self.origins is not None:
+                reply = functools.partial(self._reply, addr)
+                self.origins.receive(update, reply, now)
+            return
         if isinstance(update, UsageMessage):
             if self.usage is not None:
                 self.usage.receive(update.name, update.update)
@@ -275,6 +286,9 @@
         )
         return peer_messages.encode(update)
 
+    def _reply(self, addr, data):
+        self.transport.sendto(data, addr)
+
     def send_to(self, peers, data):
         """Send ``data`` to each of ``peers``."""
         for peer in peers:
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -83,6 +83,25 @@
     streams: float = 0.0
     report_delay: float = 0.0
 
+    def by_version(self):
+        """Return this pool as one :class:`Pool` for each software version.
+
+        Engines of two versions don't work together: the KV cache that one writes may
+        mean nothing to the other. Those without a stated version count as one.
+        """
+        versions = {i.record.version for i in (*self.prefills, *self.decoders)}
+        if len(versions) < 2:
+            return [self]
+        return [self.of_version(version) for version in sorted(versions)]
+
+    def of_version(self, version):
+        """Return the part of this pool that is of one software version."""
+        return attrs.evolve(
+            self,
+            prefills=[i for i in self.prefills if i.record.version == version],
+            decoders=[i for i in self.decoders if i.record.version == version],
+        )
+
     def load(self, instance):
         """Return the :class:`Load` of one engine."""
         return self.loads.get(instance.id, Load())
@@ -324,23 +343,33 @@
         :param hash_fraction: the request's :func:`request_hash_fraction`.
         :param pool: the :class:`Pool` to choose from.
         """
-        if not pool.decoders:
+        pools = [part for part in pool.by_version() if part.decoders]
+        rows = [self._cheaper(prompt, route, part, hash_fraction) for part in pools]
+        if not rows:
             return None
-        plan = self._cheaper(prompt, route, pool, hash_fraction)
+        _, _, plan = min(
+            rows, key=lambda row: (*row[:2], rank(hash_fraction, row[2].target.id))
+        )
         return attrs.evolve(
             plan, decode_slots_full=not any(map(pool.has_free_slot, pool.decoders))
         )
 
     def _cheaper(self, prompt, route, pool, hash_fraction):
-        """Return the :class:`Plan` of lower cost: in place, or with a handoff."""
+        """Return the plan of lower cost: in place, or with a handoff.
+
+        :returns: whether it delays the streams of a decode engine, its cost, and the
+            :class:`Plan`.
+        """
         in_place_cost, in_place = self._in_place(prompt, route, hash_fraction, pool)
-        if not pool.prefills:
-            return in_place
-        cost, handoff = self._handoff(prompt, route, hash_fraction, pool)
         short = is_short(
             in_place.prefill_seconds * IN_PLACE_SPEED_RATIO, route.latency_objective
         )
-        return in_place if short and in_place_cost < cost else handoff
+        if not pool.prefills:
+            return not short, in_place_cost, in_place
+        cost, handoff = self._handoff(prompt, route, hash_fraction, pool)
+        if short and in_place_cost < cost:
+            return False, in_place_cost, in_place
+        return False, cost, handoff
 
     def _in_place(self, prompt, route, hash_fraction, pool):
         """Return (cost, :class:`Plan`) of the prefill by a decode engine."""
--- a/src/mulberrydock/ports.py
+++ b/src/mulberrydock/ports.py
@@ -78,6 +78,12 @@
     def begin(self, status, headers):
         """Begin a streamed response."""
 
+    def state_version(self, version):
+        """State the software version that begins a stream, before it begins.
+
+        Clients aren't told; a peer that has forwarded its request is.
+        """
+
     @abc.abstractmethod
     def write(self, chunk):
         """Send a part of a streamed response; return an awaitable for flow control."""
--- a/src/mulberrydock/refusal.py
+++ b/src/mulberrydock/refusal.py
@@ -16,6 +16,9 @@
 #: Seconds until the retry of a request that crashes instances: nothing will have
 #: changed before its deadline.
 QUARANTINE_RETRY_SECONDS = 3600.0
+#: Seconds until the retry of a request that takes up a stream whose version no VM
+#: knows: none will know it later.
+UNKNOWN_VERSION_RETRY_SECONDS = 3600.0
 #: Multiple of the client's idle timeout that the expected wait must exceed before a
 #: stream is refused: estimates are rough, and a refused client may not retry.
 REFUSAL_WAIT_FACTOR = 2.0
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -17,6 +17,7 @@
 )
 from .forward_messages import ForwardOutcome
 from .link_monitor import LinkMonitor
+from .origin_exchange import OriginExchange
 from .refusal import RETRY_AFTER_SECONDS
 from .serving import RequestLifecycle
 from .teams import KeyProblem
@@ -34,7 +35,9 @@
 
     An owner may set ``on_begin``: it is called with a team and the seconds since its
     request began at an instance, once for each request of a team; and ``forwarding``, a
-    :class:`~mulberrydock.forwarding.Forwarding`, without which nothing is forwarded.
+    :class:`~mulberrydock.forwarding.Forwarding`, without which nothing is forwarded;
+    and ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
+    peers.
     """
 
     def __init__(self, fleet, wire, metrics):
@@ -43,6 +46,7 @@
         self.metrics = metrics
         self.on_begin = lambda team, age: None
         self.forwarding = None
+        self.origins = OriginExchange(fleet.stream_origins)
         self.connection_pools = {}
         self.link_monitor = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -120,6 +120,13 @@
   windows @2 :List(UsageRecord);
 }
 
+struct StreamOriginNews {
+  # The software version that began a stream, as told, asked or answered.
+  kind @0 :UInt8;          # 0 told, 1 asked, 2 answered
+  key @1 :Text;            # of the stream, derived from the request that began it
+  version @2 :Text;        # empty if asked, or not known
+}
+
 struct PeerMessage {
   # Sent by each entry VM to its peers over UDP, several times a second. With dataCentre
   # set, it holds the sum over all VMs of that data centre, computed by the VM `name`.
@@ -140,6 +147,7 @@
   leavingInstances @14 :List(Text);   # incarnations that announced it in a response
   lostServices @15 :List(Text);   # services to whose instances the sender has no link
   vmsWithoutLinks @16 :List(Text);   # in a sum: VMs without links to some service
+  streamOrigin @17 :StreamOriginNews;   # when set, nothing else but the name
 }
 
 struct PromptPartRecord {
@@ -177,4 +185,6 @@
   mayHaveRun @18 :Bool;
   begun @19 :Bool;         # the sender has counted the request's begin
   sender @20 :Text;        # name of the VM that received the request
+  version @21 :Text;       # at which the stream goes on, empty while any will do
+  resumes @22 :Text;       # the request that began the stream, empty if none is named
 }
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -29,6 +29,7 @@
 from .lease import LeaderLease
 from .membership import Membership
 from .metrics import ServeMetrics
+from .origin_exchange import OriginExchange
 from .pages import make_pages
 from .peer_groups import PeerGroups
 from .peers import PeerLink
@@ -189,6 +190,9 @@
             self.usage_ledger,
             self.fleet.instances,
         )
+        self.relay.origins = self.peers.origins = OriginExchange(
+            self.fleet.stream_origins, self.groups, self.peers.send_to
+        )
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
 
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -23,6 +23,7 @@
 from .request_begin import RequestBegin
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
+from .stream_origins import UNKNOWN_VERSION, StreamOrigin, origin_key
 
 #: Seconds, beyond the estimated wait, that an engine has for its first event. Clients
 #: give a stream up after 2.4 s without an event, so a second engine must have answered
@@ -57,7 +58,9 @@
     better, ``cause`` says why the last attempt failed. ``begin`` is its
     :class:`RequestBegin`. ``served`` is True once an instance has answered with
     success. ``forwards`` counts the attempts through peers, ``refused_by`` names the
-    peers that didn't take the request.
+    peers that didn't take the request. ``version`` is the software version at which a
+    stream goes on, empty while it may begin at any; ``attempt_version`` is that of the
+    instance that was sent to last.
 
     :param prior: the :class:`~mulberrydock.forward_messages.PriorCalls` of a request
         that a peer has forwarded, None for a client's.
@@ -76,7 +79,7 @@
             relay.wire,
             sink,
             EventSplitter(request.last_event_id),
-            lambda: self.begin.record(time.monotonic()),
+            lambda: self._record_first_event(time.monotonic()),
         )
         self.is_forwarded = prior is not None
         self.prior = prior or PriorCalls()
@@ -90,6 +93,8 @@
         self.forwards = 0
         self.refused_by = set()
         self.may_have_run = self.prior.may_have_run
+        self.version = self.prior.version
+        self.attempt_version = ""
         self.begin = RequestBegin(relay, request, self.prior.begun)
         self.served = False
         self.error_response = None
@@ -106,6 +111,10 @@
         seconds_left = self.seconds_left(time.monotonic())
         try:
             async with asyncio.timeout_at(loop.time() + seconds_left):
+                if self.takes_stream_up and not self.version:
+                    final = await self._find_version()
+                    if not self.version:
+                        return final_response.refuse_unknown_version(self, final)
                 return await self._attempts()
         except TimeoutError:
             return final_response.expire(self)
@@ -128,6 +137,40 @@
                 self.request.prompt, self.route, self.service, arrived
             )
 
+    @property
+    def takes_stream_up(self):
+        """True when the client goes on with a stream of which it has events."""
+        is_stream = self.route.kind is Kind.STREAMING
+        return is_stream and self.request.last_event_id > 0
+
+    @property
+    def _origin_key(self):
+        """Key of the request's stream; it is named after the one that began it."""
+        resumes = self.request.resumes if self.takes_stream_up else ""
+        return origin_key(self.service, resumes or self.request.id)
+
+    async def _find_version(self):
+        """Find out at which version the client's stream goes on.
+
+        :returns: whether the result is final; no version was found if it is empty.
+        """
+        final = True
+        if self.request.resumes:
+            self.version, final = await self.relay.origins.find(
+                self._origin_key, time.monotonic()
+            )
+        if not self.version:
+            versions = self.fleet.instances.versions
+            self.version = versions.sole_version(self.service, time.monotonic())
+        return final
+
+    def _record_first_event(self, now):
+        """Record that the first event is about to be passed on to the client."""
+        self.begin.record(now)
+        self.version = self.version or self.attempt_version or UNKNOWN_VERSION
+        self.sink.state_version(self.version)
+        self.relay.origins.record(StreamOrigin(self._origin_key, self.version), now)
+
     def seconds_left(self, now):
         """Return the seconds until the request's deadline."""
         return self.deadline - now
@@ -203,7 +246,9 @@
         return plan
 
     def _local_plan(self, now):
-        return self.fleet.plan(self.request, self.route, self.service, self.tried, now)
+        return self.fleet.plan(
+            self.request, self.route, self.service, self.tried, now, self.version
+        )
 
     def _forward_plan(self, now):
         forwarding = self.relay.forwarding
@@ -411,6 +456,7 @@
         now = time.monotonic()
         self.sends.record_call()
         self.tried.add(target.id)
+        self.attempt_version = target.record.stream_version
         options = SendOptions(
             instance=target.record.id,
             deadline_ms=int(self.seconds_left(now) * 1000),
