Stage changes leave each software version engines of both stages

Cause: a stream goes on only at the version that began it, while the planner counted a service's engines without their versions: it could turn the last decode engines of a version into prefill engines, and the streams of that version then ended. Change: of the engines that may change, the one is picked whose version lacks least afterwards, then the idlest. With one version nothing changes.

--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -175,6 +175,13 @@
     return prefills if prefills or count < 2 else 1
 
 
+def _shortfall(stages):
+    """Return how many engines a version lacks whose engines have ``stages``."""
+    prefills = stages.count(Stage.PREFILL)
+    lacking = max(0, min_decoders(len(stages)) - (len(stages) - prefills))
+    return lacking + int(not prefills and len(stages) > 1)
+
+
 @attrs.define
 class PendingOrder:
     """An order that was sent and may still be carried out.
@@ -305,17 +312,39 @@
         if len(changing) >= max(1, int(len(engines) * MAX_CHANGING_SHARE)):
             return None
         free = [e for e in reachable if e.id not in changing]
-        return self._change(free, lacking, loads)
+        return self._change(engines, free, lacking, loads)
 
     def _next_stage(self, engine):
         """Return the stage that an engine has or was ordered to change to."""
         order = self.pending_orders.get(engine.id)
         return order.stage if order else engine.record.stage
 
-    def _change(self, engines, stage, loads):
-        """Pick the engine with the fewest requests, as its change costs least."""
-        engines = [e for e in engines if e.record.stage is not stage]
-        if not engines:
+    def _change(self, engines, free, stage, loads):
+        """Pick the engine of ``free`` whose change costs least.
+
+        First, each software version should keep engines of both stages; then the engine
+        with the fewest requests is picked.
+        """
+        free = [e for e in free if e.record.stage is not stage]
+        if not free:
             return None
-        idlest = min(engines, key=lambda e: (loads.get(e.id, Load()).running, e.id))
-        return StageChange(idlest, stage)
+
+        def cost(engine):
+            running = loads.get(engine.id, Load()).running
+            return self._added_shortfall(engines, engine, stage), running, engine.id
+
+        return StageChange(min(free, key=cost), stage)
+
+    def _added_shortfall(self, engines, changed, stage):
+        """Return how many more engines the version of ``changed`` lacks by its change.
+
+        Streams go on only at the version that began them, which so needs decode engines
+        of its own, and prefill engines for long prompts.
+        """
+        others = [
+            self._next_stage(engine)
+            for engine in engines
+            if engine.record.version == changed.record.version and engine is not changed
+        ]
+        before = _shortfall([*others, self._next_stage(changed)])
+        return _shortfall([*others, stage]) - before
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -1,5 +1,6 @@
 """Which engine of a pool changes its stage, and when it does."""
 
+import attrs
 import pytest
 
 from mulberrydock.instances import Instance, InstanceRecord, Stage
@@ -284,3 +285,30 @@
     planner.record_order(again, second, now)
     change = planner.decide(engines, False, {}, LIGHT, now + ORDER_RETRY_SECONDS)
     assert (change and change.instance.id) == third
+
+
+def versioned_pool(*rows):
+    """Return engines e0, e1, ... with the given (stage, version)."""
+    return [
+        Instance(attrs.evolve(engine.record, version=version))
+        for engine, (_, version) in zip(pool(*(stage for stage, _ in rows)), rows)
+    ]
+
+
+# Guards against a change that leaves a software version without decode engines, so that
+# none of its streams can go on, or without prefill engines.
+@pytest.mark.parametrize(
+    ("rows", "stage", "changed"),
+    [
+        ([(D, "a"), (D, "a"), (D, "b"), (D, "b"), (D, "b"), (P, "b")], P, {"e0", "e1"}),
+        ([(D, "a"), (P, "a"), (D, "b"), (D, "b"), (D, "b")], P, {"e2", "e3", "e4"}),
+        ([(P, "a"), (P, "a"), (P, "b"), (D, "b"), (D, "b")], D, {"e0", "e1"}),
+        ([(P, "a"), (D, "a"), (P, "b"), (P, "b"), (P, "b")], D, {"e2", "e3", "e4"}),
+    ],
+)
+def test_change_leaves_each_version_both_stages(rows, stage, changed):
+    engines = versioned_pool(*rows)
+    # The engines that should be changed are the busiest ones.
+    loads = {name: Load(running=9) for name in changed}
+    change = StagePlanner()._change(engines, engines, stage, loads)
+    assert change.instance.id in changed and change.stage is stage
