A cut stream goes on at the version of the model that began it

What callers of mulberrydock entry could see: one answer joined from the output of two versions of a model, if its connection to the engine breaks while the controller changes engines to the next version one by one. Change: an engine's response states the version of its model; the first event fixes it for the stream. The router leaves out engines that report another version, also for a prompt's prefill, and a response of another version ends the attempt before an event is passed on.

--- a/src/mulberrydock/completion.py
+++ b/src/mulberrydock/completion.py
@@ -3,7 +3,8 @@
 The engine is asked for a stream even when the client wants a buffered response, because
 its tokens are the only sign that a connection still works. A stream that is cut is
 resumed on another engine after the last event received, so the client gets one complete
-response, or an error that states that it was cut.
+response, or an error that states that it was cut. The engine must run the version of
+the model that began the stream.
 """
 
 import abc
@@ -151,12 +152,14 @@
         self.streamed = streamed
         self.status = 0
         self.not_executed = False
+        self.version = ""
         self.buffer = b""
         self.done = False
 
     def on_headers(self, response):
         self.status = response.status
         self.not_executed = defaults.NOT_EXECUTED_HEADER in response.headers
+        self.version = response.headers.get(defaults.VERSION_HEADER, "")
 
     def on_chunk(self, chunk):
         self.buffer += chunk
@@ -177,6 +180,10 @@
             raise UpstreamError("crossed answer", ResultCode.STREAM_CUT)
         if document.get("sequence", completion.event_count) != completion.event_count:
             raise UpstreamError("event out of place", ResultCode.STREAM_CUT)
+        if completion.version not in ("", self.version):
+            # The engine's last report was outdated.
+            raise UpstreamError("another model version", ResultCode.STREAM_CUT)
+        completion.version = self.version
         completion.accept_event(document, event)
 
     def check_complete(self):
@@ -212,6 +219,8 @@
         self.fingerprint = fingerprint
         self.request_id = uuid.uuid4().hex
         self.event_count = 0
+        # Version of the model that began the response, empty before its first event.
+        self.version = ""
         self.may_have_run = False
         self.first_event_at = None
         self.tried = set()
@@ -350,19 +359,23 @@
 
     def _next_engine(self, now):
         router = self.daemon.engines
-        engine = router.choose(self.model, self.tried, self.work, now)
+        engine = router.choose(
+            self.model, self.tried, self.work, now, version=self.version
+        )
         if engine is None and self.tried:
             # Every engine was tried once. A failed connection says little about its
             # engine, so the remaining attempts may use any of them.
             self.tried.clear()
-            engine = router.choose(self.model, self.tried, self.work, now)
+            engine = router.choose(
+                self.model, self.tried, self.work, now, version=self.version
+            )
         if engine is not None:
             self.tried.add(engine.name)
         return engine
 
     async def _attempt(self, engine, now):
         """Send to ``engine``; return True for a complete response, else False."""
-        kv_source = await self._prefill(now)
+        kv_source = await self._prefill(engine.report.version, now)
         now = time.monotonic()
         estimate = engine.wait_seconds(
             self.work, now, self.daemon.engines.policy.entries
@@ -420,16 +433,21 @@
             defaults.RANK_HEADER: str(self.klass.rank),
         }
 
-    async def _prefill(self, now):
+    async def _prefill(self, version, now):
         """Prefill on a prefill engine; return the KV source, empty if not done.
 
+        :param version: that of the engine that decodes, which can't use the KV cache of
+            another one.
+
         On any failure the decode engine prefills, which is always possible, so a
         prefill engine can't fail a request.
         """
         if self.work.prompt_tokens < PREFILL_HANDOFF_TOKENS or self.event_count:
             return ""
         router = self.daemon.engines
-        engine = router.choose(self.model, self.tried, self.work, now, (PREFILL_ROLE,))
+        engine = router.choose(
+            self.model, self.tried, self.work, now, (PREFILL_ROLE,), version
+        )
         if engine is None:
             return ""
         headers = self._headers() | {defaults.STAGE_HEADER: PREFILL_ROLE}
--- a/src/mulberrydock/defaults.py
+++ b/src/mulberrydock/defaults.py
@@ -58,6 +58,8 @@
 #: HTTP header to an engine: number of events already delivered; the stream resumes
 #: after them.
 RESUME_HEADER = "X-Resume-From"
+#: HTTP header of an engine's response: the version of the model that made it.
+VERSION_HEADER = "X-Model-Version"
 #: HTTP header to an engine: ``prefill`` for a prefill-only call.
 STAGE_HEADER = "X-Engine-Stage"
 #: HTTP header to an engine: ``address/handle`` of the KV cache to fetch.
--- a/src/mulberrydock/load_report.py
+++ b/src/mulberrydock/load_report.py
@@ -29,6 +29,7 @@
         waiting=document.get("waiting", 0),
         backlog_prompt_tokens=document.get("backlog_prompt_tokens", 0),
         backlog_output_tokens=document.get("backlog_output_tokens", 0),
+        version=document.get("version", ""),
     )
 
 
--- a/src/mulberrydock/routing.py
+++ b/src/mulberrydock/routing.py
@@ -45,7 +45,8 @@
     """Load of an engine as it reported it.
 
     ``taken_at`` is in monotonic seconds of this entry; ``active`` and ``waiting`` count
-    runs, the backlogs are in tokens.
+    runs, the backlogs are in tokens. ``version`` is that of the model which it runs,
+    empty if it isn't known.
     """
 
     taken_at: float = -REPORT_EXPIRY_SECONDS
@@ -55,6 +56,7 @@
     waiting: int = 0
     backlog_prompt_tokens: int = 0
     backlog_output_tokens: int = 0
+    version: str = ""
 
 
 @attrs.define
@@ -212,9 +214,12 @@
         """Replace the names of VMs that the platform's list shows as leaving."""
         self.listed_leaving = set(names)
 
-    def candidates(self, model, tried, now, roles=DECODING_ROLES):
+    def candidates(self, model, tried, now, roles=DECODING_ROLES, version=""):
         """Return the upstreams that may take a request for ``model`` now.
 
+        :param version: the only version of the model to run it, empty for any. An
+            engine that hasn't reported its version may run it.
+
         Leaving and cordoned upstreams are never included, nor those in ``tried``. One
         that reports itself unavailable is included only if no other upstream is, and
         one that failed a moment ago only if all of them did: the report may lag, and a
@@ -227,14 +232,18 @@
             if u.name not in excluded
             and u.report.role in roles
             and (not model or u.model == model)
+            and (not version or u.report.version in ("", version))
         ]
         healthy = [u for u in eligible if u.failed_until <= now]
         available = [u for u in healthy if u.report.available]
         return available or healthy or eligible
 
-    def choose(self, model, tried, work, now, roles=DECODING_ROLES):
-        """Return an upstream for ``work`` that isn't in ``tried``, or None."""
-        candidates = self.candidates(model, tried, now, roles)
+    def choose(self, model, tried, work, now, roles=DECODING_ROLES, version=""):
+        """Return an upstream for ``work`` that isn't in ``tried``, or None.
+
+        :param version: as for :meth:`candidates`.
+        """
+        candidates = self.candidates(model, tried, now, roles, version)
         if not candidates:
             return None
         return self.policy.pick(candidates, work, now)
--- a/src/mulberrydock/standin/engine.py
+++ b/src/mulberrydock/standin/engine.py
@@ -81,6 +81,7 @@
         self.report = {
             "available": self.available(now),
             "model": self.model,
+            "version": self.version,
             "role": self.batch.role,
             "active": len(self.batch.running),
             "waiting": len(self.batch.waiting),
@@ -170,6 +171,7 @@
         if source and not await self._import_kv(source):
             self._refuse("the KV cache can't be fetched")
             return
+        self.set_header(defaults.VERSION_HEADER, state.version)
         self.request_id = headers.get(defaults.REQUEST_ID_HEADER, uuid.uuid4().hex)
         self.running = Run(
             rank=int(headers.get(defaults.RANK_HEADER, "5")),
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -433,6 +433,25 @@
     assert _open_stream(local_fleet, 3).read().endswith(b"data: [DONE]\n\n")
 
 
+# Guards against a stream that is joined from the output of two versions of its model,
+# as it is cut while the other engine already runs the next version.
+@pytest.mark.parametrize("mode", ["silent", "kill"])
+def test_cut_stream_goes_on_at_the_version_that_began_it(local_fleet, mode):
+    response = _open_stream(local_fleet, 900)
+    first = response.readline() + response.readline()
+    counts = [local_fleet.engine_state(i)["counts"] for i in (0, 1)]
+    busy = next(i for i in (0, 1) if counts[i].get("started"))
+    other = 1 - busy
+    _declare_engine(local_fleet, other, "version", "2")
+    _wait_until(lambda: local_fleet.engine_state(other)["version"] == "2")
+    _wait_until(lambda: local_fleet.engine_state(other)["available"])
+    local_fleet.fault(busy, mode)
+    events = _split_events(first + response.read())
+    assert not local_fleet.engine_state(other)["counts"].get("started")
+    assert local_fleet.engine_state(busy)["version"] == "1"
+    assert (len(events), events[-1]) == (901, b"data: [DONE]")
+
+
 # Guards against cutting a stream by a planned stop of its entry. The stream must arrive
 # complete; a new request to the draining entry is refused as not run, so that the
 # client asks another one.
