The soak brings several software versions and clients that take streams up

Cause: no stand-in brought two versions, and the soak's clients never took a stream up. Change: engines of three versions, replaced by ones of any version; clients that leave streams or lose them go on at any VM. The log names the version at which a stream that is taken up goes on, a metric counts those of unknown version, and an instance's version is bounded in length.

--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -119,6 +119,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.streams_taken_up = prometheus_client.Counter(
+            "mulberrydock_streams_taken_up_total",
+            "Streams that clients take up, by whether the version is known.",
+            ["service", "known"],
+            registry=self.registry,
+        )
         self.rejected = prometheus_client.Counter(
             "mulberrydock_rejected_total",
             "Requests ended with an answer of this process's own.",
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -17,6 +17,8 @@
 
 #: Lower bound of a client's idle timeout: no client abandons a stream earlier.
 MIN_CLIENT_IDLE_TIMEOUT_SECONDS = 2.0
+#: Maximum length of a version: VMs tell each other the versions in datagrams.
+MAX_VERSION_CHARS = 200
 #: ``state`` of an instance that accepts work, and of one that is draining after a
 #: planned notice.
 READY = "ready"
@@ -243,8 +245,9 @@
 
 
 def _version(value):
-    """Return the version of an instance's software, empty if it isn't a text."""
-    return value if isinstance(value, str) else ""
+    """Return the version of an instance's software, empty if it states no valid one."""
+    valid = isinstance(value, str) and len(value) <= MAX_VERSION_CHARS
+    return value if valid else ""
 
 
 def _started_at_ms(row):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -154,14 +154,21 @@
 
         :returns: whether the result is final; no version was found if it is empty.
         """
-        final = True
+        final, key = True, self._origin_key
         if self.request.resumes:
-            self.version, final = await self.relay.origins.find(
-                self._origin_key, time.monotonic()
-            )
+            self.version, final = await self.relay.origins.find(key, time.monotonic())
         if not self.version:
             versions = self.fleet.instances.versions
             self.version = versions.sole_version(self.service, time.monotonic())
+        logger.info(
+            "stream version",
+            request=self.request.id,
+            stream=key,
+            version=self.version,
+            final=final,
+        )
+        known = "yes" if self.version else "no"
+        self.relay.metrics.streams_taken_up.labels(self.service, known).inc()
         return final
 
     def _record_first_event(self, now):
@@ -241,6 +248,8 @@
                 self.cause = self.cause if plan else "no VM has links to the instances"
                 return plan
         plan = self._local_plan(now)
+        if plan is None and self.version and not self.tried:
+            self.cause = f"no instance of version {self.version} can be used"
         if plan is None and self.fleet.is_held_back(self.service, now):
             self.cause = "the instances take no more requests for now"
         return plan
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -61,8 +61,7 @@
 class Run:
     """A request that the instance started to execute.
 
-    ``ended`` is "done" or "cancelled", empty while it runs; ``events`` counts the
-    events of its stream that were sent.
+    ``ended`` is "done" or "cancelled", empty while it runs.
     """
 
     id: str
@@ -72,7 +71,6 @@
     body: bytes
     last_event_id: int
     ended: str = ""
-    events: int = 0
 
 
 @attrs.define(eq=False)
@@ -351,8 +349,8 @@
                 await asyncio.sleep(3600)
             if number - first == 2 and fault is Fault.PAUSE:
                 await asyncio.sleep(PAUSE_SECONDS)
-            reader.write(f"id: {number}\ndata: {run.id}\n\n".encode())
-            run.events += 1
+            event = f"id: {number}\nversion: {self.version}\ndata: {run.id}\n\n"
+            reader.write(event.encode())
             await asyncio.sleep(self.event_interval_seconds)
         reader.finish_stream()
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -279,6 +279,13 @@
     connection.request("POST", f"{prefix}x?q=1", body, fields)
 
 
+def event_versions(stream):
+    """Return the versions of the instances that made the events in a stream's bytes."""
+    prefix = b"version: "
+    lines = stream.split(b"\n")
+    return {line.removeprefix(prefix) for line in lines if line.startswith(prefix)}
+
+
 def event_ids(stream):
     """Return the ids of the events in a stream's bytes."""
     return [int(line[3:]) for line in stream.split(b"\n") if line.startswith(b"id:")]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,8 +6,9 @@
 daemons are paused, killed, stopped and
 restarted; the store refuses, stops answering, loses responses and compacts its history;
 instances misbehave, drain, announce their leave before the store shows it, ask for
-pauses and are replaced; one request crashes whatever runs it and is
-sent repeatedly. Clients reuse open connections until these are closed. The faults
+pauses and are replaced, by one of any software version; one request crashes whatever
+runs it and is sent repeatedly. Clients reuse open connections until these are closed,
+and take streams up that were cut or that they left. The faults
 follow the seed, but the timing of what they hit differs a little from run to run: a
 seed that failed once is to be run several times.
 
@@ -16,6 +17,7 @@
 """
 
 import collections
+import http.client
 import itertools
 import json
 import pathlib
@@ -36,6 +38,7 @@
     STREAM_PATH,
     config,
     event_ids,
+    event_versions,
     send,
     wait_until,
 )
@@ -70,6 +73,13 @@
 #: Time in which requests must be served again once all faults are over.
 RECOVERY_TIMEOUT_SECONDS = 20.0
 CLIENT_COUNT = 6
+#: Software versions of the engines, and seconds between two events of their streams.
+VERSIONS = ("v1", "v1.1", "v2")
+EVENT_INTERVAL_SECONDS = 0.05
+#: Share of the streams that their clients leave after the first event, and how often a
+#: client takes a stream up.
+LEFT_SHARE = 0.1
+MAX_RESUMES = 2
 #: The body of the request that crashes what runs it, and the range of the random
 #: interval between two of them.
 CRASHING_BODY = b"crash"
@@ -104,6 +114,8 @@
     :param daemon: the daemon it was sent to, at ``sent_at`` in monotonic seconds.
     :param leaving: whether the response states that its instance leaves; it ended at
         ``answered_at``.
+    :param origin: id of the request that began the stream, ``after_event`` the last
+        event that its client had when it sent this request.
     """
 
     id: str
@@ -117,6 +129,8 @@
     sent_at: float = 0.0
     answered_at: float = 0.0
     leaving: bool = False
+    origin: str = ""
+    after_event: int = 0
 
 
 @attrs.define
@@ -175,7 +189,12 @@
         self.instance_count += 1
         started_at_ms = int(time.time() * 1000)
         engine = self.fleet.add_instance(
-            f"i{self.instance_count}", service, stage, started_at_ms=started_at_ms
+            f"i{self.instance_count}",
+            service,
+            stage,
+            started_at_ms=started_at_ms,
+            version=self.random.choice(VERSIONS),
+            event_interval_seconds=EVENT_INTERVAL_SECONDS,
         )
         engine.address = self._add_proxy(engine.address)
         engine.crash_marker = CRASHING_BODY
@@ -453,26 +472,68 @@
             except Exception as error:  # http.client raises undocumented exceptions
                 # No valid response: what the daemon did is checked by the instances'
                 # runs.
-                closing, outcome.body = True, repr(error).encode()
+                closing = True
+                outcome.body = getattr(error, "partial", repr(error).encode())
             self.outcomes.append(outcome)
             if closing and connection is not None:
                 connection.close()
                 connection = None
+            self._take_up(outcome, rng)
+
+    def _take_up(self, outcome, rng):
+        """Go on with a stream that has ended early, as its client does."""
+        for number in range(MAX_RESUMES):
+            events = event_ids(outcome.body[: outcome.body.rfind(b"\n\n") + 2])
+            last = events[-1] if events else outcome.after_event
+            if outcome.prefix != RESUMABLE_PATH or last in (0, STREAM_EVENT_IDS[-1]):
+                return
+            before, name = outcome, f"entry-{rng.randrange(self.daemons)}"
+            outcome = Outcome(
+                f"{before.id}-{number}", before.prefix, before.sent, daemon=name
+            )
+            outcome.origin, outcome.after_event = before.origin or before.id, last
+            try:
+                self._exchange(self.fleet.connect(name), outcome, "100,10")
+            except Exception as error:  # http.client raises undocumented exceptions
+                outcome.body = getattr(error, "partial", repr(error).encode())
+            self.outcomes.append(outcome)
 
     def _exchange(self, connection, outcome, tokens):
         """Make one exchange; return True when the connection is to be closed."""
         fields = {"body": outcome.sent, "X_Mulberrydock_Token_Counts": tokens}
+        if outcome.after_event:
+            fields["Last_Event_Id"] = str(outcome.after_event)
+            fields["Resumes"] = outcome.origin
         outcome.sent_at = time.monotonic()
         send(connection, outcome.prefix, outcome.id, **fields)
         response = connection.getresponse()
         outcome.status = response.status
         outcome.signature = response.headers.get(wire.SIGNATURE, "")
         outcome.leaving = wire.SERVER_LEAVING in response.headers
+        if self._leaves(outcome):
+            outcome.body = response.read1(4096)
+            outcome.answered_at = time.monotonic()
+            raise http.client.IncompleteRead(outcome.body)
         outcome.body = response.read()
         outcome.answered_at = time.monotonic()
         outcome.complete = True
         return response.headers.get("Connection", "").lower() == "close"
 
+    def _leaves(self, outcome):
+        """Return whether the client leaves the response in the middle."""
+        share = random.Random(f"{self.seed}/{outcome.id}").random()
+        return outcome.prefix == RESUMABLE_PATH and share < LEFT_SHARE
+
+    def _mixed_violations(self):
+        """Yield the streams with events of instances of two software versions."""
+        versions = collections.defaultdict(set)
+        for outcome in self.outcomes:
+            whole = outcome.body[: outcome.body.rfind(b"\n\n") + 2]
+            versions[outcome.origin or outcome.id] |= event_versions(whole)
+        for origin, found in versions.items():
+            if len(found) > 1:
+                yield f"ORDER: {origin} has events of the versions {sorted(found)}"
+
     def find_violations(self):
         """Return each guarantee that clients or instances saw violated."""
         runs = {}
@@ -490,6 +551,7 @@
         violations += self._pause_violations()
         violations += self._order_violations()
         violations += self._version_violations()
+        violations += self._mixed_violations()
         return violations
 
     def _arrivals(self):
@@ -579,7 +641,8 @@
         return [f"MIXED: {outcome.id} got status 200 without an instance's signature"]
     if outcome.prefix in (RESUMABLE_PATH, STREAM_PATH):
         own = outcome.body.count(f"data: {outcome.id}\n".encode())
-        if event_ids(outcome.body) != STREAM_EVENT_IDS or own != len(STREAM_EVENT_IDS):
+        expected = STREAM_EVENT_IDS[outcome.after_event :]
+        if event_ids(outcome.body) != expected or own != len(expected):
             return [f"ORDER: {outcome.id} got {outcome.body!r} as a complete stream"]
     elif not outcome.body.endswith(f" answers {outcome.id}".encode()):
         return [f"MIXED: {outcome.id} got another response: {outcome.body!r}"]
@@ -629,7 +692,11 @@
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     violations, outcomes = run_soak(directory, seed, seconds, daemons)
     counts = collections.Counter((o.status, o.complete) for o in outcomes)
+    resumed = collections.Counter(
+        (o.status, o.complete) for o in outcomes if o.after_event
+    )
     print(f"seed {seed}: {len(outcomes)} requests, by (status, complete): {counts}")
+    print(f"streams taken up, likewise: {resumed}")
     print(
         "\n".join(violations) or "no guarantee violated",
         f"logs in {directory}",
--- a/tests/test_forward_messages.py
+++ b/tests/test_forward_messages.py
@@ -29,6 +29,7 @@
         "prompt": Prompt(100, 10, (PromptPart("aa", 50), PromptPart("bb", 50))),
         "last_event_id": 7,
         "team": "letters",
+        "resumes": "r0",
     }
     return Request(**(defaults | fields))
 
@@ -38,7 +39,7 @@
 @given(st.binary(max_size=200), st.lists(st.tuples(HEADER_TEXT, HEADER_TEXT)))
 def test_forwarded_request_arrives_unchanged(body, headers):
     request = make_request(body=body, headers=headers)
-    prior = PriorCalls(2, 1, 3, 1, True, True)
+    prior = PriorCalls(2, 1, 3, 1, True, True, "v1.1")
     sent = ForwardedRequest(request, 4, prior, "entry-1")
     received = forward_messages.decode(forward_messages.encode(sent, NOW), NOW)
     assert attrs.asdict(received) == attrs.asdict(sent)
--- a/tests/test_instance_records.py
+++ b/tests/test_instance_records.py
@@ -117,6 +117,24 @@
     assert read_instance(KEY, json.dumps(dict(GOOD, **{field: value}))).id == "e1"
 
 
+# Guards against instances of different software that count as one version, and against
+# a version that no datagram holds.
+@pytest.mark.parametrize(
+    ("value", "version", "stream_version"),
+    [
+        ("v1.1", "v1.1", "v1.1"),
+        (None, "", "@e1"),
+        ("", "", "@e1"),
+        (7, "", "@e1"),
+        (["v1"], "", "@e1"),
+        ("v" * 100_000, "", "@e1"),
+    ],
+)
+def test_version_of_an_instance(value, version, stream_version):
+    record = read_instance(KEY, json.dumps(dict(GOOD, version=value)))
+    assert (record.version, record.stream_version) == (version, stream_version)
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -169,7 +169,7 @@
 def test_stream_goes_on_at_the_version_that_began_it(fleet, way):
     streams = list(way(fleet))
     assert len(streams) == STREAMS
-    assert [s.versions() for s in streams if len(s.versions()) != 1] == []
+    assert [s.versions for s in streams if len(s.versions) != 1] == []
     assert all(stream.complete for stream in streams)
 
 
@@ -181,7 +181,7 @@
             assert stream.events == [1, 2] and not stream.complete
             # The client takes it up again, as only the connection had failed.
             assert stream.request("entry-2").complete
-            assert len(stream.versions()) == 1
+            assert len(stream.versions) == 1
 
 
 # Guards against a request that fails although no client has had an event of it: it may
@@ -192,7 +192,7 @@
         for number in range(STREAMS):
             fleet.fail_next("llm", fault)
             stream = Stream(fleet, f"s{number}").request("entry-1")
-            assert stream.complete and len(stream.versions()) == 1
+            assert stream.complete and len(stream.versions) == 1
 
 
 # Guards against a guess where nobody knows which version began a stream; the refusal
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -9,7 +9,14 @@
 
 import attrs
 from link_fleet import LinkFleet, _has_seen
-from platform_fleet import RESUMABLE_PATH, config, event_ids, send, wait_until
+from platform_fleet import (
+    RESUMABLE_PATH,
+    config,
+    event_ids,
+    event_versions,
+    send,
+    wait_until,
+)
 
 VMS = ("entry-1", "entry-2", "entry-3")
 VERSIONS = ("v1", "v1.1", "v2")
@@ -63,7 +70,8 @@
 class Stream:
     """One stream of a client, over all its requests.
 
-    ``ids`` are the ids of its requests, ``events`` those of the events that arrived;
+    ``ids`` are the ids of its requests, ``events`` those of the events that arrived and
+    ``versions`` the versions of the instances that made them;
     ``complete`` is True once one of its responses ended as complete, ``status`` that of
     the last response, 0 without one. ``retry_after`` is the last response's header.
     """
@@ -73,6 +81,7 @@
     tokens: str = "100,10"
     ids: list = attrs.field(factory=list)
     events: list = attrs.field(factory=list)
+    versions: set = attrs.field(factory=set)
     complete: bool = False
     status: int = 0
     retry_after: str = ""
@@ -109,11 +118,12 @@
     def _read(self, response, until):
         if response.status != 200:
             return
-        data, had = b"", list(self.events)
+        data, had, versions = b"", list(self.events), self.versions
         while chunk := response.read1(4096):
             data += chunk
             whole = data[: data.rfind(b"\n\n") + 2]
             self.events = had + event_ids(whole)
+            self.versions = versions | event_versions(whole)
             if until is not None and self.events and self.events[-1] >= until:
                 return
         # ``read1`` returns no data at a premature end, without an error.
@@ -123,15 +133,6 @@
         """Close the connection, as a client does that gives its answer up."""
         self.connection.close()
 
-    def versions(self):
-        """Return the versions of the instances that sent events of this stream."""
-        return {
-            engine.version
-            for engine in self.fleet.engines.values()
-            for run in engine.runs
-            if run.id in self.ids and run.events
-        }
-
     def runs(self):
         """Return the runs of the last request."""
         return [
