The soak knows when a cut response announced a leave

Streams that last 0.2 s made such cuts frequent. Change: the time is that of the headers if the response is cut.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -510,9 +510,10 @@
         outcome.status = response.status
         outcome.signature = response.headers.get(wire.SIGNATURE, "")
         outcome.leaving = wire.SERVER_LEAVING in response.headers
+        # Holds if the response is cut, too.
+        outcome.answered_at = time.monotonic()
         if self._leaves(outcome):
             outcome.body = response.read1(4096)
-            outcome.answered_at = time.monotonic()
             raise http.client.IncompleteRead(outcome.body)
         outcome.body = response.read()
         outcome.answered_at = time.monotonic()
