Only the VM that passes an event on to the client tells which version began a stream

What callers could see: a stream that goes on at another version than the one that began it, after its VM had forwarded it to a peer that was paused. Cause: a peer recorded the version of a forwarded stream at its first event. If the sender had left meanwhile and gone on through another peer, two versions were on record for the stream, and the wrong one counted at the first peer. Change: a peer only states the version to the sender, which records it when it passes the first event on.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -175,8 +175,12 @@
         """Record that the first event is about to be passed on to the client."""
         self.begin.record(now)
         self.version = self.version or self.attempt_version or UNKNOWN_VERSION
-        self.sink.state_version(self.version)
-        self.relay.origins.record(StreamOrigin(self._origin_key, self.version), now)
+        if self.is_forwarded:
+            # The sender may have gone on elsewhere: the event that it passes on counts.
+            self.sink.state_version(self.version)
+        else:
+            origin = StreamOrigin(self._origin_key, self.version)
+            self.relay.origins.record(origin, now)
 
     def seconds_left(self, now):
         """Return the seconds until the request's deadline."""
