The planner counts each version's engines once, not for each engine

Cause: what a version lacks was counted anew over the whole pool for each engine that may change, so a decision took time that grows with the square of the pool. Change: it is counted once for each version.

--- a/src/mulberrydock/stages.py
+++ b/src/mulberrydock/stages.py
@@ -7,6 +7,7 @@
 demand requires it, the other stage can spare the engine, and the imbalance lasts.
 """
 
+import collections
 import math
 
 import attrs
@@ -175,11 +176,14 @@
     return prefills if prefills or count < 2 else 1
 
 
-def _shortfall(stages):
-    """Return how many engines a version lacks whose engines have ``stages``."""
-    prefills = stages.count(Stage.PREFILL)
-    lacking = max(0, min_decoders(len(stages)) - (len(stages) - prefills))
-    return lacking + int(not prefills and len(stages) > 1)
+def _shortfall(prefills, count):
+    """Return how many engines of a stage a version with ``count`` engines lacks.
+
+    Streams go on only at the version that began them, which so needs decode engines of
+    its own, and prefill engines for long prompts.
+    """
+    lacking = max(0, min_decoders(count) - (count - prefills))
+    return lacking + int(not prefills and count > 1)
 
 
 @attrs.define
@@ -329,22 +333,27 @@
         if not free:
             return None
 
+        added_shortfall = self._added_shortfall(engines, stage)
+
         def cost(engine):
             running = loads.get(engine.id, Load()).running
-            return self._added_shortfall(engines, engine, stage), running, engine.id
+            return added_shortfall[engine.record.version], running, engine.id
 
         return StageChange(min(free, key=cost), stage)
 
-    def _added_shortfall(self, engines, changed, stage):
-        """Return how many more engines the version of ``changed`` lacks by its change.
+    def _added_shortfall(self, engines, stage):
+        """Return how many more engines each version lacks once one has changed.
 
-        Streams go on only at the version that began them, which so needs decode engines
-        of its own, and prefill engines for long prompts.
+        :param stage: the stage that the engine changes to.
+        :returns: the numbers by version.
         """
-        others = [
-            self._next_stage(engine)
-            for engine in engines
-            if engine.record.version == changed.record.version and engine is not changed
-        ]
-        before = _shortfall([*others, self._next_stage(changed)])
-        return _shortfall([*others, stage]) - before
+        change = 1 if stage is Stage.PREFILL else -1
+        counts = collections.Counter(e.record.version for e in engines)
+        prefills = collections.Counter(
+            e.record.version for e in engines if self._next_stage(e) is Stage.PREFILL
+        )
+        return {
+            version: _shortfall(prefills[version] + change, count)
+            - _shortfall(prefills[version], count)
+            for version, count in counts.items()
+        }
