The exchange of stream origins owns them

Change: the exchange makes them itself; the fake is again what it was on. Result: 120 tests of teams, origins, budgets, records, forwarding and mixed versions pass.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -22,7 +22,6 @@
 from .rate_limits import RateLimits
 from .route_table import RouteTable
 from .stages import MAX_DECODE_UTILIZATION, StageNeeds, sustainable_streams
-from .stream_origins import StreamOrigins
 from .suspicion import Suspicion
 
 #: Share of an instance's connection limit that the entry VMs use together; the
@@ -62,7 +61,6 @@
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
         self.quarantine = Quarantine()
-        self.stream_origins = StreamOrigins()
         self.placement = Placement(data_centre)
         self.estimates = FleetEstimates(self._kv_capacity)
         self.timing = timing
--- a/src/mulberrydock/origin_exchange.py
+++ b/src/mulberrydock/origin_exchange.py
@@ -15,7 +15,7 @@
 from . import peer_messages
 from .hash_ring import HashRing
 from .peer_messages import OriginMessage
-from .stream_origins import OriginMessageKind, StreamOrigin
+from .stream_origins import OriginMessageKind, StreamOrigin, StreamOrigins
 
 #: Number of peers that are told of each stream: with one in each of three data centres,
 #: one is left when any two fail.
@@ -64,7 +64,7 @@
     read at ``peers_read_at``.
     """
 
-    origins: object
+    origins: StreamOrigins = attrs.field(factory=StreamOrigins)
     groups: object = None
     send: object = None
     questions: dict = attrs.field(factory=dict)
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -46,7 +46,7 @@
         self.metrics = metrics
         self.on_begin = lambda team, age: None
         self.forwarding = None
-        self.origins = OriginExchange(fleet.stream_origins)
+        self.origins = OriginExchange()
         self.connection_pools = {}
         self.link_monitor = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -191,7 +191,7 @@
             self.fleet.instances,
         )
         self.relay.origins = self.peers.origins = OriginExchange(
-            self.fleet.stream_origins, self.groups, self.peers.send_to
+            groups=self.groups, send=self.peers.send_to
         )
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -13,7 +13,6 @@
 from mulberrydock.relay import Relay
 from mulberrydock.request import SendOptions
 from mulberrydock.route_table import RouteTable
-from mulberrydock.stream_origins import StreamOrigins
 from mulberrydock.teams import KeyProblem, Team, TeamDirectory
 
 CLERKS = Team("clerks", ("key-a", "key-b"), 0)
@@ -162,7 +161,6 @@
 
     routes: RouteTable
     configuration_current: bool = True
-    stream_origins: StreamOrigins = attrs.field(factory=StreamOrigins)
 
 
 class Answer(Sink):
