A decode engine is chosen among those of its version before their health counts

What callers could see: a prompt prefilled in vain, and a stream that then goes on late or not at all, where the only decode engine of its version is avoided for a failure. Cause: health was judged over the engines of all versions: others in good order hid that engine, and none was left once the versions were compared. The fallback to avoided engines, where no other is left, didn't apply. Change: the version is part of what makes an engine a candidate, in one place, for every kind of plan.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -125,16 +125,19 @@
         cap = spec.max_connections if spec else 100
         return max(2, int(cap * CONNECTION_SHARE / self.vm_count()))
 
-    def _candidates(self, service, tried, now, version=""):
+    def _candidates(self, service, tried, now, accepts):
         """Return the instances that a request may be sent to.
 
-        :param version: the only version to return, empty for all.
+        :param accepts: returns whether an instance with that record will do.
         """
         excluded = tried | self.loads.cordoned(now)
-        serving = self.instances.serving(service)
-        if version:
-            serving = [i for i in serving if i.record.stream_version == version]
-        return [i for i in serving if i.id not in excluded and self._permits(i, now)]
+        return [
+            instance
+            for instance in self.instances.serving(service)
+            if instance.id not in excluded
+            and accepts(instance.record)
+            and self._permits(instance, now)
+        ]
 
     def _permits(self, instance, now):
         """Return whether an instance accepts a request of this VM for now."""
@@ -218,8 +221,8 @@
         spec = self._spec(instance.record.service) if instance else None
         return spec.kv_tokens if spec else 0
 
-    def _pool(self, service, tried, now, version=""):
-        candidates = self._candidates(service, tried, now, version)
+    def _pool(self, service, tried, now, accepts):
+        candidates = self._candidates(service, tried, now, accepts)
         prefills, decoders = self._split_by_stage(candidates, now)
         spec = self._spec(service)
         estimates = self.estimates.pool(service)
@@ -276,7 +279,8 @@
 
         It is of the version that has prefilled the prompt.
         """
-        pool = self._pool(service, tried, now).of_version(plan.prefill.record.version)
+        version = plan.prefill.record.version
+        pool = self._pool(service, tried, now, lambda r: r.version == version)
         prompt_tokens = request.prompt.tokens
         target = self.placement.choose_decoder(
             pool, prompt_tokens, plan.prefill, request_hash_fraction(request.id)
@@ -318,13 +322,17 @@
         :param tried: ids of the instances that this request was already sent to.
         :param version: the only version that the attempt may go to, empty for any.
         """
+
+        def accepts(record):
+            return version in ("", record.stream_version)
+
         if not request.prompt.tokens:
-            candidates = self._candidates(service, tried, now, version)
+            candidates = self._candidates(service, tried, now, accepts)
             healthy = self._healthy(candidates, now)
             if not healthy:
                 return None
             return Plan(self.placement.least_loaded(healthy, self.loads.total(now)))
-        pool = self._pool(service, tried, now, version)
+        pool = self._pool(service, tried, now, accepts)
         return self.placement.plan(
             request.prompt, route, pool, request_hash_fraction(request.id)
         )
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -92,9 +92,9 @@
         versions = {i.record.version for i in (*self.prefills, *self.decoders)}
         if len(versions) < 2:
             return [self]
-        return [self.of_version(version) for version in sorted(versions)]
+        return [self._of_version(version) for version in sorted(versions)]
 
-    def of_version(self, version):
+    def _of_version(self, version):
         """Return the part of this pool that is of one software version."""
         return attrs.evolve(
             self,
