Tests: one fleet, one way to lose links, forward a request and fail an exchange

Cause: the tests of mixed versions had written again what those of lost links had: the start of a fleet, lost links (three times), a forwarded request; and the soak handled a failed exchange in three places. Change: link_fleet.py has them once, the soak has _try_exchange; platform_fleet.py cuts off an incomplete event. No assertion is changed; an attribute that no test read is gone.

--- a/tests/link_fleet.py
+++ b/tests/link_fleet.py
@@ -6,6 +6,7 @@
 
 import base64
 import contextlib
+import http.client
 import json
 import threading
 import time
@@ -23,9 +24,11 @@
     wait_until,
 )
 
+from mulberrydock import forward_messages
 from mulberrydock.fleet import free_ports
+from mulberrydock.forward_messages import ForwardedRequest, PriorCalls
 from mulberrydock.standin import platform_store
-from mulberrydock.standin.pair_link import PairLink
+from mulberrydock.standin.pair_link import CUTS, PairLink
 
 PATHS = (RESUMABLE_PATH, STREAM_PATH, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH)
 #: Token counts of a prompt that decode engines prefill and of one that they don't.
@@ -122,24 +125,67 @@
 
 @contextlib.contextmanager
 def started_fleet(directory, names, instances=INSTANCES):
-    """Start a fleet of the named VMs and stop it at the end."""
+    """Start a fleet of the named VMs and stop it at the end.
+
+    :param instances: (id, service, stage) of each, and a dict of options if any.
+    """
     fleet = LinkFleet(directory)
     fleet.write("op/config", config(3))
-    for instance, service, stage in instances:
-        fleet.add_instance(instance, service, stage)
+    for instance, service, stage, *options in instances:
+        fleet.add_instance(instance, service, stage, **dict(*options))
     for name in names:
         fleet.start(name)
     try:
         for name in names:
-            fleet.wait_ready(name)
-        wait_until(lambda: all(_has_seen(fleet, name, names) for name in names))
+            wait_for_vm(fleet, name, names)
         yield fleet
     finally:
         fleet.stop()
 
 
-def _has_seen(fleet, name, names):
-    return {row["peer"] for row in fleet.log_records("peer seen", name)} >= set(names)
+def wait_for_vm(fleet, name, names):
+    """Wait until a VM is ready and knows the instances and the named VMs."""
+    fleet.wait_ready(name)
+    wait_until(
+        lambda: {row["peer"] for row in fleet.log_records("peer seen", name)}
+        >= set(names)
+    )
+
+
+def lose_links(fleet, names, cut="silent"):
+    """Cut the links of VMs to all instances; wait until they have noticed."""
+    services = {engine.service for engine in fleet.engines.values()}
+    with Load(fleet, names):
+        fleet.cut(names, CUTS[cut])
+        for name in names:
+            wait_until(lambda: lost_services(fleet, name) == services)
+
+
+def lost_services(fleet, name):
+    """Return the services to which a VM has lost its links, by its log."""
+    lost = set()
+    for line in fleet.log(name).splitlines():
+        row = json.loads(line) if line.startswith("{") else {}
+        if row.get("event") == "links lost":
+            lost.add(row["service"])
+        if row.get("event") == "links back":
+            lost.discard(row["service"])
+    return lost
+
+
+def forward(fleet, name, request, key):
+    """Forward a request to a VM as a peer that signs with ``key``.
+
+    :returns: the connection and the response.
+    """
+    body = forward_messages.encode(
+        ForwardedRequest(request, 0, PriorCalls(), "entry-9"), 0.0
+    )
+    signature = {forward_messages.SIGNATURE_HEADER: forward_messages.sign(key, body)}
+    port = fleet.settings[name]["peer"]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    connection.request("POST", forward_messages.FORWARD_PATH, body, signature)
+    return connection, connection.getresponse()
 
 
 def is_served(response):
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -279,6 +279,11 @@
     connection.request("POST", f"{prefix}x?q=1", body, fields)
 
 
+def whole_events(stream):
+    """Return a stream's bytes without the event at its end that is incomplete."""
+    return stream[: stream.rfind(b"\n\n") + 2]
+
+
 def event_versions(stream):
     """Return the versions of the instances that made the events in a stream's bytes."""
     prefix = b"version: "
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -41,6 +41,7 @@
     event_versions,
     send,
     wait_until,
+    whole_events,
 )
 
 from mulberrydock.fleet import free_ports
@@ -422,11 +423,7 @@
 
     def _send_crashing(self, name, request_id):
         outcome = Outcome(request_id, RESUMABLE_PATH, CRASHING_BODY, daemon=name)
-        try:
-            self._exchange(self.fleet.connect(name), outcome, "100,10")
-        except Exception as error:  # http.client raises undocumented exceptions
-            outcome.body = repr(error).encode()
-        self.outcomes.append(outcome)
+        self._try_exchange(self.fleet.connect(name), outcome, "100,10")
 
     def _quarantine_violations(self):
         """Return the violation if daemons still send the crashing request to instances.
@@ -461,21 +458,13 @@
             request_id = f"c{number}-{count}"
             body = f"prompt {request_id}".encode()
             outcome = Outcome(request_id, rng.choice(list(REPEATABLE)), body)
-            try:
-                if connection is None:
-                    name = f"entry-{rng.randrange(self.daemons)}"
-                    connection = self.fleet.connect(name)
-                    connection.timeout = CLIENT_TIMEOUT_SECONDS
-                outcome.daemon = name
-                tokens = rng.choice(("100,10", "2000,10", "9000,10"))
-                closing = self._exchange(connection, outcome, tokens)
-            except Exception as error:  # http.client raises undocumented exceptions
-                # No valid response: what the daemon did is checked by the instances'
-                # runs.
-                closing = True
-                outcome.body = getattr(error, "partial", repr(error).encode())
-            self.outcomes.append(outcome)
-            if closing and connection is not None:
+            if connection is None:
+                name = f"entry-{rng.randrange(self.daemons)}"
+                connection = self.fleet.connect(name)
+                connection.timeout = CLIENT_TIMEOUT_SECONDS
+            outcome.daemon = name
+            tokens = rng.choice(("100,10", "2000,10", "9000,10"))
+            if self._try_exchange(connection, outcome, tokens):
                 connection.close()
                 connection = None
             self._take_up(outcome, rng)
@@ -483,7 +472,7 @@
     def _take_up(self, outcome, rng):
         """Go on with a stream that has ended early, as its client does."""
         for number in range(MAX_RESUMES):
-            events = event_ids(outcome.body[: outcome.body.rfind(b"\n\n") + 2])
+            events = event_ids(whole_events(outcome.body))
             last = events[-1] if events else outcome.after_event
             if outcome.prefix != RESUMABLE_PATH or last in (0, STREAM_EVENT_IDS[-1]):
                 return
@@ -492,10 +481,21 @@
                 f"{before.id}-{number}", before.prefix, before.sent, daemon=name
             )
             outcome.origin, outcome.after_event = before.origin or before.id, last
-            try:
-                self._exchange(self.fleet.connect(name), outcome, "100,10")
-            except Exception as error:  # http.client raises undocumented exceptions
-                outcome.body = getattr(error, "partial", repr(error).encode())
+            self._try_exchange(self.fleet.connect(name), outcome, "100,10")
+
+    def _try_exchange(self, connection, outcome, tokens):
+        """Make one exchange, which may fail, and record its outcome.
+
+        Without a valid response, what the daemon did is checked by the instances' runs.
+
+        :returns: True when the connection is to be closed.
+        """
+        try:
+            return self._exchange(connection, outcome, tokens)
+        except Exception as error:  # http.client raises undocumented exceptions
+            outcome.body = getattr(error, "partial", repr(error).encode())
+            return True
+        finally:
             self.outcomes.append(outcome)
 
     def _exchange(self, connection, outcome, tokens):
@@ -529,8 +529,9 @@
         """Yield the streams with events of instances of two software versions."""
         versions = collections.defaultdict(set)
         for outcome in self.outcomes:
-            whole = outcome.body[: outcome.body.rfind(b"\n\n") + 2]
-            versions[outcome.origin or outcome.id] |= event_versions(whole)
+            versions[outcome.origin or outcome.id] |= event_versions(
+                whole_events(outcome.body)
+            )
         for origin, found in versions.items():
             if len(found) > 1:
                 yield f"ORDER: {origin} has events of the versions {sorted(found)}"
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -3,13 +3,19 @@
 The daemons are real processes; the store, the instances and the links are stand-ins.
 """
 
-import http.client
-import json
 import signal
 import time
 
 import pytest
-from link_fleet import PATHS, Load, is_served, started_fleet
+from link_fleet import (
+    PATHS,
+    Load,
+    forward,
+    is_served,
+    lose_links,
+    lost_services,
+    started_fleet,
+)
 from platform_fleet import (
     HOST,
     IDEMPOTENT_PATH,
@@ -20,8 +26,6 @@
     wait_until,
 )
 
-from mulberrydock import forward_messages
-from mulberrydock.forward_messages import ForwardedRequest, PriorCalls
 from mulberrydock.request import Request
 from mulberrydock.standin.pair_link import CUTS
 
@@ -69,14 +73,6 @@
     ]
 
 
-def lose_links(fleet, names, cut="silent"):
-    """Cut the links of VMs to all instances; wait until they have noticed."""
-    with Load(fleet, names):
-        fleet.cut(names, CUTS[cut])
-        for name in names:
-            wait_until(lambda: len(lost_services(fleet, name)) == 2)
-
-
 def wait_for_notice(fleet, names):
     """Wait until VMs have lost their links to all services, if they notice."""
     try:
@@ -88,18 +84,6 @@
         return
 
 
-def lost_services(fleet, name):
-    """Return the services to which a VM has lost its links, by its log."""
-    lost = set()
-    for line in fleet.log(name).splitlines():
-        row = json.loads(line) if line.startswith("{") else {}
-        if row.get("event") == "links lost":
-            lost.add(row["service"])
-        if row.get("event") == "links back":
-            lost.discard(row["service"])
-    return lost
-
-
 # Guards against requests that run twice, or run after a promise that they haven't, when
 # they go on through a peer.
 @pytest.mark.parametrize("cut", CUTS)
@@ -208,19 +192,8 @@
 # Guards against a stranger who presents a request as one that a VM has admitted.
 def test_forwarded_request_without_a_valid_signature_is_declined(fleet):
     request = Request("x", "POST", "/letters/x", HOST, [], b"", 0.0, 9.0)
-    body = forward_messages.encode(
-        ForwardedRequest(request, 0, PriorCalls(), "entry-9"), 0.0
-    )
-    port = fleet.settings["entry-1"]["peer"]
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
-    signature = forward_messages.sign(b"guess", body)
-    connection.request(
-        "POST",
-        forward_messages.FORWARD_PATH,
-        body,
-        {forward_messages.SIGNATURE_HEADER: signature},
-    )
-    assert connection.getresponse().status == 503
+    _, response = forward(fleet, "entry-1", request, b"guess")
+    assert response.status == 503
     assert not runs_of(fleet, "x")
 
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -5,20 +5,17 @@
 """
 
 import base64
-import http.client
 import signal
 import time
 
 import pytest
-from link_fleet import Load
+from link_fleet import forward, lose_links, wait_for_vm
 from platform_fleet import HOST, RESUMABLE_PATH, wait_until
-from version_fleet import ONE_OF_EACH, VMS, Stream, started_fleet, wait_for_vm
+from version_fleet import ONE_OF_EACH, VMS, Stream, started_fleet
 
-from mulberrydock import forward_messages, records
-from mulberrydock.forward_messages import ForwardedRequest, PriorCalls
+from mulberrydock import records
 from mulberrydock.platform import wire
 from mulberrydock.request import Prompt, Request
-from mulberrydock.standin.pair_link import CUTS
 from mulberrydock.standin.platform_engine import Fault
 
 #: Streams of each case: by chance alone, one of them goes on at another version. The
@@ -109,7 +106,7 @@
     streams = begin(fleet)
     kill(fleet, "entry-1")
     fleet.start("entry-1")
-    wait_for_vm(fleet, "entry-1")
+    wait_for_vm(fleet, "entry-1", VMS)
     leave_and_take_up(fleet, streams, "entry-1")
     return streams
 
@@ -123,18 +120,14 @@
 
 
 def taken_up_at_a_vm_without_links(fleet):
-    with Load(fleet, {"entry-2"}):
-        fleet.cut({"entry-2"}, CUTS["silent"])
-        wait_until(lambda: fleet.log_records("links lost", "entry-2"))
+    lose_links(fleet, {"entry-2"})
     streams = begin(fleet)
     leave_and_take_up(fleet, streams, "entry-2")
     return streams
 
 
 def begun_through_a_peer(fleet):
-    with Load(fleet, {"entry-2"}):
-        fleet.cut({"entry-2"}, CUTS["silent"])
-        wait_until(lambda: fleet.log_records("links lost", "entry-2"))
+    lose_links(fleet, {"entry-2"})
     streams = begin(fleet, vm="entry-2")
     leave_and_take_up(fleet, streams, "entry-1")
     return streams
@@ -143,37 +136,29 @@
 def begun_for_a_sender_that_went_on_elsewhere(fleet):
     for number in range(STREAMS):
         stream = Stream(fleet, f"s{number}")
-        forward(fleet, "entry-1", f"{stream.name}/0")
+        forward_and_leave(fleet, "entry-1", f"{stream.name}/0")
         stream.request("entry-2", until=1)
         stream.leave()
         yield stream.request("entry-1")
 
 
-def forward(fleet, vm, request_id):
+def forward_and_leave(fleet, vm, request_id):
     """Forward a request to ``vm`` as a peer does that leaves after the first event."""
     record = base64.b64decode(fleet.store.items[f"entries/{vm}"].value).decode()
     key = records.decode(records.EntryRecord, record).forwardKey
     target = f"{RESUMABLE_PATH}x?q=1"
     headers = [(wire.TOKEN_COUNTS, "100,10")]
-    request = Request(request_id, "POST", target, HOST, headers, b"prompt", 0.0, 9.0)
-    request.prompt = Prompt(100, 10)
-    body = forward_messages.encode(
-        ForwardedRequest(request, 0, PriorCalls(), "entry-3"), 0.0
+    prompt = Prompt(100, 10)
+    request = Request(
+        request_id, "POST", target, HOST, headers, b"prompt", 0.0, 9.0, prompt
     )
-    connection = http.client.HTTPConnection(
-        "127.0.0.1", fleet.settings[vm]["peer"], timeout=10
-    )
-    signature = {forward_messages.SIGNATURE_HEADER: forward_messages.sign(key, body)}
-    connection.request("POST", forward_messages.FORWARD_PATH, body, signature)
-    response = connection.getresponse()
+    connection, response = forward(fleet, vm, request, key)
     assert response.status == 200 and response.read1(4096)
     connection.close()
 
 
 def begun_through_a_peer_and_taken_up_with_links(fleet):
-    with Load(fleet, {"entry-2"}):
-        fleet.cut({"entry-2"}, CUTS["silent"])
-        wait_until(lambda: fleet.log_records("links lost", "entry-2"))
+    lose_links(fleet, {"entry-2"})
     streams = begin(fleet, vm="entry-2")
     fleet.restore()
     kill(fleet, "entry-1")
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -77,9 +77,8 @@
         """Begin streams at random VMs; return (VM, key) of each."""
         rows = []
         for number in range(count):
-            name, key = self.random.choice(list(self.vms)), origin_key(
-                "llm", f"{number}"
-            )
+            name = self.random.choice(list(self.vms))
+            key = origin_key("llm", f"{number}")
             self.vms[name].record(StreamOrigin(key, f"v{number % 3}"), 0.0)
             rows.append((name, key))
         return rows
@@ -161,8 +160,8 @@
     assert network.find(rows, lambda name: "b-0") == [("", False)]
 
 
-# Guards against homes that move as VMs start and leave: a change of the fleet moves the
-# streams of the changed VM only.
+# Guards against streams that other VMs hold as VMs start and leave: a change of the
+# fleet moves those of the changed VM only.
 def test_ring_keeps_its_order_when_a_vm_leaves():
     members = {f"vm-{n}": f"dc{n % 3}" for n in range(30)}
     before = HashRing.from_data_centres(members)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -4,18 +4,16 @@
 event that they have and the id of the request that brought the first one.
 """
 
-import contextlib
 import http.client
 
 import attrs
-from link_fleet import LinkFleet, _has_seen
+import link_fleet
 from platform_fleet import (
     RESUMABLE_PATH,
-    config,
     event_ids,
     event_versions,
     send,
-    wait_until,
+    whole_events,
 )
 
 VMS = ("entry-1", "entry-2", "entry-3")
@@ -37,33 +35,14 @@
 DEADLINE_MS = "9000"
 
 
-@contextlib.contextmanager
-def started_fleet(directory, instances=INSTANCES, names=VMS):
-    """Start a fleet of the named VMs before ``instances``; stop it at the end."""
-    fleet = LinkFleet(directory)
-    fleet.write("op/config", config(3))
-    for number, (stage, version) in enumerate(instances):
-        fleet.add_instance(
-            f"{stage}-{version}-{number}",
-            "llm",
-            stage,
-            version=version,
-            event_interval_seconds=EVENT_INTERVAL_SECONDS,
-        )
-    for name in names:
-        fleet.start(name)
-    try:
-        for name in names:
-            wait_for_vm(fleet, name, names)
-        yield fleet
-    finally:
-        fleet.stop()
-
-
-def wait_for_vm(fleet, name, names=VMS):
-    """Wait until a VM is ready and knows the instances and its peers."""
-    fleet.wait_ready(name)
-    wait_until(lambda: _has_seen(fleet, name, names))
+def started_fleet(directory, instances=INSTANCES):
+    """Return the context of a fleet of :data:`VMS` before ``instances``."""
+    options = {"event_interval_seconds": EVENT_INTERVAL_SECONDS}
+    rows = [
+        (f"{stage}-{version}-{number}", "llm", stage, options | {"version": version})
+        for number, (stage, version) in enumerate(instances)
+    ]
+    return link_fleet.started_fleet(directory, VMS, rows)
 
 
 @attrs.define
@@ -73,7 +52,7 @@
     ``ids`` are the ids of its requests, ``events`` those of the events that arrived and
     ``versions`` the versions of the instances that made them;
     ``complete`` is True once one of its responses ended as complete, ``status`` that of
-    the last response, 0 without one. ``retry_after`` is the last response's header.
+    the last response, 0 without one.
     """
 
     fleet: object
@@ -84,7 +63,6 @@
     versions: set = attrs.field(factory=set)
     complete: bool = False
     status: int = 0
-    retry_after: str = ""
     connection: object = None
 
     def request(self, vm, until=None, **headers):
@@ -109,7 +87,6 @@
             send(self.connection, RESUMABLE_PATH, self.ids[-1], **fields)
             response = self.connection.getresponse()
             self.status = response.status
-            self.retry_after = response.getheader("Retry-After", "")
             self._read(response, until)
         except (http.client.HTTPException, OSError):
             self.connection.close()
@@ -121,7 +98,7 @@
         data, had, versions = b"", list(self.events), self.versions
         while chunk := response.read1(4096):
             data += chunk
-            whole = data[: data.rfind(b"\n\n") + 2]
+            whole = whole_events(data)
             self.events = had + event_ids(whole)
             self.versions = versions | event_versions(whole)
             if until is not None and self.events and self.events[-1] >= until:
