The version of a request's stream has a module of its own

Change: stream_version.py holds what fixes the version; the line 'stream taken up' also says which version was found, in place of 'stream version'.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -101,7 +101,7 @@
         data = self._encode(now)
         lifecycle.sends.record_call()
         lifecycle.forwards += 1
-        lifecycle.attempt_version = ""
+        lifecycle.version.attempted = ""
         logger.info(
             "forward",
             request=lifecycle.request.id,
@@ -124,7 +124,7 @@
         return self._deliver(listener)
 
     def _record_version(self, version):
-        self.lifecycle.attempt_version = version
+        self.lifecycle.version.attempted = version
 
     def _encode(self, now):
         lifecycle = self.lifecycle
--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -66,7 +66,7 @@
             reserved,
             lifecycle.may_have_run,
             begun,
-            lifecycle.version,
+            lifecycle.version.fixed,
         )
 
 
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -23,7 +23,7 @@
 from .request_begin import RequestBegin
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
-from .stream_origins import UNKNOWN_VERSION, StreamOrigin, origin_key
+from .stream_version import StreamVersion
 
 #: Seconds, beyond the estimated wait, that an engine has for its first event. Clients
 #: give a stream up after 2.4 s without an event, so a second engine must have answered
@@ -58,9 +58,7 @@
     better, ``cause`` says why the last attempt failed. ``begin`` is its
     :class:`RequestBegin`. ``served`` is True once an instance has answered with
     success. ``forwards`` counts the attempts through peers, ``refused_by`` names the
-    peers that didn't take the request. ``version`` is the software version at which a
-    stream goes on, empty while it may begin at any; ``attempt_version`` is that of the
-    instance that was sent to last.
+    peers that didn't take the request. ``version`` is its :class:`StreamVersion`.
 
     :param prior: the :class:`~mulberrydock.forward_messages.PriorCalls` of a request
         that a peer has forwarded, None for a client's.
@@ -93,8 +91,9 @@
         self.forwards = 0
         self.refused_by = set()
         self.may_have_run = self.prior.may_have_run
-        self.version = self.prior.version
-        self.attempt_version = ""
+        self.version = StreamVersion(
+            relay, request, route, service, self.is_forwarded, self.prior.version
+        )
         self.begin = RequestBegin(relay, request, self.prior.begun)
         self.served = False
         self.error_response = None
@@ -111,9 +110,9 @@
         seconds_left = self.seconds_left(time.monotonic())
         try:
             async with asyncio.timeout_at(loop.time() + seconds_left):
-                if self.takes_stream_up and not self.version:
-                    final = await self._find_version()
-                    if not self.version:
+                if self.version.is_taken_up and not self.version.fixed:
+                    final = await self.version.find()
+                    if not self.version.fixed:
                         return final_response.refuse_unknown_version(self, final)
                 return await self._attempts()
         except TimeoutError:
@@ -124,63 +123,16 @@
     def _record_arrival(self):
         """Record a client's request; a forwarded one was recorded by its sender."""
         arrived = self.request.arrived
-        if self.request.last_event_id:
-            logger.info(
-                "stream taken up",
-                request=self.request.id,
-                resumes=self.request.resumes,
-                after_event=self.request.last_event_id,
-            )
         self.fleet.budget(self.service).record_request(arrived)
         if self.request.prompt.tokens:
             self.fleet.record_demand(
                 self.request.prompt, self.route, self.service, arrived
             )
 
-    @property
-    def takes_stream_up(self):
-        """True when the client goes on with a stream of which it has events."""
-        is_stream = self.route.kind is Kind.STREAMING
-        return is_stream and self.request.last_event_id > 0
-
-    @property
-    def _origin_key(self):
-        """Key of the request's stream; it is named after the one that began it."""
-        resumes = self.request.resumes if self.takes_stream_up else ""
-        return origin_key(self.service, resumes or self.request.id)
-
-    async def _find_version(self):
-        """Find out at which version the client's stream goes on.
-
-        :returns: whether the result is final; no version was found if it is empty.
-        """
-        final, key = True, self._origin_key
-        if self.request.resumes:
-            self.version, final = await self.relay.origins.find(key, time.monotonic())
-        if not self.version:
-            versions = self.fleet.instances.versions
-            self.version = versions.sole_version(self.service, time.monotonic())
-        logger.info(
-            "stream version",
-            request=self.request.id,
-            stream=key,
-            version=self.version,
-            final=final,
-        )
-        known = "yes" if self.version else "no"
-        self.relay.metrics.streams_taken_up.labels(self.service, known).inc()
-        return final
-
     def _record_first_event(self, now):
         """Record that the first event is about to be passed on to the client."""
         self.begin.record(now)
-        self.version = self.version or self.attempt_version or UNKNOWN_VERSION
-        if self.is_forwarded:
-            # The sender may have gone on elsewhere: the event that it passes on counts.
-            self.sink.state_version(self.version)
-        else:
-            origin = StreamOrigin(self._origin_key, self.version)
-            self.relay.origins.record(origin, now)
+        self.version.record_first_event(self.sink, now)
 
     def seconds_left(self, now):
         """Return the seconds until the request's deadline."""
@@ -252,15 +204,15 @@
                 self.cause = self.cause if plan else "no VM has links to the instances"
                 return plan
         plan = self._local_plan(now)
-        if plan is None and self.version and not self.tried:
-            self.cause = f"no instance of version {self.version} can be used"
+        if plan is None and self.version.fixed and not self.tried:
+            self.cause = f"no instance of version {self.version.fixed} can be used"
         if plan is None and self.fleet.is_held_back(self.service, now):
             self.cause = "the instances take no more requests for now"
         return plan
 
     def _local_plan(self, now):
         return self.fleet.plan(
-            self.request, self.route, self.service, self.tried, now, self.version
+            self.request, self.route, self.service, self.tried, now, self.version.fixed
         )
 
     def _forward_plan(self, now):
@@ -469,7 +421,7 @@
         now = time.monotonic()
         self.sends.record_call()
         self.tried.add(target.id)
-        self.attempt_version = target.record.stream_version
+        self.version.attempted = target.record.stream_version
         options = SendOptions(
             instance=target.record.id,
             deadline_ms=int(self.seconds_left(now) * 1000),
--- /dev/null
+++ b/src/mulberrydock/stream_version.py
@@ -0,0 +1,78 @@
+"""Which software version one request's stream goes on at."""
+
+import time
+
+import attrs
+from loguru import logger
+
+from .request import Kind
+from .stream_origins import UNKNOWN_VERSION, StreamOrigin, origin_key
+
+
+@attrs.define
+class StreamVersion:
+    """The version of the stream of one request.
+
+    :param relay: the :class:`~mulberrydock.relay.Relay` that serves the request.
+    :param is_forwarded: whether a peer has forwarded the request to this VM.
+
+    ``fixed`` is the version at which the stream goes on, empty while it may begin at
+    any; ``attempted`` that of the instance that was sent to last, empty if unknown.
+    """
+
+    relay: object
+    request: object
+    route: object
+    service: str
+    is_forwarded: bool
+    fixed: str = ""
+    attempted: str = ""
+
+    @property
+    def is_taken_up(self):
+        """True when the client goes on with a stream of which it has events."""
+        is_stream = self.route.kind is Kind.STREAMING
+        return is_stream and self.request.last_event_id > 0
+
+    @property
+    def _key(self):
+        """Key of the stream, which is named after the request that began it."""
+        resumes = self.request.resumes if self.is_taken_up else ""
+        return origin_key(self.service, resumes or self.request.id)
+
+    async def find(self):
+        """Fix the version of a stream that the client has taken up, if it is known.
+
+        :returns: whether the result is final; if not, a peer that hasn't answered may
+            know the version.
+        """
+        final, key = True, self._key
+        if self.request.resumes:
+            self.fixed, final = await self.relay.origins.find(key, time.monotonic())
+        if not self.fixed:
+            versions = self.relay.fleet.instances.versions
+            self.fixed = versions.sole_version(self.service, time.monotonic())
+        logger.info(
+            "stream taken up",
+            request=self.request.id,
+            resumes=self.request.resumes,
+            after_event=self.request.last_event_id,
+            stream=key,
+            version=self.fixed,
+            final=final,
+        )
+        known = "yes" if self.fixed else "no"
+        self.relay.metrics.streams_taken_up.labels(self.service, known).inc()
+        return final
+
+    def record_first_event(self, sink, now):
+        """Fix the version as the first event is about to be passed on to the client.
+
+        :param sink: the request's :class:`~mulberrydock.ports.Sink`.
+        """
+        self.fixed = self.fixed or self.attempted or UNKNOWN_VERSION
+        if self.is_forwarded:
+            # The sender may have gone on elsewhere: the event that it passes on counts.
+            sink.state_version(self.fixed)
+        else:
+            self.relay.origins.record(StreamOrigin(self._key, self.fixed), now)
