One wait for requests that no later attempt would serve; one choice of an engine

Cause: the wait of a stream of unknown version was written beside that of quarantined work, with the same value for the same reason; the completion named the same arguments of the router's choice three times. Change: FUTILE_RETRY_SECONDS for both; Completion._choose.

--- a/src/mulberrydock/completion.py
+++ b/src/mulberrydock/completion.py
@@ -358,21 +358,25 @@
         return ResultCode.NO_UPSTREAM
 
     def _next_engine(self, now):
-        router = self.daemon.engines
-        engine = router.choose(
-            self.model, self.tried, self.work, now, version=self.version
-        )
+        engine = self._choose(now, version=self.version)
         if engine is None and self.tried:
             # Every engine was tried once. A failed connection says little about its
             # engine, so the remaining attempts may use any of them.
             self.tried.clear()
-            engine = router.choose(
-                self.model, self.tried, self.work, now, version=self.version
-            )
+            engine = self._choose(now, version=self.version)
         if engine is not None:
             self.tried.add(engine.name)
         return engine
 
+    def _choose(self, now, **restrictions):
+        """Return an engine that wasn't tried, or None.
+
+        :param restrictions: as for :meth:`~mulberrydock.routing.Router.choose`.
+        """
+        return self.daemon.engines.choose(
+            self.model, self.tried, self.work, now, **restrictions
+        )
+
     async def _attempt(self, engine, now):
         """Send to ``engine``; return True for a complete response, else False."""
         kv_source = await self._prefill(engine.report.version, now)
@@ -436,18 +440,16 @@
     async def _prefill(self, version, now):
         """Prefill on a prefill engine; return the KV source, empty if not done.
 
-        :param version: that of the engine that decodes, which can't use the KV cache of
-            another one.
-
         On any failure the decode engine prefills, which is always possible, so a
         prefill engine can't fail a request.
+
+        :param version: that of the engine that decodes, which can't use the KV cache of
+            another one.
         """
         if self.work.prompt_tokens < PREFILL_HANDOFF_TOKENS or self.event_count:
             return ""
         router = self.daemon.engines
-        engine = router.choose(
-            self.model, self.tried, self.work, now, (PREFILL_ROLE,), version
-        )
+        engine = self._choose(now, roles=(PREFILL_ROLE,), version=version)
         if engine is None:
             return ""
         headers = self._headers() | {defaults.STAGE_HEADER: PREFILL_ROLE}
--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -20,7 +20,7 @@
         _reject(lifecycle, 502, lifecycle.cause)
         return ResultCode.UPSTREAM_FAILED
     if lifecycle.is_quarantined(now):
-        _reject(lifecycle, 503, lifecycle.cause, refusal.QUARANTINE_RETRY_SECONDS)
+        _reject(lifecycle, 503, lifecycle.cause, refusal.FUTILE_RETRY_SECONDS)
         return ResultCode.QUARANTINED
     retry_after = refusal.retry_after(
         bool(lifecycle.tried),
@@ -37,9 +37,7 @@
     :param final: False if a peer that hasn't answered may know it.
     """
     lifecycle.cause = "the version that began the stream isn't known"
-    retry_after = (
-        refusal.UNKNOWN_VERSION_RETRY_SECONDS if final else refusal.RETRY_AFTER_SECONDS
-    )
+    retry_after = refusal.FUTILE_RETRY_SECONDS if final else refusal.RETRY_AFTER_SECONDS
     _reject(lifecycle, 503, lifecycle.cause, retry_after)
     return ResultCode.UNKNOWN_VERSION
 
--- a/src/mulberrydock/handlers.py
+++ b/src/mulberrydock/handlers.py
@@ -14,7 +14,7 @@
 from .completion import Completion
 from .exceptions import ResultCode
 from .idempotency import IdempotentCall
-from .refusal import QUARANTINE_RETRY_SECONDS
+from .refusal import FUTILE_RETRY_SECONDS
 
 #: HTTP status of a language request that no engine answered: 503 only when it has not
 #: run.
@@ -192,7 +192,7 @@
         if self.code in UNSERVED_STATUS:
             retry_after = defaults.RETRY_AFTER_SECONDS
             if self.code is ResultCode.QUARANTINED:
-                retry_after = int(QUARANTINE_RETRY_SECONDS)
+                retry_after = int(FUTILE_RETRY_SECONDS)
             self.refuse(
                 UNSERVED_STATUS[self.code],
                 self.code,
--- a/src/mulberrydock/idempotency.py
+++ b/src/mulberrydock/idempotency.py
@@ -16,7 +16,7 @@
 
 from . import defaults, records, upstream
 from .exceptions import ResultCode, UpstreamError, VersionConflict
-from .refusal import QUARANTINE_RETRY_SECONDS
+from .refusal import FUTILE_RETRY_SECONDS
 from .request import fingerprint
 from .routing import Work
 
@@ -50,7 +50,7 @@
 
 
 def _quarantined():
-    retry_after = int(QUARANTINE_RETRY_SECONDS)
+    retry_after = int(FUTILE_RETRY_SECONDS)
     message = "instances crashed under such a call"
     return _error(503, ResultCode.QUARANTINED, message, retry_after)
 
--- a/src/mulberrydock/refusal.py
+++ b/src/mulberrydock/refusal.py
@@ -13,12 +13,9 @@
 #: an engine is available 3 s after a stage order, a crashed one after 2 to 5 s. An
 #: earlier retry is refused again, and the client often gives up then.
 NO_INSTANCE_RETRY_SECONDS = 3.0
-#: Seconds until the retry of a request that crashes instances: nothing will have
-#: changed before its deadline.
-QUARANTINE_RETRY_SECONDS = 3600.0
-#: Seconds until the retry of a request that takes up a stream whose version no VM
-#: knows: none will know it later.
-UNKNOWN_VERSION_RETRY_SECONDS = 3600.0
+#: Seconds until the retry of a request that can't be served before its deadline: it
+#: crashes instances, or goes on with a stream whose version no VM knows.
+FUTILE_RETRY_SECONDS = 3600.0
 #: Multiple of the client's idle timeout that the expected wait must exceed before a
 #: stream is refused: estimates are rough, and a refused client may not retry.
 REFUSAL_WAIT_FACTOR = 2.0
