Logs name the shared parts of a request's prompt

Cause: no line said which parts a prompt has, so a part that crashes engines couldn't be told from engines that are overloaded by what is sent on after a crash. Change: 'attempt failed', 'prefill failed', 'answered' and 'client left' list the ids of the parts that other requests may share. No decision is changed.

--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -132,6 +132,7 @@
             "prefill failed",
             request=self.request.id,
             fingerprint=self.request.fingerprint,
+            parts=self.request.prompt.shared_ids,
             instance=self.engine.id,
             error=str(error),
         )
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -335,6 +335,7 @@
         return {
             "request": lifecycle.request.id,
             "fingerprint": lifecycle.request.fingerprint,
+            "parts": lifecycle.request.prompt.shared_ids,
             "route": lifecycle.route.name,
             "service": lifecycle.service,
             "tokens": lifecycle.request.prompt.tokens,
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -135,6 +135,11 @@
         """Parts that other requests may share: all but the last."""
         return self.parts[:-1]
 
+    @property
+    def shared_ids(self):
+        """The ids of the shared parts as the log states them, separated by commas."""
+        return ",".join(part.id for part in self.shared_parts)
+
 
 @attrs.define(frozen=True)
 class KvHandle:
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -468,6 +468,7 @@
             "attempt failed",
             request=self.request.id,
             fingerprint=self.request.fingerprint,
+            parts=self.request.prompt.shared_ids,
             instance=instance.id,
             error=str(error),
             suspected=suspected,
