--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -55,6 +55,8 @@
 PAUSE_SECONDS = 1.5
 #: Time after which a crashed process has restarted.
 CRASH_SECONDS = 0.5
+#: Time from the head of a response to the crash that its prompt causes.
+CRASH_DELAY_SECONDS = 0.03
 
 
 @attrs.define
@@ -88,6 +90,8 @@
     :param started_at_ms: start of the incarnation in Unix milliseconds, None when its
         record and report don't state it.
     :param crash_marker: a request whose body contains these bytes crashes the process.
+    :param crash_parts: ids of prompt parts that crash the process as it begins to write
+        an answer, in any position but the last; a prefill call does no harm.
     :param on_crash: called with this object when the process crashes.
     :param on_restart: called with this object after the process has restarted.
     :param rate_limit: rate limit that its responses declare, in requests per second.
@@ -99,8 +103,9 @@
     For assertions, ``runs`` lists the requests that it started to execute,
     ``arrived_ids`` the ids of all that arrived, ``arrival_times`` their times in
     monotonic seconds, ``prefills`` the ids of prefill calls, ``released_handles`` the
-    KV handles that were released, ``refusals`` the (id, time, pause) of the requests
-    refused with a pause, and ``misdirected`` counts the calls for another instance.
+    KV handles that were released, ``crash_times`` the times of its crashes,
+    ``refusals`` the (id, time, pause) of the requests refused with a pause, and
+    ``misdirected`` counts the calls for another instance.
     """
 
     id: str
@@ -120,9 +125,12 @@
     misdirected: int = 0
     started_at_ms: int | None = None
     crash_marker: bytes = b""
+    crash_parts: frozenset = frozenset()
     on_crash: t.Callable = lambda engine: None
     on_restart: t.Callable = lambda engine: None
     crashes: int = 0
+    crash_times: list = attrs.field(factory=list)
+    server_running: bool = False
     rate_limit: float | None = None
     leaving: bool = False
     retry_after: float | None = None
@@ -164,6 +172,7 @@
         host, port = self.listen_address.split(":")
         self.server = tornado.httpserver.HTTPServer(_ConnectionDelegate(self))
         self.server.listen(int(port), address=host)
+        self.server_running = True
 
     def restart(self, started_at_ms):
         """Restart under the same id, without the state of the previous incarnation.
@@ -179,6 +188,7 @@
     def crash(self):
         """Crash, and restart under the same id after :data:`CRASH_SECONDS`."""
         self.crashes += 1
+        self.crash_times.append(time.monotonic())
         self.on_crash(self)
         self.stop()
         for reader in list(self.readers):
@@ -192,6 +202,7 @@
 
     def stop(self):
         """Stop listening, so that new connections are refused."""
+        self.server_running = False
         self.server.stop()
 
     async def answer(self, reader):
@@ -257,6 +268,12 @@
         if self.crash_marker and self.crash_marker in reader.body:
             self.crash()
             return
+        if self.crash_parts & _shared_part_ids(reader.headers):
+            reader.begin(self._response_headers(run))
+            await asyncio.sleep(CRASH_DELAY_SECONDS)
+            if self.server_running:
+                self.crash()
+            return
         try:
             await self._run(reader, run, fault)
             run.ended = run.ended or "done"
@@ -355,6 +372,12 @@
         reader.finish_stream()
 
 
+def _shared_part_ids(headers):
+    """Return the ids of a prompt's parts, without the last one."""
+    parts = headers.get(wire.PROMPT_PREFIX, "").split(",")
+    return {part.partition(":")[0] for part in parts[:-1]}
+
+
 def _raw_head(headers):
     lines = ["HTTP/1.1 200 OK"] + [f"{k}: {v}" for k, v in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
