A part of a prompt that crashes engines is stopped after three of them

Cause: a crash counted against the whole request only (path and body). No two of these requests are alike, so nothing added up; each VM also sent such a request on at once, to the next engine. Change: a crash counts against each part of a prompt that others may share as well, for all VMs. crash_evidence.py decides which part is to blame: what an engine went on writing is cleared, what was served before is suspected last, and what shares its crashes with a worse suspect is relieved. A part under suspicion that nothing shows to be sound is paused for a second after a crash and then goes to one engine, the same from all VMs. VMs tell each other at once of crashes under parts and, where one is suspected, of successes. Quarantined work is tried once more after 10 s, 60 s and so on, by one VM, which claims the trial in the store. Why it works: what is deadly never succeeds, so its crashes add up; what is sound does, within moments, at some VM.

--- a/src/mulberrydock/crash_guard.py
+++ b/src/mulberrydock/crash_guard.py
@@ -36,7 +36,7 @@
 
     def is_quarantined(self, work):
         """Return whether ``work``, a fingerprint, must not be sent to any upstream."""
-        return self.quarantine.is_quarantined(work, time.monotonic())
+        return self.quarantine.is_quarantined(work)
 
     async def record_failure(self, work, upstream, call, error):
         """Record a failed call for ``work`` if the upstream crashed under it.
--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -20,7 +20,7 @@
         _reject(lifecycle, 502, lifecycle.cause)
         return ResultCode.UPSTREAM_FAILED
     if lifecycle.is_quarantined(now):
-        _reject(lifecycle, 503, lifecycle.cause, refusal.FUTILE_RETRY_SECONDS)
+        _reject(lifecycle, 503, lifecycle.cause, lifecycle.quarantine_seconds(now))
         return ResultCode.QUARANTINED
     retry_after = refusal.retry_after(
         bool(lifecycle.tried),
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -20,6 +20,7 @@
 from .prefill_cost import IN_PLACE_SPEED_RATIO
 from .quarantine import Quarantine
 from .rate_limits import RateLimits
+from .rendezvous import rank
 from .route_table import RouteTable
 from .stages import MAX_DECODE_UTILIZATION, StageNeeds, sustainable_streams
 from .suspicion import Suspicion
@@ -281,12 +282,27 @@
         """
         version = plan.prefill.record.version
         pool = self._pool(service, tried, now, lambda r: r.version == version)
+        pool = self._isolate_suspect(pool, request)
         prompt_tokens = request.prompt.tokens
         target = self.placement.choose_decoder(
             pool, prompt_tokens, plan.prefill, request_hash_fraction(request.id)
         )
         return target and attrs.evolve(plan, target=target)
 
+    def _isolate_suspect(self, pool, request):
+        """Return ``pool`` for a request that may crash its decode engine.
+
+        All VMs choose the same engine for a part of a prompt under suspicion, so that
+        requests with it that are sent at the same time can crash only one.
+        """
+        evidence = self.quarantine.evidence
+        suspects = [w for w in request.part_works if evidence.is_unproven(w)]
+        if not suspects or not pool.decoders:
+            return pool
+        worst = max(suspects, key=lambda work: (evidence.count(work), work))
+        engine = min(pool.decoders, key=lambda e: rank(worst, e.id))
+        return attrs.evolve(pool, decoders=[engine])
+
     def record_demand(self, prompt, route, service, now):
         """Record a client's request for a completion, whether it is served or not."""
         engines = self.instances.serving(service)
@@ -333,6 +349,7 @@
                 return None
             return Plan(self.placement.least_loaded(healthy, self.loads.total(now)))
         pool = self._pool(service, tried, now, accepts)
+        pool = self._isolate_suspect(pool, request)
         return self.placement.plan(
             request.prompt, route, pool, request_hash_fraction(request.id)
         )
--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -183,6 +183,7 @@
         if outcome is None:
             if response.is_signed_stream:
                 lifecycle.served = True
+                lifecycle.began_at = response.first_progress_at
                 lifecycle.sink.finish()
                 return ResultCode.OK
             lifecycle.may_have_run = True
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -3,11 +3,11 @@
 import attrs
 
 from . import records, usage_records
+from .crash_evidence import Crash
 from .demand import Demand
 from .estimates import PoolUpdate, PrefillSample
 from .peer_loads import Load, PeerReport
 from .prefill_cost import PrefillCost
-from .quarantine import Crash
 from .stream_origins import OriginMessageKind, StreamOrigin
 from .usage import UsageUpdate
 
@@ -36,6 +36,46 @@
         return {"instance": self.instance, "rate": self.rate or 0.0, "ageMs": age_ms}
 
 
+@attrs.define(frozen=True)
+class CrashReport:
+    """A crash that the sender saw; ``age`` is the number of seconds since then."""
+
+    crash: Crash
+    age: float
+
+    @classmethod
+    def from_row(cls, row):
+        """Build a report from its row in a datagram."""
+        return cls(Crash(row.work, row.instance), row.ageMs / 1000)
+
+    @property
+    def row(self):
+        """The row of this report in a datagram."""
+        return attrs.asdict(self.crash) | {"ageMs": max(0, int(self.age * 1000))}
+
+
+@attrs.define(frozen=True)
+class SoundWork:
+    """Work that an instance was seen to serve.
+
+    ``work`` is its fingerprint; ``age`` is the number of seconds since the instance
+    began to answer.
+    """
+
+    work: str
+    age: float
+
+    @classmethod
+    def from_row(cls, row):
+        """Build it from its row in a datagram."""
+        return cls(row.work, row.ageMs / 1000)
+
+    @property
+    def row(self):
+        """Its row in a datagram."""
+        return {"work": self.work, "ageMs": int(self.age * 1000)}
+
+
 @attrs.define(frozen=True)
 class PeerUpdate:
     """The content of one message.
@@ -45,8 +85,9 @@
     rows of the prompt parts prefilled there since the last message. ``pools`` are
     :class:`~mulberrydock.estimates.PoolUpdate`, ``samples`` are
     :class:`~mulberrydock.estimates.PrefillSample`, ``crashes`` are
-    :class:`~mulberrydock.quarantine.Crash`, ``limits`` are :class:`LimitUpdate`,
-    ``leaving_instances`` are incarnations that announced their leave.
+    :class:`CrashReport`, ``limits`` are :class:`LimitUpdate`,
+    ``leaving_instances`` are incarnations that announced their leave, ``sound_works``
+    are :class:`SoundWork`.
     """
 
     name: str
@@ -58,6 +99,7 @@
     crashes: list = attrs.field(factory=list)
     limits: list = attrs.field(factory=list)
     leaving_instances: list = attrs.field(factory=list)
+    sound_works: list = attrs.field(factory=list)
 
 
 @attrs.define(frozen=True)
@@ -138,11 +180,12 @@
         reads=_prefill_rows(update.prefills),
         pools=[_pool_row(pool) for pool in update.pools],
         samples=[attrs.asdict(sample) for sample in update.samples],
-        crashes=[attrs.asdict(crash) for crash in update.crashes],
+        crashes=[report.row for report in update.crashes],
         limits=[limit.row for limit in update.limits],
         leavingInstances=update.leaving_instances,
         lostServices=sorted(report.lost_services),
         vmsWithoutLinks=sorted(report.vms_without_links),
+        soundWorks=[sound.row for sound in update.sound_works],
     )
     # Packed, as traffic between data centres is paid for: 210 instead of 420 bytes
     # with loads of six instances.
@@ -207,7 +250,8 @@
             PrefillSample(row.service, row.tokens, row.cached, row.seconds)
             for row in message.samples
         ],
-        [Crash(row.work, row.instance) for row in message.crashes],
+        [CrashReport.from_row(row) for row in message.crashes],
         [LimitUpdate.from_row(row) for row in message.limits],
         list(message.leavingInstances),
+        [SoundWork.from_row(row) for row in message.soundWorks],
     )
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -11,7 +11,14 @@
 from . import peer_messages
 from ._http import split_address
 from .peer_loads import PeerReport
-from .peer_messages import LimitUpdate, OriginMessage, PeerUpdate, UsageMessage
+from .peer_messages import (
+    CrashReport,
+    LimitUpdate,
+    OriginMessage,
+    PeerUpdate,
+    SoundWork,
+    UsageMessage,
+)
 from .rate_limits import UPDATE_REPEAT_SECONDS
 from .rendezvous import rank
 
@@ -19,6 +26,8 @@
 #: that are 200 ms old still tell a busy engine from an idle one; half the interval
 #: would double the traffic between data centres, which is paid for.
 SEND_INTERVAL_SECONDS = 0.2
+#: Seconds until an early message, so that one holds all that a crash interrupts.
+EARLY_SEND_SECONDS = 0.02
 #: Maximum number of direct peers at which a VM sends that often. With more, it sends
 #: less often, which bounds the messages that each VM sends and receives per second:
 #: with 40, as in a data centre of a fleet of 200, the interval is half a second, and
@@ -97,6 +106,7 @@
         self.local_prefills = {}
         self.relayed_at = {}
         self.transport = None
+        self.early_send = None
 
     async def open(self, ip, port):
         """Bind the socket to ``ip:port``.
@@ -133,7 +143,7 @@
             self.tracker.receive(update.name, update.report)
             self._apply_estimates(update.name, update, now)
             self._record_prefills(update.prefills)
-            self._apply_crashes(update.crashes, now)
+            self._apply_crashes(update, now)
         elif update.data_centre != self.groups.data_centre:
             self._apply_sum(update, data, addr, now)
 
@@ -166,12 +176,14 @@
         self.estimates.apply_pool_updates(source, update.pools, now)
         self.estimates.apply_samples(update.samples, now)
 
-    def _apply_crashes(self, crashes, now):
+    def _apply_crashes(self, update, now):
         if self.quarantine is None:
             return
-        for crash in crashes:
-            jitter = rank(crash.work, self.name)[0] / 256
-            self.quarantine.apply_peer_crash(crash, jitter, now)
+        for report in update.crashes:
+            jitter = rank(report.crash.work, self.name)[0] / 256
+            self.quarantine.apply_peer_crash(report.crash, jitter, now, report.age)
+        for sound in update.sound_works:
+            self.quarantine.apply_peer_sound(sound.work, now - sound.age, now)
 
     def _apply_limits(self, limits, now):
         if self.limits is None:
@@ -254,12 +266,32 @@
         with_pools = self.message_count % MESSAGES_PER_POOL_REPORT == 0
         pools = self.estimates.pool_updates(now) if with_pools else []
         samples = self.estimates.take_samples()
-        crashes = self.quarantine.take_updates(now) if self.quarantine else []
+        crashes, sound_works = self._crash_updates(now)
         update = PeerUpdate(
-            self.name, report, "", prefills, pools, samples, crashes, limits, leaves
+            self.name,
+            report,
+            "",
+            prefills,
+            pools,
+            samples,
+            crashes,
+            limits,
+            leaves,
+            sound_works,
         )
         return peer_messages.encode(update)
 
+    def _crash_updates(self, now):
+        """Return the crashes and the sound works for the next message."""
+        if self.quarantine is None:
+            return [], []
+        crashes = [
+            CrashReport(crash, now - self.quarantine.crashed_at(crash))
+            for crash in self.quarantine.take_updates(now)
+        ]
+        sound_works = self.quarantine.take_sound_reports(now)
+        return crashes, [SoundWork(*row) for row in sound_works]
+
     def sum_message(self, now):
         """Return the sum of this VM's data centre at ``now`` as a datagram."""
         cordoned = self.tracker.direct_cordoned(now)
@@ -307,6 +339,16 @@
             return
         self.send_to(self.groups.remote_reporters(), self.sum_message(now))
 
+    def send_soon(self):
+        """Send the next message early; further calls until then change nothing."""
+        if self.early_send is None and self.transport is not None:
+            loop = asyncio.get_running_loop()
+            self.early_send = loop.call_later(EARLY_SEND_SECONDS, self._send_early)
+
+    def _send_early(self):
+        self.early_send = None
+        self.send()
+
     async def _send_sums(self):
         while True:
             self.send_sum(time.monotonic())
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -139,7 +139,9 @@
         await self.relay.check_link(self.engine, error)
         if isinstance(error, ConnectionCut) and not self.plan.queued_work:
             # A prompt still in the engine's queue can't have crashed it.
-            await self.relay.probe_after_cut(self.request, self.engine)
+            await self.relay.probe_after_cut(
+                self.request, self.engine, with_parts=False
+            )
 
     def _record_prefill(self, started, now):
         """Log a finished prefill and add its duration to the cost estimate."""
--- a/src/mulberrydock/quarantine_sync.py
+++ b/src/mulberrydock/quarantine_sync.py
@@ -46,16 +46,18 @@
 
     def apply(self, key, value, revision):
         """Apply a record, or its removal when ``value`` is None."""
+        now, age = time.monotonic(), 0.0
         if value is None:
-            self.quarantine.apply(key, None)
+            self.quarantine.apply(key, None, now)
             return
         try:
             record = records.decode(records.CrashRecord, value)
             written_at = record.writtenAt
+            age = max(0.0, time.time() - (record.crashedAt or written_at))
         except Exception as error:  # capnp and base64 raise their own types
             logger.warning("crash record refused", key=key, error=repr(error))
             return
-        self.quarantine.apply(key, written_at)
+        self.quarantine.apply(key, written_at, now, age)
 
     async def step(self, now, unix_now):
         """Write what is due; return False when the store failed."""
@@ -64,7 +66,7 @@
         removals = list(self.quarantine.removals)[: MAX_CHANGES_PER_CALL - len(puts)]
         if not puts and not removals:
             return True
-        written = await self._write(puts, removals, unix_now)
+        written = await self._write(puts, removals, now, unix_now)
         if written.is_error():
             error = written.error
             if not isinstance(error, StoreError):
@@ -73,17 +75,43 @@
             return False
         self.quarantine.removals.difference_update(removals)
         for crash in puts:
-            self.quarantine.apply(crash.key, unix_now)
+            self.quarantine.apply(crash.key, unix_now, now)
             logger.info("crash written", fingerprint=crash.work, revision=written.ok)
         return True
 
-    async def _write(self, puts, removals, unix_now):
-        record = records.encode(
-            records.CrashRecord.new_message(writtenAt=unix_now, by=self.name)
+    async def claim_trial(self, work, now, unix_now):
+        """Claim the next trial of quarantined work, which only one VM gets.
+
+        :returns: its record as a :class:`~mulberrydock.crash_evidence.Crash`, None if
+            another VM has it or the store doesn't answer.
+        """
+        trial = self.quarantine.next_trial(work)
+        record = self._record(now, now, unix_now)
+        written = await self.store.put(trial.key, record, expect_version=0)
+        logger.info(
+            "trial of quarantined work",
+            fingerprint=work,
+            trial=trial.instance,
+            claimed=written.is_ok(),
+            error=str(written.error) if written.is_error() else "",
         )
-        return await self.store.write_all(
-            {crash.key: record for crash in puts}, [crash.key for crash in removals]
+        if written.is_error():
+            return None
+        self.quarantine.apply(trial.key, unix_now, now)
+        return trial
+
+    def _record(self, crashed_at, now, unix_now):
+        message = records.CrashRecord.new_message(
+            writtenAt=unix_now, by=self.name, crashedAt=unix_now - (now - crashed_at)
         )
+        return records.encode(message)
+
+    async def _write(self, puts, removals, now, unix_now):
+        values = {
+            crash.key: self._record(self.quarantine.crashed_at(crash), now, unix_now)
+            for crash in puts
+        }
+        return await self.store.write_all(values, [crash.key for crash in removals])
 
     def _expire(self, now, unix_now):
         if now - self.last_expiry_at < EXPIRY_INTERVAL_SECONDS or not self.is_leader():
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -36,7 +36,9 @@
     An owner may set ``on_begin``: it is called with a team and the seconds since its
     request began at an instance, once for each request of a team; and ``forwarding``, a
     :class:`~mulberrydock.forwarding.Forwarding`, without which nothing is forwarded;
-    and ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
+    and ``claim_trial``, the
+    :meth:`~mulberrydock.quarantine_sync.QuarantineSync.claim_trial` of this VM; and
+    ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
     peers.
     """
 
@@ -46,6 +48,7 @@
         self.metrics = metrics
         self.on_begin = lambda team, age: None
         self.forwarding = None
+        self.claim_trial = None
         self.origins = OriginExchange()
         self.connection_pools = {}
         self.link_monitor = LinkMonitor(fleet, self)
@@ -126,9 +129,7 @@
             logger.info("client left", **self._summary(lifecycle))
             raise
         finally:
-            self.fleet.quarantine.record_request_end(
-                lifecycle.request.fingerprint, lifecycle.served, time.monotonic()
-            )
+            self._record_end(lifecycle, time.monotonic())
         logger.info(
             "answered",
             **self._summary(lifecycle),
@@ -137,6 +138,16 @@
         )
         return code
 
+    def _record_end(self, lifecycle, now):
+        """Record the end of a request as evidence about what crashes instances."""
+        quarantine = self.fleet.quarantine
+        for work in lifecycle.request.works:
+            quarantine.record_request_end(
+                work, lifecycle.served, now, lifecycle.began_at
+            )
+        if lifecycle.trial is not None and not lifecycle.may_have_run:
+            quarantine.release_trial(lifecycle.trial)
+
     def authenticate(self, request, route, sink):
         """Find the team that sent ``request`` and remove its key.
 
@@ -255,27 +266,48 @@
         else:
             self.link_monitor.doubt(instance)
 
-    async def probe_after_cut(self, request, instance):
+    async def probe_after_cut(self, request, instance, with_parts=True):
         """Probe whether ``instance`` crashed: its connection was cut in ``request``.
 
         Completes also when the client leaves meanwhile, as clients do whose request is
         never answered: the result identifies the same work when it is sent again.
+
+        :param with_parts: as for :meth:`record_crash`.
         """
-        await asyncio.shield(
-            self._run_in_background(self._probe_after_cut(request, instance))
-        )
+        probe = self._probe_after_cut(request, instance, with_parts)
+        await asyncio.shield(self._run_in_background(probe))
 
-    async def _probe_after_cut(self, request, instance):
+    async def _probe_after_cut(self, request, instance, with_parts):
         if instance.leaving:
             # An instance that is leaving cuts what it couldn't finish in time.
             return
         crashed = await self.crash_probe.has_crashed(instance)
         now = time.monotonic()
-        quarantine, work = self.fleet.quarantine, request.fingerprint
         if crashed:
-            quarantine.record_crash(work, instance.id, now)
+            self.record_crash(request, instance, now, with_parts)
         elif crashed is None:
-            quarantine.record_cut(work, instance.id, now)
+            self.record_cut(request, instance, now, with_parts)
+
+    def record_crash(self, request, instance, now, with_parts=True):
+        """Record that ``instance`` crashed under the works of ``request``.
+
+        :param with_parts: whether a part of the prompt may be to blame: an engine that
+            only prefills a prompt isn't harmed by its parts.
+        """
+        quarantine = self.fleet.quarantine
+        quarantine.record_crash(request.fingerprint, instance.id, now)
+        for work in request.part_works if with_parts else ():
+            quarantine.record_crash(work, instance.id, now, shared=True)
+
+    def record_cut(self, request, instance, now, with_parts=True):
+        """Record that ``instance`` cut ``request`` off, for an unknown cause.
+
+        :param with_parts: as for :meth:`record_crash`.
+        """
+        quarantine = self.fleet.quarantine
+        quarantine.record_cut(request.fingerprint, instance.id, now)
+        for work in request.part_works if with_parts else ():
+            quarantine.record_cut(work, instance.id, now, shared=True)
 
     def release_handle(self, engine, handle):
         """Release an unused KV handle, independently of its request."""
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -6,6 +6,7 @@
 
 import enum
 import hashlib
+import itertools
 import math
 
 import attrs
@@ -15,6 +16,8 @@
 #: Bytes of a fingerprint: enough that among millions of requests no two collide by
 #: chance.
 FINGERPRINT_BYTES = 12
+#: Maximum number of shared parts of one prompt that are examined for crashes.
+MAX_SUSPECT_PARTS = 128
 
 
 class Kind(enum.Enum):
@@ -170,6 +173,12 @@
     return digest.hexdigest()
 
 
+def part_works(part_ids):
+    """Return the fingerprints of parts that prompts share, each once, in order."""
+    ids = itertools.islice(dict.fromkeys(part_ids), MAX_SUSPECT_PARTS)
+    return tuple(fingerprint("part", part_id) for part_id in ids)
+
+
 @attrs.define(eq=False)
 class Request:
     """One attempt of a client, with its complete body.
@@ -178,9 +187,10 @@
     headers to pass on, in order, as (name, value) pairs. ``authorization`` holds the
     values of its ``Authorization`` headers, which are passed on only where clients need
     no API key; ``team`` is the name of the team that sent it, empty if none did.
-    ``fingerprint`` is the same for all attempts at the same work. A request that takes
-    a stream up after ``last_event_id`` names in ``resumes`` the id of the request that
-    brought the stream's first event, empty if it names none.
+    ``fingerprint`` is the same for all attempts at the same work; ``part_works`` holds
+    the fingerprints of the parts of its prompt that other requests may share. A request
+    that takes a stream up after ``last_event_id`` names in ``resumes`` the id of the
+    request that brought the stream's first event, empty if it names none.
     """
 
     id: str
@@ -197,11 +207,21 @@
     team: str = ""
     resumes: str = ""
     fingerprint: str = attrs.field(init=False)
+    part_works: tuple = attrs.field(init=False)
 
     @fingerprint.default
     def _fingerprint(self):
         return fingerprint(self.method, self.host, self.target, self.body)
 
+    @part_works.default
+    def _part_works(self):
+        return part_works(part.id for part in self.prompt.shared_parts)
+
+    @property
+    def works(self):
+        """The fingerprints of the whole request and of its prompt's shared parts."""
+        return (self.fingerprint, *self.part_works)
+
     @property
     def path(self):
         """The target without its query."""
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -85,12 +85,20 @@
   # An instance crashed while running a request; the store key names both.
   writtenAt @0 :Float64;   # Unix time in seconds
   by @1 :Text;             # entry VM that wrote the record
+  crashedAt @2 :Float64;   # Unix time in seconds
 }
 
 struct CrashNews {
   # A crash as sent to peers.
   work @0 :Text;           # fingerprint of the request's work
   instance @1 :Text;       # fingerprint of the incarnation that crashed
+  ageMs @2 :UInt32;        # since it crashed
+}
+
+struct SoundNews {
+  # Work that an instance was seen to serve.
+  work @0 :Text;           # fingerprint of the work
+  ageMs @1 :UInt32;        # since the instance began to answer
 }
 
 struct LimitNews {
@@ -148,6 +156,7 @@
   lostServices @15 :List(Text);   # services to whose instances the sender has no link
   vmsWithoutLinks @16 :List(Text);   # in a sum: VMs without links to some service
   streamOrigin @17 :StreamOriginNews;   # when set, nothing else but the name
+  soundWorks @18 :List(SoundNews);   # suspected by a peer, but served since or before
 }
 
 struct PromptPartRecord {
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -170,6 +170,7 @@
             settings.name,
             lambda: self.lease.valid(boot_seconds()),
         )
+        self.relay.claim_trial = self.quarantine.claim_trial
         self.watch = self._watch()
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
@@ -190,6 +191,7 @@
             self.usage_ledger,
             self.fleet.instances,
         )
+        self.fleet.quarantine.on_report = self.peers.send_soon
         self.relay.origins = self.peers.origins = OriginExchange(
             groups=self.groups, send=self.peers.send_to
         )
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -57,7 +57,9 @@
     ``error_response`` is an instance's failure that is passed on if no attempt gives
     better, ``cause`` says why the last attempt failed. ``begin`` is its
     :class:`RequestBegin`. ``served`` is True once an instance has answered with
-    success. ``forwards`` counts the attempts through peers, ``refused_by`` names the
+    success, ``began_at`` when it began to write its answer, None if unknown. ``trial``
+    is the record of the trial of its quarantined work, None without one. ``forwards``
+    counts the attempts through peers, ``refused_by`` names the
     peers that didn't take the request. ``version`` is its :class:`StreamVersion`.
 
     :param prior: the :class:`~mulberrydock.forward_messages.PriorCalls` of a request
@@ -96,6 +98,8 @@
         )
         self.begin = RequestBegin(relay, request, self.prior.begun)
         self.served = False
+        self.began_at = None
+        self.trial = None
         self.error_response = None
         self.cause = "no instance serves the route"
 
@@ -114,6 +118,7 @@
                     final = await self.version.find()
                     if not self.version.fixed:
                         return final_response.refuse_unknown_version(self, final)
+                await self._claim_trial(time.monotonic())
                 return await self._attempts()
         except TimeoutError:
             return final_response.expire(self)
@@ -227,15 +232,42 @@
         return plan.wait if plan else 0.0
 
     def is_quarantined(self, now):
-        """Return whether the request's work is quarantined for crashes.
+        """Return whether the request's work must not be sent because of crashes.
 
         Checked before every call: another VM may have reported the last crash since.
         """
-        quarantine, work = self.fleet.quarantine, self.request.fingerprint
-        if not quarantine.is_quarantined(work, now):
-            return False
-        self.cause = f"{quarantine.count(work)} instances crashed under it"
-        return True
+        quarantine = self.fleet.quarantine
+        works = self._quarantined_works()
+        if works and (self.trial is None or self.sends.maybe_received):
+            counts = [quarantine.count(work) for work in works]
+            self.cause = f"{max(counts)} instances crashed under it"
+            return True
+        if any(quarantine.pause_seconds(p, now) for p in self.request.part_works):
+            self.cause = "an instance has just crashed under a part of its prompt"
+            return self.trial is None
+        return False
+
+    def _quarantined_works(self):
+        quarantine = self.fleet.quarantine
+        return [work for work in self.request.works if quarantine.is_quarantined(work)]
+
+    def quarantine_seconds(self, now):
+        """Return in how many seconds the client of a quarantined request may retry."""
+        quarantine, works = self.fleet.quarantine, self._quarantined_works()
+        if works:
+            seconds = quarantine.trial_seconds(works, now)
+        else:
+            parts = self.request.part_works
+            seconds = max(quarantine.pause_seconds(part, now) for part in parts)
+        return max(refusal.RETRY_AFTER_SECONDS, seconds)
+
+    async def _claim_trial(self, now):
+        """Claim the trial of this request's quarantined work, if one is due."""
+        works, claim = self._quarantined_works(), self.relay.claim_trial
+        if not works or claim is None or self.is_forwarded:
+            return
+        if self.fleet.quarantine.trial_seconds(works, now) <= 0:
+            self.trial = await claim(works[0], now, time.time())
 
     def reserve_retries(self, plan, now):
         """Reserve the calls of ``plan`` that are retries from the retry budget.
@@ -350,7 +382,7 @@
         if complete and listener.is_signed_stream:
             self.fleet.estimates.record_prefill(plan.target.id, self.request.prompt)
             self._record_stream(plan, time.monotonic())
-            self.served = True
+            self.served, self.began_at = True, listener.first_progress_at
             self.sink.finish()
             return True
         return complete and self._deliver_buffered(plan, listener, listener.metadata)
@@ -474,14 +506,16 @@
             suspected=suspected,
         )
         await self.relay.check_link(instance, error)
-        if not_sent or _ran_past_blame(listener, time.monotonic()):
-            return
-        if isinstance(error, ConnectionCut):
+        now = time.monotonic()
+        if _ran_past_blame(listener, now):
+            for work in self.request.works:
+                self.fleet.quarantine.record_request_end(
+                    work, True, now, listener.first_progress_at
+                )
+        elif isinstance(error, ConnectionCut):
             await self.relay.probe_after_cut(self.request, instance)
-        else:
-            self.fleet.quarantine.record_cut(
-                self.request.fingerprint, instance.id, time.monotonic()
-            )
+        elif not not_sent:
+            self.relay.record_cut(self.request, instance, now)
 
     async def _prefill(self, plan):
         """Prefill on the plan's prefill engine; return the handle, None on failure."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -13,12 +13,12 @@
 
 from mulberrydock.admission import RetryBudget
 from mulberrydock.completion import Completion
+from mulberrydock.crash_evidence import CRASH_LIMIT, Crash
 from mulberrydock.crash_guard import CrashGuard
 from mulberrydock.entry import EntryDaemon
 from mulberrydock.exceptions import ResultCode
 from mulberrydock.idempotency import IdempotentCall
 from mulberrydock.metrics import EntryMetrics
-from mulberrydock.quarantine import CRASH_LIMIT, Crash
 from mulberrydock.request import fingerprint
 from mulberrydock.routing import Router, Upstream, Work
 from mulberrydock.settings import default_settings_text, parse_settings
@@ -145,7 +145,7 @@
         work = fingerprint("completions", "tenant", CRASHING_BODY)
         for number in range(CRASH_LIMIT):
             daemon.crash_guard.quarantine.apply(
-                Crash.of(work, f"x{number}").key, 1000.0
+                Crash.of(work, f"x{number}").key, 1000.0, 0.0
             )
         code = await completion(daemon, CRASHING_BODY)
         engine.server.close()
@@ -205,7 +205,9 @@
     daemon = EntryDaemon(settings, settings.entries[0], None)
     watch = daemon.crash_watch
     for number in range(CRASH_LIMIT):
-        daemon.crash_guard.quarantine.apply(Crash.of("work", f"e{number}").key, 1.0)
+        daemon.crash_guard.quarantine.apply(
+            Crash.of("work", f"e{number}").key, 1.0, 0.0
+        )
     assert daemon.crash_guard.is_quarantined("work")
     watch.on_reset()
     watch.on_loaded()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,17 +11,16 @@
 import pytest
 from expression import Error, Ok
 
+from mulberrydock import crash_evidence
 from mulberrydock import quarantine as quarantine_module
 from mulberrydock import records
+from mulberrydock.crash_evidence import CRASH_LIMIT, Crash
 from mulberrydock.exceptions import StoreError
 from mulberrydock.quarantine import (
-    CRASH_LIMIT,
     PEER_CRASH_WRITE_DELAY_SECONDS,
     QUARANTINE_RETENTION_SECONDS,
     REPORT_DELAY_SECONDS,
-    SERVED_EXEMPTION_SECONDS,
     SUSPECT_RETENTION_SECONDS,
-    Crash,
     Quarantine,
 )
 from mulberrydock.quarantine_sync import QuarantineSync
@@ -45,13 +44,13 @@
 
 def stored(*instances):
     return lambda quarantine, now: [
-        quarantine.apply(Crash.of(WORK, i).key, 1000.0) for i in instances
+        quarantine.apply(Crash.of(WORK, i).key, 1000.0, now) for i in instances
     ]
 
 
 def removed(*instances):
     return lambda quarantine, now: [
-        quarantine.apply(Crash.of(WORK, i).key, None) for i in instances
+        quarantine.apply(Crash.of(WORK, i).key, None, now) for i in instances
     ]
 
 
@@ -109,7 +108,7 @@
     ], False),
     ("served in between", [
         (1, crashed("a", "b")), (2, served()),
-        (2 + SERVED_EXEMPTION_SECONDS, crashed("c")),
+        (62, crashed("c")),
     ], False),
     ("other work served in between", [
         (1, crashed("a", "b")), (2, served(OTHER)), (3, crashed("c")),
@@ -138,8 +137,8 @@
     quarantine = Quarantine()
     for now, event in events:
         event(quarantine, now)
-    assert quarantine.is_quarantined(WORK, 100.0) is held
-    assert not quarantine.is_quarantined(OTHER, 100.0)
+    assert quarantine.is_quarantined(WORK) is held
+    assert not quarantine.is_quarantined(OTHER)
 
 
 @pytest.mark.parametrize(
@@ -203,7 +202,8 @@
     "bound, count", [("MAX_SUSPECT_ENTRIES", 5), ("MAX_SERVED_ENTRIES", 5)]
 )
 def test_memory_is_bounded(monkeypatch, bound, count):
-    monkeypatch.setattr(quarantine_module, bound, count)
+    module = crash_evidence if bound == "MAX_SERVED_ENTRIES" else quarantine_module
+    monkeypatch.setattr(module, bound, count)
     quarantine = Quarantine()
     for number in range(20):
         quarantine.record_crash(f"w{number}", "a", 1.0)
@@ -212,7 +212,7 @@
         len(
             quarantine.pending
             if bound == "MAX_SUSPECT_ENTRIES"
-            else quarantine.served_at
+            else quarantine.evidence.served_at
         )
         == count
     )
@@ -314,7 +314,7 @@
         vm = make_sync(store)
         vm.quarantine.record_crash(WORK, instance, 1.0)
         assert step(vm, 3.0)
-    assert load(store).quarantine.is_quarantined(WORK, 5.0)
+    assert load(store).quarantine.is_quarantined(WORK)
 
 
 def test_crashes_seen_during_a_store_outage_are_written_after_it():
@@ -328,7 +328,7 @@
     vm = make_sync(store)
     crashed("a", "b", "c")(vm.quarantine, 1.0)
     assert not step(vm, 3.0)
-    assert vm.quarantine.is_quarantined(WORK, 3.0)
+    assert vm.quarantine.is_quarantined(WORK)
     store.failing = False
     assert step(vm, 4.0)
     assert (len(store.values), store.calls) == (CRASH_LIMIT, 2)
@@ -349,9 +349,9 @@
     for crash in cut_off.quarantine.take_updates(1.1):
         peer.quarantine.apply_peer_crash(crash, 0.0, 1.1)
     crashed("c")(peer.quarantine, 1.2)
-    assert peer.quarantine.is_quarantined(WORK, 1.2)
+    assert peer.quarantine.is_quarantined(WORK)
     assert step(peer, 1.1 + PEER_CRASH_WRITE_DELAY_SECONDS)
-    assert load(store).quarantine.is_quarantined(WORK, 5.0)
+    assert load(store).quarantine.is_quarantined(WORK)
 
 
 def test_served_work_is_cleared_in_the_store():
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -10,6 +10,7 @@
 import pytest
 from platform_fleet import RESUMABLE_PATH, PlatformFleet, config, wait_until
 
+from mulberrydock.crash_evidence import CRASH_LIMIT, Crash
 from mulberrydock.instances import (
     STORE_RECOVERY_GRACE_SECONDS,
     UNCONFIRMED_SECONDS,
@@ -18,12 +19,7 @@
     Stage,
 )
 from mulberrydock.lease import VERSIONS_PER_ERA, LeaderLease
-from mulberrydock.quarantine import (
-    CRASH_LIMIT,
-    PEER_CRASH_WRITE_DELAY_SECONDS,
-    Crash,
-    Quarantine,
-)
+from mulberrydock.quarantine import PEER_CRASH_WRITE_DELAY_SECONDS, Quarantine
 from mulberrydock.standin.platform_store import PlatformStoreState
 from mulberrydock.standin.store import DirectStore
 
@@ -219,7 +215,7 @@
     quarantine, now = Quarantine(), 100.0
     crashes = [Crash("w", f"e{number}") for number in range(CRASH_LIMIT)]
     for crash in crashes:
-        quarantine.apply(crash.key, 1000.0)
+        quarantine.apply(crash.key, 1000.0, now)
     if served:
         quarantine.record_request_end("w", True, now)
         assert quarantine.removals == set(crashes)
@@ -227,9 +223,9 @@
     quarantine.handle_store_restored()
     quarantine.begin_reload()
     for crash in crashes if served else crashes[:1]:
-        quarantine.apply(crash.key, 1000.0)
+        quarantine.apply(crash.key, 1000.0, now)
     quarantine.finish_reload(0.5, now)
-    assert quarantine.is_quarantined("w", now) is not served
+    assert quarantine.is_quarantined("w") is not served
     if served:
         assert quarantine.removals == set(crashes)
         return
