A response whose end nothing marks is whole only if its instance hasn't crashed

What callers could see: an engine that ends within a stream, or before its first event, closes the connection without a reset; where the stream has neither a length nor chunks, the client got the events so far, or an empty 200, as a whole answer. Such a success would also clear the part of the prompt that crashed the engine. Cause: the reader reports the end of an unframed body in the same way for both. Change: such a stream without any event is a cut; otherwise the instance is probed, and a response of one that nobody listens at any more is a cut. The stand-in engine sends streams without a length and crashes within them.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -50,6 +50,12 @@
 )
 
 
+def ends_with_connection(headers):
+    """Return whether only the end of its connection shows where a body ends."""
+    chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return not chunked and "Content-Length" not in headers
+
+
 class ResponseListener(abc.ABC):
     """Receives the parts of one response as they arrive.
 
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from .connections import ResponseListener
-from .exceptions import ResultCode, UpstreamError
+from .connections import ResponseListener, ends_with_connection
+from .exceptions import ConnectionCut, ResultCode, UpstreamError
 
 
 @attrs.define(frozen=True)
@@ -137,12 +137,16 @@
     def check(self):
         if self.error is not None:
             raise self.error
-        if self.is_signed_stream and not self.stream.splitter.clean:
+        if not self.is_signed_stream:
+            return
+        if not self.stream.splitter.clean:
             raise UpstreamError(
                 f"stream ended inside an event, after event "
                 f"{self.stream.splitter.last_id}",
                 ResultCode.STREAM_CUT,
             )
+        if self.first_progress_at is None and ends_with_connection(self.headers):
+            raise ConnectionCut("stream ended before its first event")
 
 
 @attrs.define
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -11,7 +11,7 @@
 
 from . import final_response, refusal
 from .call_counter import CallCounter
-from .connections import BufferedResponse
+from .connections import BufferedResponse, ends_with_connection
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 from .forward_attempt import ForwardAttempt
@@ -476,6 +476,7 @@
         exchange = self.relay.exchange(target, self.request, options, listener)
         try:
             await run_exchange(exchange, listener, timeouts)
+            await self._check_end(target, listener.headers)
         except UpstreamError as error:
             await self._record_failure(target, error, listener)
             return False
@@ -483,6 +484,16 @@
             in_flight_send.end()
         return True
 
+    async def _check_end(self, instance, headers):
+        """Check that a response whose end nothing marks wasn't cut off by a crash.
+
+        :raises ConnectionCut: when its instance has crashed.
+        """
+        if instance.leaving or not ends_with_connection(headers):
+            return
+        if await self.relay.crash_probe.has_crashed(instance):
+            raise ConnectionCut(f"{instance.id} crashed as its response ended")
+
     async def _record_failure(self, instance, error, listener):
         """Record a failed send, and find out whether the instance crashed under it."""
         not_sent = error.code == ResultCode.NOT_RUN
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -27,7 +27,11 @@
     - ``CUT``, ``CUT_MID_EVENT``: closes the connection in the middle of the response,
       or of a stream's event.
     - ``CRASH_BEFORE_ANSWER``: closes the connection before it responds.
-    - ``UNFRAMED``: sends a response without Content-Length and closes the connection.
+    - ``UNFRAMED``: sends a response, also a stream, that has no length and ends with
+      its connection.
+    - ``UNFRAMED_CRASH``, ``UNFRAMED_CRASH_AT_ONCE``: the process crashes during such a
+      response, between two events or before the first, and closes the connection
+      without a reset.
     - ``EXTRA``: sends a second response after the first.
     - ``LATE_OTHER``: sends the response to another request first.
     - ``UNSIGNED``: sends a response without the response signature.
@@ -43,6 +47,8 @@
     CUT_MID_EVENT = "cut-mid-event"
     CRASH_BEFORE_ANSWER = "crash-before-answer"
     UNFRAMED = "unframed"
+    UNFRAMED_CRASH = "unframed-crash"
+    UNFRAMED_CRASH_AT_ONCE = "unframed-crash-at-once"
     EXTRA = "extra"
     LATE_OTHER = "late-other"
     UNSIGNED = "unsigned"
@@ -50,6 +56,12 @@
     PAUSE = "pause"
 
 
+#: Faults of responses that end with their connection.
+UNFRAMED_FAULTS = (
+    Fault.UNFRAMED,
+    Fault.UNFRAMED_CRASH,
+    Fault.UNFRAMED_CRASH_AT_ONCE,
+)
 #: Duration of a pause: longer than any progress timeout after which a request may be
 #: sent to another instance, shorter than the requests' deadline.
 PAUSE_SECONDS = 1.5
@@ -337,9 +349,10 @@
         body = f"{self.id} answers {run.id}".encode()
         if fault is Fault.LATE_OTHER:
             reader.raw(_raw_response({wire.ATTEMPT_ID: "other"}, b"someone else's"))
-        if fault is Fault.UNFRAMED:
-            reader.raw(_raw_head(self._response_headers(run)) + body)
-            reader.close()
+        if fault in UNFRAMED_FAULTS:
+            crashes = fault is not Fault.UNFRAMED
+            reader.raw(_raw_head(self._response_headers(run)) + body[crashes * 4 :])
+            self.crash() if crashes else reader.close()
             return
         if fault is Fault.CUT:
             reader.raw(_raw_response(self._response_headers(run), body)[:-4])
@@ -349,7 +362,27 @@
         if fault is Fault.EXTRA:
             reader.raw(_raw_response(self._response_headers(run), b"a second answer"))
 
+    async def _stream_unframed(self, reader, run, fault):
+        headers = self._response_headers(run) | {"Content-Type": "text/event-stream"}
+        reader.raw(_raw_head(headers))
+        for number in range(run.last_event_id + 1, self.events + 1):
+            if fault is Fault.UNFRAMED_CRASH_AT_ONCE or (
+                fault is Fault.UNFRAMED_CRASH and number - run.last_event_id == 3
+            ):
+                self.crash()
+                return
+            reader.raw(self._event(run, number))
+            await asyncio.sleep(self.event_interval_seconds)
+        reader.close()
+
+    def _event(self, run, number):
+        event = f"id: {number}\nversion: {self.version}\ndata: {run.id}\n\n"
+        return event.encode()
+
     async def _stream(self, reader, run, fault):
+        if fault in UNFRAMED_FAULTS:
+            await self._stream_unframed(reader, run, fault)
+            return
         first = run.last_event_id + 1
         reader.begin(
             self._response_headers(run) | {"Content-Type": "text/event-stream"}
@@ -366,8 +399,7 @@
                 await asyncio.sleep(3600)
             if number - first == 2 and fault is Fault.PAUSE:
                 await asyncio.sleep(PAUSE_SECONDS)
-            event = f"id: {number}\nversion: {self.version}\ndata: {run.id}\n\n"
-            reader.write(event.encode())
+            reader.write(self._event(run, number))
             await asyncio.sleep(self.event_interval_seconds)
         reader.finish_stream()
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -252,6 +252,55 @@
     connection.close()
 
 
+@pytest.mark.parametrize(
+    "fault, runs_expected",
+    [
+        (Fault.UNFRAMED, 1),
+        (Fault.UNFRAMED_CRASH, 2),
+        (Fault.UNFRAMED_CRASH_AT_ONCE, 2),
+    ],
+)
+def test_stream_without_a_length_is_whole_unless_its_engine_crashed(
+    fleet, fault, runs_expected
+):
+    """A stream has no length and ends with its connection, also when its engine crashes
+    between two events or before the first. The client must get every event once.
+    """
+    assert fleet.request(RESUMABLE_PATH, "v0").status == 200
+    fleet.fail_next("llm", fault)
+    response = fleet.request(RESUMABLE_PATH, "v1")
+    assert (response.status, response.complete) == (200, True)
+    assert event_ids(response.content) == [1, 2, 3, 4]
+    assert len(runs(fleet, "v1")) == runs_expected
+
+
+@pytest.mark.parametrize("fault", [Fault.UNFRAMED_CRASH, Fault.UNFRAMED_CRASH_AT_ONCE])
+def test_stream_without_a_length_that_a_crash_ends_does_not_look_whole(fleet, fault):
+    """As above, for a stream that may run only once."""
+    fleet.fail_next("llm", fault)
+    response = fleet.request(STREAM_PATH, "v2")
+    assert response.status == 502 or not response.complete
+    assert len(runs(fleet, "v2")) == 1
+
+
+@pytest.mark.parametrize(
+    "prefix, status", [(NON_IDEMPOTENT_PATH, 502), (IDEMPOTENT_PATH, 200)]
+)
+def test_response_without_a_length_that_a_crash_ends_is_not_passed_on(
+    fleet, prefix, status
+):
+    """An instance crashes within a response whose length isn't stated. The client must
+    not get the part that arrived as the whole response.
+    """
+    assert fleet.request(prefix, "v0").status == 200
+    fleet.fail_next("app", Fault.UNFRAMED_CRASH)
+    response = fleet.request(prefix, "v3")
+    assert response.status == status
+    if status == 200:
+        assert response.content.decode().endswith("answers v3")
+        assert response.content.startswith(b"a")
+
+
 def test_remote_prefill_and_release_of_unused_handle(fleet):
     """A long prompt is prefilled by the prefill engine and decoded from its handle.
     When no decode engine takes the handle, it must be released, or the prefill engine's
