A conversation whose beginning crashes engines is stopped at the own front, too

What callers could see: the same fault as on the platform: each turn of a conversation has a new body with the same beginning, and the entries kept crashes under the whole body only. Change: crashes count against each beginning that other turns share, by tenant; an upstream's crashes within 5 s count once against those, as upstreams have no incarnations there. A completion of quarantined work is tried by one entry after the same pauses.

--- a/src/mulberrydock/completion.py
+++ b/src/mulberrydock/completion.py
@@ -16,9 +16,10 @@
 
 from . import defaults, upstream
 from .admission import Decision
+from .crash_evidence import CRASH_BLAME_SECONDS
 from .exceptions import ResultCode, UpstreamError
 from .policies import LeastWait
-from .prefix import block_hashes, prompt_tokens, routing_key
+from .prefix import block_hashes, conversation_works, prompt_tokens, routing_key
 from .request import fingerprint
 from .routing import PREFILL_ROLE, Work
 
@@ -208,7 +209,18 @@
     the :class:`ResultCode` of the outcome.
     """
 
-    def __init__(self, daemon, klass, route, body, work, sink, arrived, fingerprint):
+    def __init__(
+        self,
+        daemon,
+        klass,
+        route,
+        body,
+        work,
+        sink,
+        arrived,
+        fingerprint,
+        shared_works=(),
+    ):
         self.daemon = daemon
         self.klass = klass
         self.route = route
@@ -217,6 +229,7 @@
         self.sink = sink
         self.arrived = arrived
         self.fingerprint = fingerprint
+        self.shared_works = shared_works
         self.request_id = uuid.uuid4().hex
         self.event_count = 0
         # Version of the model that began the response, empty before its first event.
@@ -255,6 +268,7 @@
             sink,
             handler.arrived,
             fingerprint(route, handler.tenant, handler.request.body),
+            conversation_works(handler.tenant, body),
         )
 
     @property
@@ -308,7 +322,7 @@
             code = await self._attempts()
         finally:
             self.daemon.crash_guard.record_request_end(
-                self.fingerprint, code is ResultCode.OK
+                self.fingerprint, code is ResultCode.OK, self.shared_works
             )
         return code
 
@@ -316,10 +330,12 @@
         self.daemon.retry_budget.record_request(self.arrived)
         cause = "no engine could take the request"
         quarantined = False
+        guard, works = self.daemon.crash_guard, (self.fingerprint, *self.shared_works)
+        on_trial = await guard.claim_trial(works, time.monotonic())
         for attempt in range(MAX_ATTEMPTS):
             now = time.monotonic()
-            quarantined = self.daemon.crash_guard.is_quarantined(self.fingerprint)
-            if quarantined:
+            quarantined = guard.is_quarantined(*works)
+            if quarantined and (attempt or not on_trial):
                 cause = "engines crashed under it"
                 break
             if attempt and not self.daemon.retry_budget.allow(now):
@@ -339,8 +355,8 @@
                 self.may_have_run |= error.code != ResultCode.NOT_RUN
                 cause = str(error)
                 call = f"{self.request_id}/{attempt}"
-                await self.daemon.crash_guard.record_failure(
-                    self.fingerprint, engine, call, error
+                await guard.record_failure(
+                    self.fingerprint, engine, call, error, self._suspects(now)
                 )
                 logger.info(
                     "attempt failed",
@@ -357,6 +373,18 @@
             return ResultCode.QUARANTINED
         return ResultCode.NO_UPSTREAM
 
+    def _suspects(self, sent_at):
+        """Return the shared works that may have crashed the engine of an attempt.
+
+        What crashes an engine does so as the engine begins to answer; an attempt that
+        goes on with a response shows its events as it goes on.
+        """
+        began_at = self.first_event_at
+        if began_at is None or began_at < sent_at:
+            return self.shared_works
+        past_blame = time.monotonic() - began_at > CRASH_BLAME_SECONDS
+        return () if past_blame else self.shared_works
+
     def _next_engine(self, now):
         engine = self._choose(now, version=self.version)
         if engine is None and self.tried:
--- a/src/mulberrydock/crash_evidence.py
+++ b/src/mulberrydock/crash_evidence.py
@@ -16,6 +16,9 @@
 from . import defaults
 from .request import fingerprint
 
+#: Seconds after a response's first event during which its request may be blamed for a
+#: crash of its instance: what crashes an instance does so as it begins.
+CRASH_BLAME_SECONDS = 0.25
 #: Instance crashes under the same work, without a success in between, from which on it
 #: is blamed for them.
 CRASH_LIMIT = 3
--- a/src/mulberrydock/prefix.py
+++ b/src/mulberrydock/prefix.py
@@ -5,8 +5,11 @@
 """
 
 import hashlib
+import itertools
+import json
 
 from . import defaults
+from .request import MAX_SUSPECT_PARTS, fingerprint
 
 #: Blocks at the start of a prompt that make its routing key (64 tokens).
 KEY_BLOCKS = 4
@@ -41,3 +44,23 @@
     """
     hashes = block_hashes(tokens[: KEY_BLOCKS * defaults.CACHE_BLOCK_TOKENS])
     return hashes[-1] if len(hashes) == KEY_BLOCKS else ""
+
+
+def conversation_works(tenant, body):
+    """Return the fingerprints of the beginnings that other turns of a chat share.
+
+    Each turn has a new body, which begins with the messages of those before it.
+
+    :param body: an OpenAI-compatible request; one without messages has none.
+    :returns: one fingerprint for each beginning, the shortest first.
+    """
+    works, work = [], fingerprint("conversation", tenant)
+    for message in itertools.islice(_messages(body)[:-1], MAX_SUSPECT_PARTS):
+        work = fingerprint(work, json.dumps(message, sort_keys=True))
+        works.append(work)
+    return tuple(works)
+
+
+def _messages(body):
+    messages = body.get("messages")
+    return messages if isinstance(messages, list) else []
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -12,6 +12,7 @@
 from . import final_response, refusal
 from .call_counter import CallCounter
 from .connections import BufferedResponse, ends_with_connection
+from .crash_evidence import CRASH_BLAME_SECONDS
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 from .forward_attempt import ForwardAttempt
@@ -35,9 +36,6 @@
 #: Seconds for a plain service's response to a retryable request: ten times its usual
 #: service time.
 PLAIN_RESPONSE_TIMEOUT_SECONDS = 0.45
-#: Seconds after a stream's first event during which the stream may be blamed for a
-#: crash of its engine: a request that crashes an engine does so as it begins.
-CRASH_BLAME_SECONDS = 0.25
 
 
 def _ran_past_blame(listener, now):
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -6,19 +6,23 @@
 """
 
 import asyncio
+import json
 import socket
+import time
 
 import attrs
 import pytest
 
+from mulberrydock import crash_guard
 from mulberrydock.admission import RetryBudget
 from mulberrydock.completion import Completion
 from mulberrydock.crash_evidence import CRASH_LIMIT, Crash
 from mulberrydock.crash_guard import CrashGuard
 from mulberrydock.entry import EntryDaemon
-from mulberrydock.exceptions import ResultCode
+from mulberrydock.exceptions import ConnectionCut, ResultCode
 from mulberrydock.idempotency import IdempotentCall
 from mulberrydock.metrics import EntryMetrics
+from mulberrydock.prefix import conversation_works
 from mulberrydock.request import fingerprint
 from mulberrydock.routing import Router, Upstream, Work
 from mulberrydock.settings import default_settings_text, parse_settings
@@ -33,6 +37,7 @@
     def __init__(self, name):
         self.name = name
         self.calls = 0
+        self.crashes = 0
         self.server = None
         self.port = 0
 
@@ -46,6 +51,7 @@
         body = await reader.readexactly(length)
         self.calls += 1
         if b"crash" in body:
+            self.crashes += 1
             self.server.close()
         writer.transport.abort()
 
@@ -83,16 +89,29 @@
     )
 
 
-def completion(daemon, body):
+def completion(daemon, body, document=None):
     klass = daemon.settings.classes[0]
     now = asyncio.get_running_loop().time()
     name = fingerprint("completions", "tenant", body)
-    document = {"prompt": body.decode()}
+    document = document or {"prompt": body.decode()}
+    works = conversation_works("tenant", document)
     return Completion(
-        daemon, klass, "completions", document, Work(), Sink(), now, name
+        daemon, klass, "completions", document, Work(), Sink(), now, name, works
     ).run()
 
 
+def conversation(number, first_message):
+    """Return the body of one turn of a conversation, which differs from all others."""
+    texts = ["be brief", first_message, f"turn {number}"]
+    return {"messages": [{"role": "user", "content": text} for text in texts]}
+
+
+def turn(daemon, number, first_message):
+    """Send one turn of a conversation."""
+    document = conversation(number, first_message)
+    return completion(daemon, json.dumps(document).encode(), document)
+
+
 async def call(daemon, body):
     idempotent_call = IdempotentCall(
         daemon, "app", "status", "GET", "tenant", "", body, 2.0
@@ -135,6 +154,79 @@
         assert last is not ResultCode.QUARANTINED
 
 
+def test_conversation_whose_beginning_crashes_engines_is_stopped(monkeypatch):
+    """Each turn of a conversation has a new body with the same beginning.
+
+    Kept under the whole body, the crashes never add up. A sound conversation with the
+    same first message, which was served before, isn't refused.
+    """
+    # Engines start again at once here.
+    monkeypatch.setattr(crash_guard, "SAME_CRASH_SECONDS", 0.001)
+
+    async def run():
+        engines = [Engine(f"e{number}") for number in range(3)]
+        for engine in engines:
+            await engine.start()
+        daemon = daemon_of(engines)
+        works = conversation_works("tenant", conversation(0, "sound"))
+        daemon.crash_guard.record_request_end("served", True, works)
+        codes = []
+        for number in range(12):
+            for engine in engines:
+                await engine.restart()
+            for upstream in daemon.engines.upstreams.values():
+                upstream.failed_until = 0.0
+            codes.append(await turn(daemon, number, "crash"))
+        sound = await turn(daemon, 99, "sound")
+        for engine in engines:
+            engine.server.close()
+        return codes, sound, sum(engine.crashes for engine in engines)
+
+    codes, sound, crashes = asyncio.run(run())
+    assert codes[-1] is ResultCode.QUARANTINED
+    assert sound is not ResultCode.QUARANTINED
+    assert crashes <= CRASH_LIMIT + 2
+
+
+def test_one_crash_under_many_turns_counts_once():
+    """An engine crashes beside many conversations that begin alike, once.
+
+    Counted by call, that would quarantine the beginning.
+    """
+
+    async def run():
+        engine = Engine("e0")
+        await engine.start()
+        daemon = daemon_of([engine])
+        upstream = engine.upstream()
+        engine.server.close()
+        for number in range(CRASH_LIMIT + 1):
+            error = ConnectionCut("cut")
+            await daemon.crash_guard.record_failure(
+                f"w{number}", upstream, number, error, ["beginning"]
+            )
+        return daemon.crash_guard
+
+    assert not asyncio.run(run()).is_quarantined("beginning")
+
+
+@pytest.mark.parametrize(
+    "body, count",
+    [
+        ({}, 0),
+        ({"prompt": "text"}, 0),
+        ({"messages": "text"}, 0),
+        ({"messages": []}, 0),
+        ({"messages": [{"content": "a"}]}, 0),
+        ({"messages": [{"content": "a"}, {"content": "b"}, 7]}, 2),
+    ],
+)
+def test_works_of_a_conversation(body, count):
+    works = conversation_works("tenant", body)
+    assert len(set(works)) == count
+    assert not set(works) & set(conversation_works("other", body))
+
+
 def test_entry_quarantines_work_for_crashes_read_from_the_store():
     """The engines crashed at other entries; this one has read that from the store."""
 
@@ -145,7 +237,7 @@
         work = fingerprint("completions", "tenant", CRASHING_BODY)
         for number in range(CRASH_LIMIT):
             daemon.crash_guard.quarantine.apply(
-                Crash.of(work, f"x{number}").key, 1000.0, 0.0
+                Crash.of(work, f"x{number}").key, 1000.0, time.monotonic()
             )
         code = await completion(daemon, CRASHING_BODY)
         engine.server.close()
