--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -207,6 +207,9 @@
         report_at = now if shared else now + REPORT_DELAY_SECONDS
         write_at = now if shared and not served else now + REPORT_DELAY_SECONDS
         crash = Crash.of(work, incarnation)
+        if crash in self.cleared or self.crashed_at(crash) is not None:
+            # Another request was interrupted by the same crash.
+            return
         pending_crash = PendingCrash(report_at, write_at, MESSAGES_PER_CRASH)
         self._add_pending(crash, pending_crash, crashed_at, now)
         if shared:
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -116,8 +116,9 @@
     ``arrived_ids`` the ids of all that arrived, ``arrival_times`` their times in
     monotonic seconds, ``prefills`` the ids of prefill calls, ``released_handles`` the
     KV handles that were released, ``crash_times`` the times of its crashes,
-    ``refusals`` the (id, time, pause) of the requests refused with a pause, and
-    ``misdirected`` counts the calls for another instance.
+    ``crashed_parts`` the parts that caused some of them, ``refusals`` the (id, time,
+    pause) of the requests refused with a pause, and ``misdirected`` counts the calls
+    for another instance.
     """
 
     id: str
@@ -142,6 +143,7 @@
     on_restart: t.Callable = lambda engine: None
     crashes: int = 0
     crash_times: list = attrs.field(factory=list)
+    crashed_parts: list = attrs.field(factory=list)
     server_running: bool = False
     rate_limit: float | None = None
     leaving: bool = False
@@ -280,10 +282,12 @@
         if self.crash_marker and self.crash_marker in reader.body:
             self.crash()
             return
-        if self.crash_parts & _shared_part_ids(reader.headers):
+        deadly = self.crash_parts & _shared_part_ids(reader.headers)
+        if deadly:
             reader.begin(self._response_headers(run))
             await asyncio.sleep(CRASH_DELAY_SECONDS)
             if self.server_running:
+                self.crashed_parts.extend(deadly)
                 self.crash()
             return
         try:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,7 +7,8 @@
 restarted; the store refuses, stops answering, loses responses and compacts its history;
 instances misbehave, drain, announce their leave before the store shows it, ask for
 pauses and are replaced, by one of any software version; one request crashes whatever
-runs it and is sent repeatedly. Clients reuse open connections until these are closed,
+runs it and is sent repeatedly, and so do two parts of prompts, in requests of which no
+two are alike. Clients reuse open connections until these are closed,
 and take streams up that were cut or that they left. The faults
 follow the seed, but the timing of what they hit differs a little from run to run: a
 seed that failed once is to be run several times.
@@ -85,6 +86,11 @@
 #: interval between two of them.
 CRASHING_BODY = b"crash"
 CRASH_INTERVAL_SECONDS = (0.3, 1.2)
+#: Prompts with a part that crashes what runs it, by that part; clients' own prompts
+#: share all their other parts but the last.
+DEADLY_PROMPTS = {"d1": "aa:50,d1:50", "d2": "d2:50,aa:50"}
+#: Crashes under such a part after which it must be stopped.
+PART_CRASH_LIMIT = 5
 #: Crashes after which the request must be quarantined, and how many sends of it may
 #: still reach instances once the contact time has passed.
 CRASH_LIMIT = 3
@@ -117,6 +123,7 @@
         ``answered_at``.
     :param origin: id of the request that began the stream, ``after_event`` the last
         event that its client had when it sent this request.
+    :param parts: the parts of its prompt, empty for those of all requests.
     """
 
     id: str
@@ -132,6 +139,7 @@
     leaving: bool = False
     origin: str = ""
     after_event: int = 0
+    parts: str = ""
 
 
 @attrs.define
@@ -196,6 +204,7 @@
             started_at_ms=started_at_ms,
             version=self.random.choice(VERSIONS),
             event_interval_seconds=EVENT_INTERVAL_SECONDS,
+            crash_parts=frozenset(DEADLY_PROMPTS),
         )
         engine.address = self._add_proxy(engine.address)
         engine.crash_marker = CRASHING_BODY
@@ -417,34 +426,50 @@
         rng, count = random.Random(f"{self.seed}/crasher"), 0
         while not self.finished.wait(rng.uniform(*CRASH_INTERVAL_SECONDS)):
             count += 1
-            self._send_crashing(
-                f"entry-{rng.randrange(self.daemons)}", f"crash-{count}"
-            )
-
-    def _send_crashing(self, name, request_id):
-        outcome = Outcome(request_id, RESUMABLE_PATH, CRASHING_BODY, daemon=name)
+            cause = rng.choice(("crash", *DEADLY_PROMPTS))
+            name = f"entry-{rng.randrange(self.daemons)}"
+            self._send_crashing(name, cause, count)
+
+    def _send_crashing(self, name, cause, number):
+        """Send a request that crashes its instance, by its body or by a part."""
+        request_id = f"{cause}-{number}"
+        body, parts = CRASHING_BODY, ""
+        if cause in DEADLY_PROMPTS:
+            body = f"prompt {request_id}".encode()
+            parts = f"{DEADLY_PROMPTS[cause]},{request_id}:50"
+        outcome = Outcome(request_id, RESUMABLE_PATH, body, daemon=name, parts=parts)
         self._try_exchange(self.fleet.connect(name), outcome, "100,10")
 
+    def _crash_counts(self):
+        """Return how many instances crashed under each cause that must be stopped."""
+        engines = self.fleet.engines.values()
+        parts = collections.Counter(p for e in engines for p in e.crashed_parts)
+        counts = {p: n for p, n in parts.items() if n >= PART_CRASH_LIMIT}
+        by_body = sum(e.crashes for e in engines) - parts.total()
+        return counts | ({"crash": by_body} if by_body >= CRASH_LIMIT else {})
+
     def _quarantine_violations(self):
-        """Return the violation if daemons still send the crashing request to instances.
+        """Return the violations if daemons still send what crashes instances.
 
         Waits for :data:`CONTACT_SECONDS` first.
         """
-        if sum(e.crashes for e in self.fleet.engines.values()) < CRASH_LIMIT:
-            return []
-        time.sleep(CONTACT_SECONDS)
-        before = self._count_crash_arrivals()
+        causes = list(self._crash_counts())
+        if causes:
+            time.sleep(CONTACT_SECONDS)
+        return [v for cause in causes for v in self._send_after_crashes(cause)]
+
+    def _send_after_crashes(self, cause):
+        before = self._count_arrivals(cause)
         for name in self.fleet.daemons:
-            self._send_crashing(name, f"crash-after-{name}")
+            self._send_crashing(name, cause, f"after-{name}")
             time.sleep(1.0)
-        sends = self._count_crash_arrivals() - before
-        if sends <= MAX_SENDS_AFTER_CRASHES:
-            return []
-        return [f"BUDGET: {sends} more sends of the crashing request reached instances"]
+        sends = self._count_arrivals(cause) - before
+        if sends > MAX_SENDS_AFTER_CRASHES:
+            yield f"BUDGET: {sends} more sends with {cause} reached instances"
 
-    def _count_crash_arrivals(self):
+    def _count_arrivals(self, cause):
         return sum(
-            request_id.startswith("crash")
+            request_id.startswith(f"{cause}-")
             for engine in self.fleet.engines.values()
             for request_id in engine.arrived_ids
         )
@@ -501,6 +526,8 @@
     def _exchange(self, connection, outcome, tokens):
         """Make one exchange; return True when the connection is to be closed."""
         fields = {"body": outcome.sent, "X_Mulberrydock_Token_Counts": tokens}
+        if outcome.parts:
+            fields["X_Mulberrydock_Prompt_Prefix"] = outcome.parts
         if outcome.after_event:
             fields["Last_Event_Id"] = str(outcome.after_event)
             fields["Resumes"] = outcome.origin
