A part that turned deadly isn't hidden by a rare sound part beside it

Cause: work that nothing shows to be sound was blamed before all other, whatever its crashes, and took those of the part that caused them; that part was sent on. Change: it ranks by its crashes, having no success weighs as much as one crash, and of equals the one that was served last is taken for sound.

--- a/src/mulberrydock/crash_evidence.py
+++ b/src/mulberrydock/crash_evidence.py
@@ -135,11 +135,7 @@
         unexplained = {work: set(crashes) for work, crashes in self.crashes.items()}
         while True:
             ranks = {
-                work: (
-                    self.is_unproven(work),
-                    len(instances),
-                    -self.served_at.get(work, 0.0),
-                )
+                work: self._rank(work, len(instances))
                 for work, instances in unexplained.items()
                 if self._reaches_limit(work, instances)
             }
@@ -153,6 +149,15 @@
             for instances in unexplained.values():
                 instances -= explained
 
+    def _rank(self, work, crash_count):
+        """Return the sort key of a suspect; the greatest is the likeliest cause.
+
+        That nothing shows it to be sound weighs as much as one crash: sound work that
+        is rare has no success either. Of equal ones, the one served last is sound.
+        """
+        unproven = self.is_unproven(work)
+        return crash_count + unproven, unproven, -self.served_at.get(work, 0.0)
+
     def _reaches_limit(self, work, instances):
         if len(instances) < CRASH_LIMIT:
             return False
