Work that was sound is blamed once one of its crashes is unexplained

Change: work that nothing shows to be sound is blamed first again, and takes its crashes from other suspects; of work that was sound before, all crashes count once one of them is unexplained.

--- a/src/mulberrydock/crash_evidence.py
+++ b/src/mulberrydock/crash_evidence.py
@@ -150,20 +150,20 @@
                 instances -= explained
 
     def _rank(self, work, crash_count):
-        """Return the sort key of a suspect; the greatest is the likeliest cause.
+        """Return the sort key of a suspect; the greatest is the likeliest cause."""
+        return self.is_unproven(work), crash_count, -self.served_at.get(work, 0.0)
 
-        That nothing shows it to be sound weighs as much as one crash: sound work that
-        is rare has no success either. Of equal ones, the one served last is sound.
-        """
-        unproven = self.is_unproven(work)
-        return crash_count + unproven, unproven, -self.served_at.get(work, 0.0)
+    def _reaches_limit(self, work, unexplained):
+        """Return whether ``work`` is to be blamed for its unexplained crashes.
 
-    def _reaches_limit(self, work, instances):
-        if len(instances) < CRASH_LIMIT:
+        Of work that was known to be sound, all crashes count once one is unexplained:
+        rare sound work, of which nothing is known, may share most of them.
+        """
+        times = self.crashes[work].values()
+        if not unexplained or len(times) < CRASH_LIMIT:
             return False
         if self.is_unproven(work):
-            return True
-        times = [self.crashes[work][instance] for instance in instances]
+            return len(unexplained) >= CRASH_LIMIT
         return max(times) - min(times) >= MIN_SPREAD_SECONDS
 
     def has_rival(self, work):
