Soak: an instance that has crashed hasn't announced its leave any more

Traced: i13 crashed under a deadly part, its next incarnation (same id in the stand-in) still stated the leave, and a VM that hadn't seen the new record booked it to the incarnation before; 3 s later a request went to the new one. On the platform each start has an id of its own, and a leave is its incarnation's. Change: a crash ends the announced leave of the stand-in, and the check of DRAIN leaves out calls to an incarnation that started after the announcement; all other calls count as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -219,8 +219,9 @@
         proxy.set_mode("partition")
         for link in self.fleet.links_of(targets={engine.id}):
             link.set_target_down(True)
-        # The next incarnation hasn't asked for a pause.
+        # The next incarnation hasn't asked for a pause, nor announced its leave.
         engine.refusals.clear()
+        engine.leaving = False
 
     def _handle_restart(self, engine, proxy):
         proxy.set_mode("pass")
@@ -603,6 +604,9 @@
             told = told_at.get((outcome.daemon, f"signature-of-{engine.id}"), at)
             if outcome.sent_at <= told + DRAIN_SECONDS:
                 continue
+            if any(told < crashed_at < at for crashed_at in engine.crash_times):
+                # Its next incarnation hasn't announced anything.
+                continue
             if not self._is_disturbed({outcome.daemon}, told, at):
                 yield f"DRAIN: {outcome.id} reached {engine.id}, which leaves"
 
