--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import random
 
 import pytest
 from expression import Error, Ok
@@ -18,6 +19,9 @@
     Crash,
 )
 from mulberrydock.exceptions import StoreError, VersionConflict
+from mulberrydock.fleet_view import FleetView
+from mulberrydock.instances import Instance, InstanceRecord
+from mulberrydock.placement import Pool
 from mulberrydock.quarantine import (
     RIVAL_TRIAL_PAUSE_SECONDS,
     SUSPECT_PAUSE_SECONDS,
@@ -317,3 +321,24 @@
     for index in order:
         events[index](quarantine)
     assert quarantine.evidence.blamed == {"deadly"}
+
+
+def test_all_vms_send_a_suspected_part_to_the_same_engine():
+    """Requests with it that several VMs send at once must not crash an engine each."""
+    engines = [
+        Instance(InstanceRecord(f"e{n}", "llm", f"10.0.0.{n}:80", "dc1", 4, False))
+        for n in range(8)
+    ]
+    chosen = set()
+    for number in range(8):
+        fleet = FleetView("dc1", None, lambda: 8, lambda instance_id: None)
+        for part in request_of("a", "b", "own").part_works:
+            fleet.quarantine.apply_peer_crash(Crash.of(part, "e0"), 0.0, 1.0)
+        served(0.5, *part_works(["a"]))(fleet.quarantine)
+        pool = Pool([], random.Random(number).sample(engines, 8), {}, None, None)
+        request = request_of("a", "b", "own", body=b"%d" % number)
+        isolated = fleet._isolate_suspect(pool, request)
+        chosen.update(engine.id for engine in isolated.decoders)
+        sound_request = request_of("a", "c", "own")
+        assert fleet._isolate_suspect(pool, sound_request) is pool
+    assert len(chosen) == 1
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -175,3 +175,35 @@
     assert storm.crash_times()
     assert len(storm.late_calls()) <= MAX_CALLS_AFTER_LIMIT
     assert storm.sound_share() >= SOUND_SHARE
+
+
+def silence_store(fleet):
+    """The store answers nothing while the first engines crash."""
+    fleet.store.silent = True
+    yield
+    fleet.store.silent = False
+
+
+def kill_all_vms(fleet):
+    """All VMs lose power once engines have crashed, and start again."""
+    yield
+    for name in VMS:
+        fleet.daemons[name].kill()
+        fleet.daemons[name].wait()
+    for name in VMS:
+        fleet.start(name)
+    for name in VMS:
+        wait_until(lambda: fleet.is_ready(name))
+
+
+@pytest.mark.parametrize("disturbance", [silence_store, kill_all_vms])
+def test_part_is_stopped_although_evidence_may_get_lost(fleet, disturbance):
+    """Engines crash under a part while the evidence can't be kept, or is forgotten."""
+    storm = Storm(fleet, PROMPTS["second part"])
+    steps = disturbance(fleet)
+    next(steps)
+    storm.run(VMS, STORM_SECONDS / 3)
+    next(steps, None)
+    storm.run(VMS, STORM_SECONDS)
+    assert storm.crash_times()
+    assert len(storm.late_calls()) <= MAX_CALLS_AFTER_LIMIT
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -30,9 +30,9 @@
 OTHER = fingerprint("other")
 
 
-def crashed(*instances, work=WORK):
+def crashed(*instances, work=WORK, shared=False):
     return lambda quarantine, now: [
-        quarantine.record_crash(work, i, now) for i in instances
+        quarantine.record_crash(work, i, now, shared) for i in instances
     ]
 
 
@@ -304,7 +304,8 @@
     return asyncio.run(vm.step(now, unix_now))
 
 
-def test_restarted_vm_reads_all_crashes_from_the_store():
+@pytest.mark.parametrize("shared", [False, True])
+def test_restarted_vm_reads_all_crashes_from_the_store(shared):
     """All VMs lose power after three engines crashed under a request.
 
     When it is sent again, only the store has the crashes, whichever VMs wrote them.
@@ -312,12 +313,13 @@
     store = Store()
     for instance in ("a", "b", "c"):
         vm = make_sync(store)
-        vm.quarantine.record_crash(WORK, instance, 1.0)
+        vm.quarantine.record_crash(WORK, instance, 1.0, shared)
         assert step(vm, 3.0)
     assert load(store).quarantine.is_quarantined(WORK)
 
 
-def test_crashes_seen_during_a_store_outage_are_written_after_it():
+@pytest.mark.parametrize("shared", [False, True])
+def test_crashes_seen_during_a_store_outage_are_written_after_it(shared):
     """Engines crash while the store is unavailable.
 
     The VM that saw it refuses the request on its own, and writes the crashes in one
@@ -326,7 +328,7 @@
     store = Store()
     store.failing = True
     vm = make_sync(store)
-    crashed("a", "b", "c")(vm.quarantine, 1.0)
+    crashed("a", "b", "c", shared=shared)(vm.quarantine, 1.0)
     assert not step(vm, 3.0)
     assert vm.quarantine.is_quarantined(WORK)
     store.failing = False
@@ -335,7 +337,8 @@
     assert step(vm, 5.0) and store.calls == 2
 
 
-def test_crash_seen_by_a_vm_cut_off_from_the_store_is_written_by_a_peer():
+@pytest.mark.parametrize("shared", [False, True])
+def test_crash_seen_by_a_vm_cut_off_from_the_store_is_written_by_a_peer(shared):
     """A VM that can't reach the store sees two engines crash under a request.
 
     The third crash is seen by another VM. The peers receive the first VM's reports and
@@ -344,11 +347,11 @@
     store, unreachable = Store(), Store()
     unreachable.failing = True
     cut_off, peer = make_sync(unreachable), make_sync(store)
-    crashed("a", "b")(cut_off.quarantine, 1.0)
+    crashed("a", "b", shared=shared)(cut_off.quarantine, 1.0)
     failed(cut_off.quarantine, 1.0)
     for crash in cut_off.quarantine.take_updates(1.1):
         peer.quarantine.apply_peer_crash(crash, 0.0, 1.1)
-    crashed("c")(peer.quarantine, 1.2)
+    crashed("c", shared=shared)(peer.quarantine, 1.2)
     assert peer.quarantine.is_quarantined(WORK)
     assert step(peer, 1.1 + PEER_CRASH_WRITE_DELAY_SECONDS)
     assert load(store).quarantine.is_quarantined(WORK)
