Trials of quarantined work are rarer, and quick only between suspects that are blamed

Cause: read in review: with pauses of 10 s, 60 s, ... after a volley of five crashes two trials, each a prefill and a run, make four calls within 90 s, where three may; and any suspect with three of the same crashes made a trial quick, also one that had been relieved of them. Change: the pause grows twelvefold (10 s, 2 min, 24 min); only other blamed work makes it short. A success of work without crashes no longer has the blame worked out anew.

--- a/src/mulberrydock/crash_evidence.py
+++ b/src/mulberrydock/crash_evidence.py
@@ -101,7 +101,7 @@
         if at > self.served_at.get(work, -math.inf):
             self.served_at[work] = at
             self.served_at.move_to_end(work)
-            self._changed = True
+            self._changed |= work in self.crashes
         while len(self.served_at) > MAX_SERVED_ENTRIES:
             self.served_at.popitem(last=False)
         return [
@@ -167,9 +167,9 @@
         return max(times) - min(times) >= MIN_SPREAD_SECONDS
 
     def has_rival(self, work):
-        """Return whether other work has enough of the same crashes to explain them."""
+        """Return whether other blamed work explains as many of the same crashes."""
         crashes = self.crashes.get(work, {}).keys()
         return any(
-            other != work and len(crashes & rival.keys()) >= CRASH_LIMIT
-            for other, rival in self.crashes.items()
+            other != work and len(crashes & self.crashes[other].keys()) >= CRASH_LIMIT
+            for other in self.blamed
         )
--- a/src/mulberrydock/quarantine.py
+++ b/src/mulberrydock/quarantine.py
@@ -27,7 +27,7 @@
 #: the factor by which each trial multiplies them: what was blamed wrongly is served
 #: again, and what is deadly costs a few instances a day.
 TRIAL_PAUSE_SECONDS = 10.0
-TRIAL_PAUSE_FACTOR = 6.0
+TRIAL_PAUSE_FACTOR = 12.0
 #: The same pause where other work explains the crashes as well, and the request has
 #: only one of the two: the trial tells which of them it is.
 RIVAL_TRIAL_PAUSE_SECONDS = 1.0
