A crash is told from lost links 30 ms after the refused connection

What callers could see: a VM that loses its links one after the other takes the first refusals for crashes; since crashes count against parts, it then pauses the parts of its requests instead of forwarding them, and the stream ends early (test_stream_goes_on_through_a_peer, KNOWN-RED). Cause: the control instance was asked in the same millisecond, while its link still held. Change: the control is asked 30 ms later; the next attempt waits for the probe at most 100 ms as before.

--- a/src/mulberrydock/crash_probe.py
+++ b/src/mulberrydock/crash_probe.py
@@ -15,6 +15,9 @@
 #: refusal takes one round trip; an instance that doesn't respond by then hasn't shown a
 #: crash.
 PROBE_WAIT_SECONDS = 0.1
+#: Seconds after which another instance has to accept a connection: links that are lost
+#: together are lost within milliseconds of each other.
+LINK_CHECK_DELAY_SECONDS = 0.03
 #: Seconds for which a crash found by one probe counts for all requests that it
 #: interrupted: they notice within milliseconds of each other, so one probe is enough.
 CRASH_VALID_SECONDS = 1.0
@@ -54,10 +57,10 @@
     async def _probe(self, instance):
         try:
             accepts = await self.connection_pool(instance).probe(time.monotonic())
-            if accepts is False and await self.link_monitor.are_lost(
-                instance.record.service
-            ):
-                accepts = None
+            if accepts is False:
+                await asyncio.sleep(LINK_CHECK_DELAY_SECONDS)
+                if await self.link_monitor.are_lost(instance.record.service):
+                    accepts = None
         finally:
             self.probes.pop(instance.id, None)
         logger.info("instance probed", instance=instance.id, accepts=accepts)
