What crashes mean for one request has a module of its own

Change: request_quarantine.py decides whether a request may be sent, claims its trial and records what its answers show. Nothing else changes.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -20,7 +20,8 @@
         _reject(lifecycle, 502, lifecycle.cause)
         return ResultCode.UPSTREAM_FAILED
     if lifecycle.is_quarantined(now):
-        _reject(lifecycle, 503, lifecycle.cause, lifecycle.quarantine_seconds(now))
+        retry_after = lifecycle.quarantine.retry_seconds(now)
+        _reject(lifecycle, 503, lifecycle.cause, retry_after)
         return ResultCode.QUARANTINED
     retry_after = refusal.retry_after(
         bool(lifecycle.tried),
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -129,7 +129,7 @@
             logger.info("client left", **self._summary(lifecycle))
             raise
         finally:
-            self._record_end(lifecycle, time.monotonic())
+            lifecycle.quarantine.record_end(lifecycle, time.monotonic())
         logger.info(
             "answered",
             **self._summary(lifecycle),
@@ -138,16 +138,6 @@
         )
         return code
 
-    def _record_end(self, lifecycle, now):
-        """Record the end of a request as evidence about what crashes instances."""
-        quarantine = self.fleet.quarantine
-        for work in lifecycle.request.works:
-            quarantine.record_request_end(
-                work, lifecycle.served, now, lifecycle.began_at
-            )
-        if lifecycle.trial is not None and not lifecycle.may_have_run:
-            quarantine.release_trial(lifecycle.trial)
-
     def authenticate(self, request, route, sink):
         """Find the team that sent ``request`` and remove its key.
 
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -22,6 +22,7 @@
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
 from .request_begin import RequestBegin
+from .request_quarantine import RequestQuarantine
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 from .stream_version import StreamVersion
@@ -54,11 +55,11 @@
     that were not made yet, ``tried`` the ids of the instances called so far.
     ``error_response`` is an instance's failure that is passed on if no attempt gives
     better, ``cause`` says why the last attempt failed. ``begin`` is its
-    :class:`RequestBegin`. ``served`` is True once an instance has answered with
-    success, ``began_at`` when it began to write its answer, None if unknown. ``trial``
-    is the record of the trial of its quarantined work, None without one. ``forwards``
-    counts the attempts through peers, ``refused_by`` names the
-    peers that didn't take the request. ``version`` is its :class:`StreamVersion`.
+    :class:`RequestBegin`, ``quarantine`` its :class:`RequestQuarantine`, ``version``
+    its :class:`StreamVersion`. ``served`` is True once an instance has answered with
+    success, ``began_at`` when it began to write its answer, None if unknown.
+    ``forwards`` counts the attempts through peers, ``refused_by`` names the peers that
+    didn't take the request.
 
     :param prior: the :class:`~mulberrydock.forward_messages.PriorCalls` of a request
         that a peer has forwarded, None for a client's.
@@ -95,9 +96,9 @@
             relay, request, route, service, self.is_forwarded, self.prior.version
         )
         self.begin = RequestBegin(relay, request, self.prior.begun)
+        self.quarantine = RequestQuarantine(relay, request)
         self.served = False
         self.began_at = None
-        self.trial = None
         self.error_response = None
         self.cause = "no instance serves the route"
 
@@ -116,7 +117,8 @@
                     final = await self.version.find()
                     if not self.version.fixed:
                         return final_response.refuse_unknown_version(self, final)
-                await self._claim_trial(time.monotonic())
+                if not self.is_forwarded:
+                    await self.quarantine.claim_trial(time.monotonic())
                 return await self._attempts()
         except TimeoutError:
             return final_response.expire(self)
@@ -234,38 +236,10 @@
 
         Checked before every call: another VM may have reported the last crash since.
         """
-        quarantine = self.fleet.quarantine
-        works = self._quarantined_works()
-        if works and (self.trial is None or self.sends.maybe_received):
-            counts = [quarantine.count(work) for work in works]
-            self.cause = f"{max(counts)} instances crashed under it"
-            return True
-        if any(quarantine.pause_seconds(p, now) for p in self.request.part_works):
-            self.cause = "an instance has just crashed under a part of its prompt"
-            return self.trial is None
-        return False
-
-    def _quarantined_works(self):
-        quarantine = self.fleet.quarantine
-        return [work for work in self.request.works if quarantine.is_quarantined(work)]
-
-    def quarantine_seconds(self, now):
-        """Return in how many seconds the client of a quarantined request may retry."""
-        quarantine, works = self.fleet.quarantine, self._quarantined_works()
-        if works:
-            seconds = quarantine.trial_seconds(works, now)
-        else:
-            parts = self.request.part_works
-            seconds = max(quarantine.pause_seconds(part, now) for part in parts)
-        return max(refusal.RETRY_AFTER_SECONDS, seconds)
-
-    async def _claim_trial(self, now):
-        """Claim the trial of this request's quarantined work, if one is due."""
-        works, claim = self._quarantined_works(), self.relay.claim_trial
-        if not works or claim is None or self.is_forwarded:
-            return
-        if self.fleet.quarantine.trial_seconds(works, now) <= 0:
-            self.trial = await claim(works[0], now, time.time())
+        was_sent = self.sends.maybe_received > 0
+        cause = self.quarantine.refusal_cause(was_sent, now)
+        self.cause = cause or self.cause
+        return bool(cause)
 
     def reserve_retries(self, plan, now):
         """Reserve the calls of ``plan`` that are retries from the retry budget.
@@ -517,10 +491,7 @@
         await self.relay.check_link(instance, error)
         now = time.monotonic()
         if _ran_past_blame(listener, now):
-            for work in self.request.works:
-                self.fleet.quarantine.record_request_end(
-                    work, True, now, listener.first_progress_at
-                )
+            self.quarantine.record_sound(listener.first_progress_at, now)
         elif isinstance(error, ConnectionCut):
             await self.relay.probe_after_cut(self.request, instance)
         elif not not_sent:
