--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -309,7 +309,7 @@
     assert len(set(works)) == len(works)
 
 
-@pytest.mark.parametrize("order", itertools.permutations(range(4)))
+@pytest.mark.parametrize("order", list(itertools.permutations(range(4))))
 def test_blame_does_not_depend_on_the_order_of_reports(order):
     events = [
         crash(1, "a", "deadly", "rare"),
