Links lost one after the other are not taken for a crash

Cause, traced from the logs of a failing run of test_stream_goes_on_through_a_peer[refused, reset] (3 of 31 runs failed on, load 15 to 21 on 7 cores): the link monitor probes another instance as soon as the first link is refused, and reached it before its link was cut too. 30 ms later are_lost() took that connection as proof, made no probe of its own and reported a crash; the stream's part was paused for it, and the stream cut.

Change: are_lost() probes an instance of each stage again; a connection made before the call doesn't count. One more connection for each crash found.

test_links_lost_one_after_the_other_are_not_taken_for_a_crash fails before.

--- a/src/mulberrydock/link_monitor.py
+++ b/src/mulberrydock/link_monitor.py
@@ -87,8 +87,16 @@
             await asyncio.wait(probes, return_when=asyncio.FIRST_COMPLETED)
 
     async def are_lost(self, service):
-        """Return whether the links to ``service`` are lost, once that is known."""
-        await self.settle(service, time.monotonic())
+        """Return whether the links to ``service`` are lost, once that is known.
+
+        An instance that was reached before this call doesn't count: links that are
+        lost together are lost one after the other.
+        """
+        now = time.monotonic()
+        for control in self._controls(now):
+            if control.record.service == service and self._may_probe(control):
+                self._start_probe(control)
+        await self.settle(service, now)
         return self.links.is_lost(service)
 
     def choose(self, now):
@@ -117,11 +125,13 @@
                 silent.add(instance_id)
         return silent
 
-    def _controls(self):
+    def _controls(self, since=0.0):
         """Return instances to probe because others of their service can't be reached.
 
         One other instance of each stage shows whether the fault is at the instance. If
         several are down, the links of this VM may be, so all others are probed.
+
+        :param since: one that was reached before doesn't show that the links are there.
         """
         live = [i for i in self.fleet.instances.instances.values() if not i.leaving]
         down_since = {}
@@ -138,7 +148,8 @@
         controls = []
         for (service, _), instances in by_stage.items():
             count = 1 if len(down_since[service]) == 1 else MAX_PROBES
-            controls += self._unproven(instances, max(down_since[service]))[:count]
+            reached_since = max(since, *down_since[service])
+            controls += self._unproven(instances, reached_since)[:count]
         return controls
 
     def _unproven(self, instances, since):
@@ -153,8 +164,11 @@
         self.links.update_lost(now)
         for instance in self.choose(now):
             self.doubted.discard(instance.id)
-            task = asyncio.ensure_future(self._probe(instance))
-            self.probes[instance.id] = task
+            self._start_probe(instance)
+
+    def _start_probe(self, instance):
+        task = asyncio.ensure_future(self._probe(instance))
+        self.probes[instance.id] = task
 
     async def _probe(self, instance):
         try:
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -1,5 +1,7 @@
 """Which links are probed, and when."""
 
+import asyncio
+import time
 import types
 
 import pytest
@@ -105,3 +107,35 @@
     record(monitor, "-a")
     record(monitor, "a", NOW + 0.1)
     assert bool(suspicion.suspects(NOW + 0.2)) is suspect
+
+
+def probe_at(monitor, instance, accepts):
+    """Return a pool of ``instance``; the link to it is as ``accepts()`` says."""
+
+    async def probe(now, timeout):
+        accepted = accepts()
+        monitor.record(instance, accepted, time.monotonic())
+        return accepted
+
+    return types.SimpleNamespace(probe=probe, silent_since=lambda: None)
+
+
+# Guards against lost links that are taken for a crash, as another instance was reached
+# just before the link to it was lost too.
+@pytest.mark.parametrize("others_lost", [False, True])
+def test_links_lost_one_after_the_other_are_not_taken_for_a_crash(others_lost):
+    async def run():
+        monitor = make_monitor("ab")
+        lost = {"a"}
+        instances = monitor.fleet.instances.instances
+        monitor.relay.connection_pool = lambda instance: probe_at(
+            monitor, instance, lambda: instance.id not in lost
+        )
+        monitor.record(instances["a"], False, time.monotonic())
+        monitor.step(time.monotonic())
+        await asyncio.wait(list(monitor.probes.values()))
+        if others_lost:
+            lost.add("b")
+        return await monitor.are_lost("app")
+
+    assert asyncio.run(run()) is others_lost
