Store calls are counted by purpose

What a VM pays the store could only be read from the platform's bill. Calls without an answer count, as they are paid.

--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -131,6 +131,12 @@
             ["code"],
             registry=self.registry,
         )
+        self.store_calls = prometheus_client.Counter(
+            "mulberrydock_store_calls_total",
+            "Calls to the platform's store by purpose, unanswered ones included.",
+            ["purpose"],
+            registry=self.registry,
+        )
         self.links_lost = prometheus_client.Gauge(
             "mulberrydock_links_lost",
             "Whether this VM can't connect to any instance of a stage of the service.",
--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -18,6 +18,7 @@
 from ..exceptions import StoreError, UpstreamError, VersionConflict
 from ..sends import ProgressTimeouts, run_exchange
 from ..store import Event, Item, WatchBatch
+from ..store_calls import StoreOperation
 
 #: Seconds without progress after which a call has failed. The store responds in 4 ms;
 #: a changed configuration must be in force within 2 s, so a lost response must be
@@ -51,6 +52,9 @@
 
     Attributes that an owner may set or read:
 
+    - ``on_call``: called before each call with its
+      :class:`~mulberrydock.store_calls.StoreOperation` and its first key, empty if it
+      names none.
     - ``on_response``: called after each call, with True when the store answered it.
     - ``on_era_change``: called when a response shows a higher era than the last known
       one, that is after the store was restored from an older copy.
@@ -64,11 +68,13 @@
         self.address = address
         self.timeout = timeout
         self.pool = ConnectionPool(address, MAX_CONNECTIONS)
+        self.on_call = lambda operation, key: None
         self.on_response = lambda answered: None
         self.on_era_change = lambda: None
         self.era = None
 
-    async def _call(self, method, path, body=None, timeout=None):
+    async def _call(self, operation, method, path, body=None, timeout=None, key=""):
+        self.on_call(operation, key)
         result = await self._exchange(method, path, body, timeout)
         self.on_response(result.is_ok())
         return result
@@ -119,7 +125,8 @@
 
     async def get(self, key):
         """Read ``key``; ``Ok(None)`` when it is absent."""
-        result = await self._call("GET", "/kv-key?" + urlencode({"key": key}))
+        path = "/kv-key?" + urlencode({"key": key})
+        result = await self._call(StoreOperation.READ, "GET", path, key=key)
         if result.is_error():
             return result
         status, document = result.ok
@@ -136,7 +143,8 @@
             query = {"path_prefix": prefix}
             if after:
                 query["after"] = after
-            result = await self._call("GET", "/kv-range?" + urlencode(query))
+            path = "/kv-range?" + urlencode(query)
+            result = await self._call(StoreOperation.RANGE, "GET", path)
             if result.is_error():
                 return result
             status, document = result.ok
@@ -174,7 +182,10 @@
         if expect_version is not None:
             expected = [{"key": key, "revision": expect_version}]
         body = {"expected": expected, "puts": list(puts), "remove": list(remove)}
-        result = await self._call("POST", "/kv-txn", body)
+        first = puts[0]["key"] if puts else remove[0]
+        result = await self._call(
+            StoreOperation.WRITE, "POST", "/kv-txn", body, key=first
+        )
         if result.is_error():
             return result
         status, document = result.ok
@@ -199,7 +210,10 @@
             "wait_ms": int(timeout * 1000),
         }
         result = await self._call(
-            "GET", "/kv-watch?" + urlencode(query), timeout=timeout + self.timeout
+            StoreOperation.WATCH,
+            "GET",
+            "/kv-watch?" + urlencode(query),
+            timeout=timeout + self.timeout,
         )
         if result.is_error():
             return result
@@ -213,7 +227,8 @@
 
     async def grant(self, ttl):
         """Create a lease of ``ttl`` seconds: ``Ok(lease_id)``."""
-        result = await self._call("POST", "/kv-lease", {"ttl_ms": int(ttl * 1000)})
+        body = {"ttl_ms": int(ttl * 1000)}
+        result = await self._call(StoreOperation.LEASE_GRANT, "POST", "/kv-lease", body)
         if result.is_error():
             return result
         status, document = result.ok
@@ -223,12 +238,16 @@
 
     async def keepalive(self, lease):
         """Extend ``lease``: ``Ok(True)``, or ``Ok(False)`` when it has expired."""
-        result = await self._call("POST", f"/kv-keep/{lease}")
+        result = await self._call(
+            StoreOperation.LEASE_RENEWAL, "POST", f"/kv-keep/{lease}"
+        )
         return result.map(lambda response: response[0] == 200)
 
     async def revoke(self, lease):
         """End ``lease`` and delete its keys."""
-        result = await self._call("DELETE", f"/kv-lease-end/{lease}")
+        result = await self._call(
+            StoreOperation.LEASE_END, "DELETE", f"/kv-lease-end/{lease}"
+        )
         return result.map(lambda _: True)
 
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -38,6 +38,7 @@
 from .relay import Relay
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
+from .store_calls import call_purpose
 from .usage import UsageLedger
 from .watch import RECOVERY_POLL_SECONDS, PrefixWatch
 
@@ -98,6 +99,7 @@
     def __init__(self, settings, store, wire, log_sink):
         self.settings = settings
         self.store = store
+        store.on_call = self._on_store_call
         store.on_response = self._on_store_answer
         store.on_era_change = self._on_store_era
         self.log_sink = log_sink
@@ -245,6 +247,9 @@
     def _on_instance(self, key, value, revision):
         self.instance_feed.apply(key, value, revision, time.monotonic())
 
+    def _on_store_call(self, operation, key):
+        self.metrics.store_calls.labels(call_purpose(operation, key)).inc()
+
     def _on_store_answer(self, answered):
         # Called for every call, not only those of the watch: an outage may end before
         # a poll that spans it times out, and instances whose records expired in it
