Three VMs poll the store, the others call when told of a change

Change: the first three VMs in the order of acquiring the leader lease poll as all did and tell, with their messages about loads, the revision of the last change that must be known at once and of the last that must be known soon. The others call then, and poll for themselves when they hear no observer whose calls are answered. In an outage only observers retry often. A failed call closes the idle connections to the store, the first read is followed by the usual pause, and the VM lease is renewed as often as a poll was made, observers' more often, so that a lost link to the store is noticed as soon as before.

--- a/src/mulberrydock/directory.py
+++ b/src/mulberrydock/directory.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from .rendezvous import rank
+from .rendezvous import DUTY_ORDER, rank
 
 #: Maximum number of addresses in a response; clients read no more.
 MAX_ADDRESSES = 64
@@ -65,9 +65,8 @@
         """
         names = [*self.groups.live_peers(now), self.groups.name]
         without_links = self.groups.without_links(now)
-        # "duty" is the hash key that stands for the leader lease.
         return sorted(
-            names, key=lambda name: (name in without_links, rank("duty", name))
+            names, key=lambda name: (name in without_links, rank(DUTY_ORDER, name))
         )
 
     def takeover_rank(self, now):
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -100,6 +100,7 @@
         self.relay = relay
         self.wire = wire
         self.clock = clock
+        self.has_requests = False
         self.draining = False
         self.refusing = False
         self.tasks = set()
@@ -117,6 +118,7 @@
 
     def start(self, start_line, headers, body, sink):
         """Start serving one whole request; return its task."""
+        self.has_requests = True
         request = self.wire.read_request(start_line, headers, body, self.clock())
         return self.track(self._serve(request, sink))
 
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import time
 
 import attrs
@@ -45,6 +46,8 @@
         requests, empty if nowhere.
     :param forward_key: the key that signs requests forwarded to this entry, empty if it
         takes none.
+    :param renew_seconds: returns the seconds between two renewals of the lease, a third
+        of the ttl if that is less. A renewal also shows whether the store answers.
 
     ``peers`` maps names to registered entries. ``expired`` holds those whose record
     was removed: the store may have dropped the lease in an outage while the entry
@@ -58,12 +61,14 @@
         ttl=defaults.ENTRY_LEASE_TTL_SECONDS,
         peer_address="",
         forward_key=b"",
+        renew_seconds=lambda: math.inf,
     ):
         self.store = store
         self.entry = entry
         self.ttl = ttl
         self.peer_address = peer_address
         self.forward_key = forward_key
+        self.renew_seconds = renew_seconds
         self.lease = 0
         self.registered = False
         self.leaving = False
@@ -135,7 +140,7 @@
             await self.store.revoke(self.lease)
 
     async def keep_alive(self):
-        """Renew the lease every third of its ttl; register again if it has expired.
+        """Renew the lease at its interval; register again if it has expired.
 
         The store may also drop the record but not the lease. No call reports that;
         the watch does, and the record is then written again at once.
@@ -148,7 +153,7 @@
             elif not self.registered:
                 await self.register()
                 renewed_at = now
-            elif now - renewed_at >= self.ttl / 3:
+            elif now - renewed_at >= min(self.renew_seconds(), self.ttl / 3):
                 self.registered = await self._renew()
                 renewed_at = now
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -8,6 +8,7 @@
 from .estimates import PoolUpdate, PrefillSample
 from .peer_loads import Load, PeerReport
 from .prefill_cost import PrefillCost
+from .store_freshness import StoreReport
 from .stream_origins import OriginMessageKind, StreamOrigin
 from .usage import UsageUpdate
 
@@ -87,7 +88,8 @@
     :class:`~mulberrydock.estimates.PrefillSample`, ``crashes`` are
     :class:`CrashReport`, ``limits`` are :class:`LimitUpdate`,
     ``leaving_instances`` are incarnations that announced their leave, ``sound_works``
-    are :class:`SoundWork`.
+    are :class:`SoundWork`. ``store`` is the sender's
+    :class:`~mulberrydock.store_freshness.StoreReport`, None if it has nothing to say.
     """
 
     name: str
@@ -100,6 +102,7 @@
     limits: list = attrs.field(factory=list)
     leaving_instances: list = attrs.field(factory=list)
     sound_works: list = attrs.field(factory=list)
+    store: StoreReport | None = None
 
 
 @attrs.define(frozen=True)
@@ -187,6 +190,8 @@
         vmsWithoutLinks=sorted(report.vms_without_links),
         soundWorks=[sound.row for sound in update.sound_works],
     )
+    if update.store is not None:
+        message.store = update.store.row
     # Packed, as traffic between data centres is paid for: 210 instead of 420 bytes
     # with loads of six instances.
     return message.to_bytes_packed()
@@ -254,4 +259,5 @@
         [LimitUpdate.from_row(row) for row in message.limits],
         list(message.leavingInstances),
         [SoundWork.from_row(row) for row in message.soundWorks],
+        StoreReport.from_row(message.store) if message._has("store") else None,
     )
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -10,6 +10,7 @@
 
 from . import peer_messages
 from ._http import split_address
+from .clock import boot_seconds
 from .peer_loads import PeerReport
 from .peer_messages import (
     CrashReport,
@@ -69,7 +70,9 @@
 
     An owner may set ``origins``, an
     :class:`~mulberrydock.origin_exchange.OriginExchange`, without which messages about
-    streams are ignored.
+    streams are ignored, and ``freshness``, a
+    :class:`~mulberrydock.store_freshness.StoreFreshness`, without which VMs say nothing
+    of the store.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self.usage = usage
         self.instances = instances
         self.origins = None
+        self.freshness = None
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -144,6 +148,7 @@
             self._apply_estimates(update.name, update, now)
             self._record_prefills(update.prefills)
             self._apply_crashes(update, now)
+            self._apply_store_report(update)
         elif update.data_centre != self.groups.data_centre:
             self._apply_sum(update, data, addr, now)
 
@@ -185,6 +190,18 @@
         for sound in update.sound_works:
             self.quarantine.apply_peer_sound(sound.work, now - sound.age, now)
 
+    def _apply_store_report(self, update):
+        if self.freshness is not None:
+            self.freshness.receive(
+                update.name,
+                update.store,
+                update.report.interval,
+                boot_seconds(),
+            )
+
+    def _store_report(self):
+        return self.freshness and self.freshness.report(boot_seconds())
+
     def _apply_limits(self, limits, now):
         if self.limits is None:
             return
@@ -258,7 +275,11 @@
         leaves = self._leave_updates(now, self.message_count)
         if self.estimates is None:
             update = PeerUpdate(
-                self.name, report, limits=limits, leaving_instances=leaves
+                self.name,
+                report,
+                limits=limits,
+                leaving_instances=leaves,
+                store=self._store_report(),
             )
             return peer_messages.encode(update)
         prefills = self.estimates.cache.take_updates()
@@ -278,6 +299,7 @@
             limits,
             leaves,
             sound_works,
+            self._store_report(),
         )
         return peer_messages.encode(update)
 
--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -76,6 +76,9 @@
     async def _call(self, operation, method, path, body=None, timeout=None, key=""):
         self.on_call(operation, key)
         result = await self._exchange(method, path, body, timeout)
+        if result.is_error():
+            # Connections that went silent with this one look sound for a while.
+            self.pool.close()
         self.on_response(result.is_ok())
         return result
 
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -157,6 +157,16 @@
   vmsWithoutLinks @16 :List(Text);   # in a sum: VMs without links to some service
   streamOrigin @17 :StreamOriginNews;   # when set, nothing else but the name
   soundWorks @18 :List(SoundNews);   # suspected by a peer, but served since or before
+  store @19 :StoreNews;    # unset when the sender polls for itself only
+}
+
+struct StoreNews {
+  # What the sender, one that polls the store for its peers, knows of it.
+  era @0 :UInt32;
+  urgentRevision @1 :UInt64;   # of the last change that all must know at once
+  soonRevision @2 :UInt64;     # of the last change that all must know soon
+  ageMs @3 :UInt32;            # since the store answered a call
+  failing @4 :Bool;            # the store left the last call unanswered
 }
 
 struct PromptPartRecord {
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -39,6 +39,8 @@
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
 from .store_calls import call_purpose
+from .store_changes import change_urgency
+from .store_freshness import StoreFreshness
 from .usage import UsageLedger
 from .watch import RECOVERY_POLL_SECONDS, PrefixWatch
 
@@ -109,6 +111,9 @@
         self.stop = asyncio.Event()
         self.leader_exists = False
         self.leader = ""
+        self.freshness = StoreFreshness.from_timing(
+            settings.name, settings.timing, store.timeout, self.poll_seconds()
+        )
         peer_port = settings.listen.peer_ports[0]
         forward_key = secrets.token_bytes(FORWARD_KEY_BYTES)
         self.membership = Membership(
@@ -117,6 +122,7 @@
             max(ENTRY_LEASE_SECONDS, settings.store.least_lease_seconds),
             f"{settings.ip}:{peer_port}",
             forward_key,
+            lambda: self.freshness.renewal_seconds(boot_seconds()),
         )
         self.fleet = FleetView(
             settings.data_centre,
@@ -174,6 +180,7 @@
         )
         self.relay.claim_trial = self.quarantine.claim_trial
         self.watch = self._watch()
+        self.freshness.on_news = self.watch.wake
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
             platform.INSTANCE_PREFIX: self._on_instance,
@@ -193,6 +200,7 @@
             self.usage_ledger,
             self.fleet.instances,
         )
+        self.peers.freshness = self.freshness
         self.fleet.quarantine.on_report = self.peers.send_soon
         self.relay.origins = self.peers.origins = OriginExchange(
             groups=self.groups, send=self.peers.send_to
@@ -257,8 +265,11 @@
         now = time.monotonic()
         if answered:
             self.fleet.instances.mark_store_available(now)
+            self.freshness.record_answer(boot_seconds())
         else:
             self.fleet.instances.mark_store_unavailable(now)
+            if self.freshness.record_failure():
+                self.peers.send_soon()
         if answered != self.store_available:
             event = "store answers" if answered else "store lost"
             logger.warning(event, address=self.settings.store.address)
@@ -289,6 +300,11 @@
                 logger.warning("leader record refused", key=key, error=repr(error))
 
     def _on_item(self, key, value, revision):
+        urgency = change_urgency(
+            key, value, self.fleet.instances.instances, self.front.has_requests
+        )
+        if self.freshness.record_change(urgency, revision):
+            self.peers.send_soon()
         for prefix, handler in self.handlers.items():
             if key.startswith(prefix):
                 handler(key, value, revision)
@@ -309,19 +325,26 @@
         """Return the seconds between a response with changes and the next poll."""
         return self.settings.timing.config_apply_seconds * WATCH_PAUSE_SHARE
 
+    def poll_seconds(self):
+        """Return the seconds that a poll may wait.
+
+        It waits as long as a failed connection may stay unnoticed.
+        """
+        detection_seconds = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
+        return max(RECOVERY_POLL_SECONDS, detection_seconds - self.store.timeout)
+
     def _watch(self):
         # One watch for all keys: each response to a poll counts as a call, and this
-        # process needs every prefix. A poll waits as long as a failed connection may
-        # stay unnoticed.
-        detection_seconds = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
+        # process needs every prefix.
         return PrefixWatch(
             self.store,
             "",
             self._on_item,
             self._on_reset,
             self._on_loaded,
-            max(RECOVERY_POLL_SECONDS, detection_seconds - self.store.timeout),
+            self.poll_seconds(),
             self.watch_pause(),
+            self.freshness,
         )
 
     async def _sweep(self):
--- /dev/null
+++ b/src/mulberrydock/store_changes.py
@@ -0,0 +1,37 @@
+"""How soon a change in the store has to be known to all VMs.
+
+Imports the decoder of records and no part of the daemon.
+"""
+
+from . import defaults, platform
+from .exceptions import SettingsError
+from .store_freshness import Urgency
+
+
+def change_urgency(key, value, instances, serving):
+    """Return the :class:`~mulberrydock.store_freshness.Urgency` of one change.
+
+    :param value: text of the record, None when it was removed.
+    :param instances: the known instances by id, before the change.
+    :param serving: whether clients send requests already.
+    """
+    if key == defaults.USAGE_KEY:
+        # Only its writer acts on it; observers keep a copy.
+        return Urgency.LATER
+    if key.startswith((defaults.ENTRY_PREFIX, defaults.CRASH_PREFIX)):
+        # Datagrams tell of leaving VMs and of crashes at once.
+        return Urgency.SOON
+    if key.startswith(platform.INSTANCE_PREFIX) and value is not None:
+        return _record_urgency(key, value, instances, serving)
+    return Urgency.NOW
+
+
+def _record_urgency(key, value, instances, serving):
+    try:
+        record = platform.read_instance(key, value)
+    except SettingsError:
+        return Urgency.NOW
+    known = instances.get(record.id)
+    if record.draining or (known is not None and known.expired_at is not None):
+        return Urgency.NOW
+    return Urgency.NOW if known is None and serving else Urgency.SOON
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -8,11 +8,14 @@
 import asyncio
 
 from . import defaults
+from .clock import boot_seconds
 
 #: Seconds for which a poll waits at a store that didn't answer the last poll. If this
 #: one is lost as well, it must end soon, as changes may be written as soon as the
 #: store is available again.
 RECOVERY_POLL_SECONDS = 0.3
+#: Seconds between two checks whether a poll is due.
+CHECK_INTERVAL_SECONDS = 0.25
 
 
 class PrefixWatch:
@@ -25,9 +28,12 @@
     :param on_reset: called without arguments before a full read is applied.
     :param on_loaded: called without arguments after a full read was applied.
     :param poll_seconds: seconds for which a long poll waits at the store.
-    :param pause_seconds: seconds between a response with changes and the next poll,
-        so that changes in quick succession come in one response; each response is a
-        call that is paid for.
+    :param pause_seconds: seconds between a response with changes, or the full read, and
+        the next poll, so that changes in quick succession come in one response; each
+        response is a call that is paid for.
+    :param freshness: the :class:`~mulberrydock.store_freshness.StoreFreshness` that
+        says when a poll is due, None to poll all the time.
+    :param clock: returns the time that ``freshness`` is asked with.
     """
 
     def __init__(
@@ -39,6 +45,8 @@
         on_loaded=lambda: None,
         poll_seconds=defaults.WATCH_TIMEOUT_SECONDS,
         pause_seconds=0.0,
+        freshness=None,
+        clock=boot_seconds,
     ):
         self.store = store
         self.prefix = prefix
@@ -47,6 +55,10 @@
         self.on_loaded = on_loaded
         self.poll_seconds = poll_seconds
         self.pause_seconds = pause_seconds
+        self.freshness = freshness
+        self.clock = clock
+        self.wakened = asyncio.Event()
+        self.waited_seconds = 0.0
         self.revision = 0
         self.loaded = False
         self.poll = None
@@ -57,13 +69,15 @@
         """Return the seconds for which the next poll waits at the store.
 
         A connection may fail unnoticed during a pause, so the poll after one waits
-        that much less: pause and poll together take no longer than a usual poll.
+        that much less: pause and poll together take no longer than a usual poll. It is
+        the same after the time in which no poll was due.
         """
         poll_seconds = (
             self.poll_seconds - self.pause_seconds
             if self.after_pause
             else self.poll_seconds
         )
+        poll_seconds -= self.waited_seconds
         return (
             max(RECOVERY_POLL_SECONDS, poll_seconds)
             if self.store_answered
@@ -73,7 +87,14 @@
     async def step(self):
         """Make one read or long poll; return False when the store did not answer."""
         if not self.loaded:
-            return await self._read_prefix()
+            read = await self._read_prefix()
+            if self.loaded:
+                await self._pause()
+            return read
+        if self.freshness is not None:
+            await self._wait_until_due()
+            if not self.loaded:
+                return True
         batch = await self._poll()
         self.after_pause = False
         if not self.loaded:
@@ -87,10 +108,33 @@
         for event in batch.ok.events:
             self.on_item(event.key, event.value, event.revision)
         self.revision = max(self.revision, batch.ok.revision)
-        if batch.ok.events and self.pause_seconds:
+        self._record_read()
+        if batch.ok.events:
+            await self._pause()
+        return True
+
+    async def _pause(self):
+        if self.pause_seconds:
             self.after_pause = True
             await asyncio.sleep(self.pause_seconds)
-        return True
+
+    def wake(self):
+        """Check at once whether a poll is due."""
+        self.wakened.set()
+
+    async def _wait_until_due(self):
+        started_at = self.clock()
+        while self.loaded and not self.freshness.is_poll_due(self.clock()):
+            self.wakened.clear()
+            try:
+                await asyncio.wait_for(self.wakened.wait(), CHECK_INTERVAL_SECONDS)
+            except asyncio.TimeoutError:
+                continue
+        self.waited_seconds = self.clock() - started_at
+
+    def _record_read(self):
+        if self.freshness is not None:
+            self.freshness.record_read(self.store.era or 0, self.revision)
 
     async def _poll(self):
         self.poll = asyncio.ensure_future(
@@ -112,6 +156,7 @@
         of another change now.
         """
         self.loaded = False
+        self.wake()
         if self.poll is not None:
             self.poll.cancel()
 
@@ -128,6 +173,7 @@
             self.on_item(item.key, item.value, item.version)
         self.revision = revision
         self.loaded = True
+        self._record_read()
         self.on_loaded()
         return True
 
