New connections to instances are counted by reason

A pool says before each connection why none was reused; mulberrydock_upstream_connections_total has eight reasons.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -8,6 +8,7 @@
 
 import abc
 import asyncio
+import enum
 import functools
 import math
 import socket
@@ -178,11 +179,33 @@
     reusable_until: float = 0.0
 
 
+class ConnectReason(enum.Enum):
+    """Why a connection is made."""
+
+    #: None has been made yet, or only for a probe.
+    FIRST = "first"
+    #: Those that are open serve requests.
+    BUSY = "busy"
+    #: The last idle one was kept for as long as the peer allows.
+    EXPIRED = "expired"
+    #: The peer closed the last idle one, or sent bytes that nobody asked for.
+    CLOSED = "closed"
+    #: The last response said that its connection ends.
+    ENDED = "ended"
+    #: The last exchange was broken off, by either side.
+    BROKEN = "broken"
+    #: More idle ones than are kept.
+    SURPLUS = "surplus"
+    #: To learn whether the peer listens.
+    PROBE = "probe"
+
+
 class ConnectionPool:
     """Connections to one address, for one incarnation of the server there.
 
     An owner may set ``on_connect``: it is called after each attempt to connect, with
-    whether it succeeded.
+    whether it succeeded; and ``on_new``: called before it with the
+    :class:`ConnectReason`.
 
     :param limit: maximum number of open connections.
     """
@@ -191,6 +214,8 @@
         self.address = address
         self.limit = limit
         self.on_connect = lambda connected: None
+        self.on_new = lambda reason: None
+        self.last_end = ConnectReason.FIRST
         self.idle = []
         self.open = 0
         self.waiting_since = {}
@@ -215,6 +240,7 @@
         while self.idle:
             connection = self.idle.pop()
             usable = now < connection.reusable_until
+            self.last_end = ConnectReason.CLOSED if usable else ConnectReason.EXPIRED
             if usable and not connection.stream.closed():
                 # Unrequested bytes belong to no request, and on a connection that the
                 # peer has closed the outcome of a send would be unknown.
@@ -231,7 +257,8 @@
         oldest = min(self.waiting_since.values(), default=None)
         return None if oldest is None else max(oldest, self.heard_at)
 
-    async def _connect(self, timeout=CONNECT_TIMEOUT_SECONDS):
+    async def _connect(self, reason, timeout=CONNECT_TIMEOUT_SECONDS):
+        self.on_new(reason)
         host, port = split_address(self.address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _configure(sock)
@@ -259,6 +286,7 @@
 
         :raises UpstreamError: NOT_RUN when no connection is available.
         """
+        had_idle = bool(self.idle)
         connection = self._reuse(now)
         if connection is not None:
             return connection
@@ -267,7 +295,8 @@
                 f"{self.address}: {self.open} of {self.limit} connections in use",
                 ResultCode.NOT_RUN,
             )
-        return await self._connect()
+        busy = self.open and not had_idle
+        return await self._connect(ConnectReason.BUSY if busy else self.last_end)
 
     async def probe(self, now, timeout=CONNECT_TIMEOUT_SECONDS):
         """Return whether the peer accepts connections, None when it doesn't respond.
@@ -277,7 +306,7 @@
         :param timeout: seconds within which it has to respond.
         """
         try:
-            connection = await self._connect(timeout)
+            connection = await self._connect(ConnectReason.PROBE, timeout)
         except UpstreamError as error:
             return False if _is_connection_refused(error.__cause__) else None
         self.release(
@@ -290,6 +319,7 @@
         stream = connection.stream
         full = len(self.idle) >= MAX_IDLE_CONNECTIONS
         if full or idle_seconds <= 0 or stream.closed() or stream.has_unread():
+            self.last_end = ConnectReason.SURPLUS if full else ConnectReason.ENDED
             self._discard(connection)
             return
         connection.reusable_until = now + idle_seconds
@@ -335,6 +365,7 @@
             # Also on cancellation: closing the connection tells the peer to stop its
             # work.
             if not reusable:
+                self.last_end = ConnectReason.BROKEN
                 self._discard(connection)
 
     def _return_to_pool(self, connection, headers, keep_alive):
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -137,6 +137,12 @@
             ["purpose"],
             registry=self.registry,
         )
+        self.connections = prometheus_client.Counter(
+            "mulberrydock_upstream_connections_total",
+            "New connections to instances by the reason why none was reused.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.links_lost = prometheus_client.Gauge(
             "mulberrydock_links_lost",
             "Whether this VM can't connect to any instance of a stage of the service.",
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -63,6 +63,9 @@
             pool.on_connect = lambda connected: self.link_monitor.record(
                 instance, connected, time.monotonic()
             )
+            pool.on_new = lambda reason: self.metrics.connections.labels(
+                reason.value
+            ).inc()
             self.connection_pools[instance.id] = pool
         # This VM's share of the cap shrinks as more entry VMs become known.
         pool.limit = self.fleet.connection_limit(instance)
