Timing of polls and reasons of connections have their own modules; docs

serve.py computed how long a poll may wait; StoreFreshness.from_timing does now. Tests: test_store_freshness, test_connect_reasons, test_watch pass.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -8,7 +8,6 @@
 
 import abc
 import asyncio
-import enum
 import functools
 import math
 import socket
@@ -21,6 +20,7 @@
 import tornado.tcpclient
 
 from ._http import split_address
+from .connect_reason import ConnectReason
 from .exceptions import ConnectionCut, ResultCode, UpstreamError
 
 #: Seconds for a new connection: an address two data centres away answers in 2 ms, a VM
@@ -179,33 +179,12 @@
     reusable_until: float = 0.0
 
 
-class ConnectReason(enum.Enum):
-    """Why a connection is made."""
-
-    #: None has been made yet, or only for a probe.
-    FIRST = "first"
-    #: Those that are open serve requests.
-    BUSY = "busy"
-    #: The last idle one was kept for as long as the peer allows.
-    EXPIRED = "expired"
-    #: The peer closed the last idle one, or sent bytes that nobody asked for.
-    CLOSED = "closed"
-    #: The last response said that its connection ends.
-    ENDED = "ended"
-    #: The last exchange was broken off, by either side.
-    BROKEN = "broken"
-    #: More idle ones than are kept.
-    SURPLUS = "surplus"
-    #: To learn whether the peer listens.
-    PROBE = "probe"
-
-
 class ConnectionPool:
     """Connections to one address, for one incarnation of the server there.
 
     An owner may set ``on_connect``: it is called after each attempt to connect, with
     whether it succeeded; and ``on_new``: called before it with the
-    :class:`ConnectReason`.
+    :class:`~mulberrydock.connect_reason.ConnectReason`.
 
     :param limit: maximum number of open connections.
     """
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -200,7 +200,9 @@
             )
 
     def _store_report(self):
-        return self.freshness and self.freshness.report(boot_seconds())
+        if self.freshness is None:
+            return None
+        return self.freshness.report(boot_seconds())
 
     def _apply_limits(self, limits, now):
         if self.limits is None:
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -42,12 +42,8 @@
 from .store_changes import change_urgency
 from .store_freshness import StoreFreshness
 from .usage import UsageLedger
-from .watch import RECOVERY_POLL_SECONDS, PrefixWatch
+from .watch import PrefixWatch
 
-#: Seconds before the end of the contact time by which a watch whose connection failed
-#: must be noticed: after the contact time this VM must have the current state. The read
-#: that follows takes about 10 ms; the rest covers a busy VM.
-WATCH_MARGIN_SECONDS = 0.3
 #: Pause between a response with changes and the next poll, as a share of the time
 #: within which a configuration must be in force. When VMs start or leave one after the
 #: other, each change completes the polls of all others; changes within the pause come
@@ -112,7 +108,7 @@
         self.leader_exists = False
         self.leader = ""
         self.freshness = StoreFreshness.from_timing(
-            settings.name, settings.timing, store.timeout, self.poll_seconds()
+            settings.name, settings.timing, store.timeout
         )
         peer_port = settings.listen.peer_ports[0]
         forward_key = secrets.token_bytes(FORWARD_KEY_BYTES)
@@ -325,14 +321,6 @@
         """Return the seconds between a response with changes and the next poll."""
         return self.settings.timing.config_apply_seconds * WATCH_PAUSE_SHARE
 
-    def poll_seconds(self):
-        """Return the seconds that a poll may wait.
-
-        It waits as long as a failed connection may stay unnoticed.
-        """
-        detection_seconds = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
-        return max(RECOVERY_POLL_SECONDS, detection_seconds - self.store.timeout)
-
     def _watch(self):
         # One watch for all keys: each response to a poll counts as a call, and this
         # process needs every prefix.
@@ -342,7 +330,7 @@
             self._on_item,
             self._on_reset,
             self._on_loaded,
-            self.poll_seconds(),
+            self.freshness.poll_seconds,
             self.watch_pause(),
             self.freshness,
         )
--- a/src/mulberrydock/store_freshness.py
+++ b/src/mulberrydock/store_freshness.py
@@ -15,7 +15,12 @@
 from loguru import logger
 
 from .rendezvous import DUTY_ORDER, rank
+from .watch import RECOVERY_POLL_SECONDS
 
+#: Seconds before the end of the contact time by which a poll whose connection failed
+#: must be noticed: after the contact time this VM must have the current state. The read
+#: that follows takes about 10 ms; the rest covers a busy VM.
+POLL_MARGIN_SECONDS = 0.3
 #: VMs that poll, of those that hear each other: one that fails, and one that is slow,
 #: leave a third.
 OBSERVERS = 3
@@ -144,8 +149,13 @@
     on_news: object = attrs.field(default=lambda: None)
 
     @classmethod
-    def from_timing(cls, name, timing, call_timeout, poll_seconds):
-        """Build it from the timing that the settings of a VM state."""
+    def from_timing(cls, name, timing, call_timeout):
+        """Build it from the timing that the settings of a VM state.
+
+        A poll waits as long as a failed connection may stay unnoticed.
+        """
+        detection_seconds = timing.contact_seconds - POLL_MARGIN_SECONDS
+        poll_seconds = max(RECOVERY_POLL_SECONDS, detection_seconds - call_timeout)
         notice_seconds = min(timing.config_apply_seconds, timing.drain_seconds)
         return cls(name, poll_seconds, notice_seconds, call_timeout)
 
@@ -218,7 +228,7 @@
             return PollMode.ALONE
         if len(self.heard) < MIN_PEERS or now - self.suspended_at < self.poll_seconds:
             return PollMode.ALONE
-        if self.name in self._observers():
+        if self.name in self.observers():
             return PollMode.OBSERVER
         if self._fresh_reports(now):
             return PollMode.FOLLOWER
@@ -271,7 +281,7 @@
             logger.info(
                 "store followed",
                 mode=mode.value,
-                observers=self._observers() if mode is not PollMode.ALONE else [],
+                observers=self.observers() if mode is not PollMode.ALONE else [],
                 heard=len(self.heard),
                 failing=self.failing,
                 revision=self.revision,
@@ -288,7 +298,8 @@
     def _forget_silent(self, now):
         self.heard = {n: h for n, h in self.heard.items() if now <= h.heard_until}
 
-    def _observers(self):
+    def observers(self):
+        """Return the names of the VMs that poll for all of those that hear them."""
         failing = {name: peer.failing for name, peer in self.heard.items()}
         failing[self.name] = self.failing
         order = sorted(failing, key=lambda n: (failing[n], rank(DUTY_ORDER, n)))
--- a/tests/test_connect_reasons.py
+++ b/tests/test_connect_reasons.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from mulberrydock.connect_reason import ConnectReason
 from mulberrydock.connections import (
     MAX_IDLE_CONNECTIONS,
     BufferedResponse,
     ConnectionPool,
-    ConnectReason,
 )
 from mulberrydock.exceptions import UpstreamError
 
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -206,7 +206,7 @@
     reports = {n: failing if n in OBSERVER_NAMES else None for n in NAMES}
     reports.pop(FOLLOWER)
     hear(known, reports)
-    assert sum(name not in OBSERVER_NAMES for name in known._observers()) == OBSERVERS
+    assert sum(name not in OBSERVER_NAMES for name in known.observers()) == OBSERVERS
 
 
 def test_vm_turned_away_by_the_store_retries_at_its_own_rate():
