--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -136,6 +136,18 @@
             "Requests that the stop of this VM ended before their end.",
             registry=self.registry,
         )
+        self.store_calls = prometheus_client.Counter(
+            "mulberrydock_store_calls_total",
+            "Calls to the platform's store by purpose, unanswered ones included.",
+            ["purpose"],
+            registry=self.registry,
+        )
+        self.connections = prometheus_client.Counter(
+            "mulberrydock_upstream_connections_total",
+            "New connections to instances by the reason why none was reused.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.links_lost = prometheus_client.Gauge(
             "mulberrydock_links_lost",
             "Whether this VM can't connect to any instance of a stage of the service.",
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -39,13 +39,12 @@
 from .serve_settings import load_serve_settings
 from .stage_controller import StageController
 from .stopping import Stop, StopPlan
+from .store_calls import call_purpose
+from .store_changes import change_urgency
+from .store_freshness import StoreFreshness
 from .usage import UsageLedger
-from .watch import RECOVERY_POLL_SECONDS, PrefixWatch
+from .watch import PrefixWatch
 
-#: Seconds before the end of the contact time by which a watch whose connection failed
-#: must be noticed: after the contact time this VM must have the current state. The read
-#: that follows takes about 10 ms; the rest covers a busy VM.
-WATCH_MARGIN_SECONDS = 0.3
 #: Pause between a response with changes and the next poll, as a share of the time
 #: within which a configuration must be in force. When VMs start or leave one after the
 #: other, each change completes the polls of all others; changes within the pause come
@@ -92,6 +91,7 @@
     def __init__(self, settings, store, wire, log_sink):
         self.settings = settings
         self.store = store
+        store.on_call = self._on_store_call
         store.on_response = self._on_store_answer
         store.on_era_change = self._on_store_era
         self.log_sink = log_sink
@@ -101,6 +101,9 @@
         self.stop = asyncio.Event()
         self.leader_exists = False
         self.leader = ""
+        self.freshness = StoreFreshness.from_timing(
+            settings.name, settings.timing, store.timeout
+        )
         peer_port = settings.listen.peer_ports[0]
         forward_key = secrets.token_bytes(FORWARD_KEY_BYTES)
         self.membership = Membership(
@@ -109,6 +112,7 @@
             max(ENTRY_LEASE_SECONDS, settings.store.least_lease_seconds),
             f"{settings.ip}:{peer_port}",
             forward_key,
+            lambda: self.freshness.renewal_seconds(boot_seconds()),
         )
         self.fleet = FleetView(
             settings.data_centre,
@@ -166,6 +170,7 @@
         )
         self.relay.claim_trial = self.quarantine.claim_trial
         self.watch = self._watch()
+        self.freshness.on_news = self.watch.wake
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
             platform.INSTANCE_PREFIX: self._on_instance,
@@ -185,6 +190,7 @@
             self.usage_ledger,
             self.fleet.instances,
         )
+        self.peers.freshness = self.freshness
         self.fleet.quarantine.on_report = self.peers.send_soon
         self.relay.origins = self.peers.origins = OriginExchange(
             groups=self.groups, send=self.peers.send_to
@@ -239,6 +245,9 @@
     def _on_instance(self, key, value, revision):
         self.instance_feed.apply(key, value, revision, time.monotonic())
 
+    def _on_store_call(self, operation, key):
+        self.metrics.store_calls.labels(call_purpose(operation, key)).inc()
+
     def _on_store_answer(self, answered):
         # Called for every call, not only those of the watch: an outage may end before
         # a poll that spans it times out, and instances whose records expired in it
@@ -246,8 +255,11 @@
         now = time.monotonic()
         if answered:
             self.fleet.instances.mark_store_available(now)
+            self.freshness.record_answer(boot_seconds())
         else:
             self.fleet.instances.mark_store_unavailable(now)
+            if self.freshness.record_failure():
+                self.peers.send_soon()
         if answered != self.store_available:
             event = "store answers" if answered else "store lost"
             logger.warning(event, address=self.settings.store.address)
@@ -278,6 +290,11 @@
                 logger.warning("leader record refused", key=key, error=repr(error))
 
     def _on_item(self, key, value, revision):
+        urgency = change_urgency(
+            key, value, self.fleet.instances.instances, self.front.has_requests
+        )
+        if self.freshness.record_change(urgency, revision):
+            self.peers.send_soon()
         for prefix, handler in self.handlers.items():
             if key.startswith(prefix):
                 handler(key, value, revision)
@@ -300,17 +317,16 @@
 
     def _watch(self):
         # One watch for all keys: each response to a poll counts as a call, and this
-        # process needs every prefix. A poll waits as long as a failed connection may
-        # stay unnoticed.
-        detection_seconds = self.settings.timing.contact_seconds - WATCH_MARGIN_SECONDS
+        # process needs every prefix.
         return PrefixWatch(
             self.store,
             "",
             self._on_item,
             self._on_reset,
             self._on_loaded,
-            max(RECOVERY_POLL_SECONDS, detection_seconds - self.store.timeout),
+            self.freshness.poll_seconds,
             self.watch_pause(),
+            self.freshness,
         )
 
     async def _sweep(self):
