A stream moves with its memory when its engine leaves

Cause: an engine that is reclaimed with 2 s of notice cuts what still runs at its end; streams that can't be resumed are lost, the others have their prompts read again. Change: a package decides which streams move, when and where, and carries moves out; on where the service's engines declare moves.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -289,6 +289,14 @@
         )
         return target and attrs.evolve(plan, target=target)
 
+    def decode_pool(self, service, record, now):
+        """Return the :class:`Pool` at which a stream of an engine can go on.
+
+        :param record: the engine's :class:`~mulberrydock.instances.InstanceRecord`.
+        """
+        version = record.stream_version
+        return self._pool(service, set(), now, lambda r: r.stream_version == version)
+
     def _isolate_suspect(self, pool, request):
         """Return ``pool`` for a request that may crash its decode engine.
 
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -76,22 +76,6 @@
         return self.version or f"@{self.incarnation}"
 
 
-@attrs.define(frozen=True)
-class EngineReport:
-    """An engine's report of its own state, some hundred milliseconds old.
-
-    ``busy`` is true while an order is being carried out; ``orders`` counts the
-    orders accepted since its start at ``started_at_ms``, Unix milliseconds or None as
-    in :class:`InstanceRecord`. ``leaving`` is true when it is about to terminate.
-    """
-
-    stage: Stage
-    busy: bool
-    orders: int
-    started_at_ms: int | None = None
-    leaving: bool = False
-
-
 @attrs.define(eq=False)
 class Instance:
     """One incarnation of a registered instance.
--- a/src/mulberrydock/leave_notices.py
+++ b/src/mulberrydock/leave_notices.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import typing as t
 
 import attrs
 
@@ -16,10 +17,12 @@
 class LeaveNotices:
     """The incarnations that leave, mapped to when this VM learned it.
 
-    Times are monotonic seconds.
+    Times are monotonic seconds. An owner may set ``on_new``, which is called with each
+    incarnation once it is known to leave.
     """
 
     learned_at: dict = attrs.field(factory=dict)
+    on_new: t.Callable = lambda incarnation: None
 
     def __contains__(self, incarnation):
         return incarnation in self.learned_at
@@ -31,6 +34,7 @@
         self.learned_at[incarnation] = now
         while len(self.learned_at) > MAX_NOTICES:
             del self.learned_at[next(iter(self.learned_at))]
+        self.on_new(incarnation)
         return True
 
     def discard(self, incarnation):
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -125,6 +125,12 @@
             ["service", "known"],
             registry=self.registry,
         )
+        self.moves = prometheus_client.Counter(
+            "mulberrydock_moves_total",
+            "Moves of running streams to other engines, by what became of them.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
         self.rejected = prometheus_client.Counter(
             "mulberrydock_rejected_total",
             "Requests ended with an answer of this process's own.",
--- /dev/null
+++ b/src/mulberrydock/moves/decision.py
@@ -0,0 +1,222 @@
+"""Decides which streams of a leaving engine move to which other engines, and when.
+
+A stream that ends in time stays: a move pauses it and takes a place and the memory of
+its prompt elsewhere. Most streams end sooner than engines leave, and nobody knows how
+long one will be; so a stream whose end is in doubt stays until moves must begin, and
+only one that can't end in time moves at once.
+"""
+
+import abc
+import math
+
+import attrs
+
+from ..placement import REMOTE_TRANSFER_FACTOR
+from ..rendezvous import rank
+
+#: Seconds of a move beside its transfer: two calls to the source, the request to the
+#: destination and a step there, as each takes some 10 ms while the engines are busy.
+MOVE_OVERHEAD_SECONDS = 0.1
+#: Factor by which a stream may last longer or shorter than estimated. Its length hint
+#: is right at the median and often off by as much.
+LENGTH_ERROR = 2.0
+#: Seconds before the end of an engine by which its streams must have moved: what it
+#: reports of its end is some hundred milliseconds old.
+END_MARGIN_SECONDS = 0.15
+#: Share of the longest pause that a route allows which a stream may stand still during
+#: a transfer. The rest is for the calls and for the first event at the destination.
+PAUSE_SHARE = 0.5
+#: Share of the tokens that a stream has made by which it is expected to go on once it
+#: has outlived its hint.
+OVERRUN_SHARE = 0.25
+
+
+@attrs.define(frozen=True)
+class StreamState:
+    """A running stream of which ``tokens`` are in its engine's memory.
+
+    ``remaining`` is the estimate of seconds to its end, ``gap`` the longest pause
+    between events that its route allows, ``reread_seconds`` the time in which an engine
+    reads its prompt again, ``made_seconds`` the time since its first event. Only a
+    ``resumable`` stream goes on without its memory.
+    """
+
+    id: str
+    tokens: int
+    remaining: float
+    gap: float
+    resumable: bool
+    reread_seconds: float
+    made_seconds: float = 0.0
+
+
+@attrs.define(frozen=True)
+class LeavingEngine:
+    """An engine that ends at ``ends_at`` and has ``running`` streams of all VMs."""
+
+    ends_at: float
+    running: int
+
+
+@attrs.define(frozen=True)
+class Destination:
+    """A decode engine with ``room`` for so many more streams.
+
+    A transfer to it takes ``distance`` times as long as one within a data centre.
+    """
+
+    id: str
+    room: float
+    distance: float = 1.0
+
+
+@attrs.define(frozen=True)
+class Move:
+    """A stream that moves. If ``copies_first``, it runs on during the first transfer.
+
+    ``seconds`` is the estimate of the time until it goes on at the destination.
+    """
+
+    stream_id: str
+    destination_id: str
+    copies_first: bool
+    seconds: float
+
+
+@attrs.define(frozen=True)
+class Decision:
+    """The moves to begin now, in order; ``staying`` maps other streams to a reason."""
+
+    moves: list = attrs.field(factory=list)
+    staying: dict = attrs.field(factory=dict)
+
+
+def remaining_tokens(hint, maximum, made):
+    """Return how many tokens a stream is expected still to make.
+
+    :param hint: the estimate of all its tokens, 0 without one.
+    :param maximum: the most that it may make, 0 if unlimited.
+    :param made: tokens made so far.
+    """
+    most = maximum - made if maximum else math.inf
+    if not hint:
+        return max(0.0, most)
+    return max(0.0, min(most, max(hint - made, made * OVERRUN_SHARE)))
+
+
+class MovePolicy(abc.ABC):
+    """Decides for the streams that this VM has at one leaving engine."""
+
+    def decide(self, streams, engine, destinations, token_seconds, now):
+        """Return the :class:`Decision` at ``now``.
+
+        :param streams: :class:`StreamState` list of those that don't move yet.
+        :param engine: the :class:`LeavingEngine`.
+        :param destinations: :class:`Destination` list.
+        :param token_seconds: seconds to transfer one token within a data centre.
+        """
+        left = engine.ends_at - now
+        due = self.due(streams, engine, token_seconds, left - END_MARGIN_SECONDS)
+        staying = {s.id: "may end in time" for s in streams if s not in due}
+        return _assign(due, staying, destinations, token_seconds, left)
+
+    @abc.abstractmethod
+    def due(self, streams, engine, token_seconds, left):
+        """Return the streams that have to move now.
+
+        :param left: seconds within which moves must end.
+        """
+
+
+class StayUntilCut(MovePolicy):
+    """Moves nothing: streams end in time or are cut."""
+
+    def due(self, streams, engine, token_seconds, left):
+        return []
+
+
+class MoveAll(MovePolicy):
+    """Moves every stream as soon as its engine is known to leave."""
+
+    def due(self, streams, engine, token_seconds, left):
+        return list(streams)
+
+
+class MoveUnfinished(MovePolicy):
+    """Moves the streams that won't end in time, as late as that is safe."""
+
+    def due(self, streams, engine, token_seconds, left):
+        doubtful = [s for s in streams if s.remaining * LENGTH_ERROR > left]
+        if left <= _reserve_seconds(doubtful, len(streams), engine, token_seconds):
+            return doubtful
+        return [s for s in doubtful if s.remaining > LENGTH_ERROR * left]
+
+
+def _reserve_seconds(doubtful, own, engine, token_seconds):
+    """Return the seconds that moving the doubtful streams of all VMs takes.
+
+    Other VMs move theirs at the same time, and transfers from one engine run one after
+    another; theirs are taken to be like this VM's. A place in another data centre may
+    be the only one left.
+
+    :param own: number of streams that this VM has at the engine.
+    """
+    transfers = token_seconds * sum(stream.tokens for stream in doubtful)
+    others = max(1.0, engine.running / max(1, own))
+    return MOVE_OVERHEAD_SECONDS + transfers * others * REMOTE_TRANSFER_FACTOR
+
+
+def _loss_for_cost(stream, token_seconds):
+    """Return what is lost without the move, for each second that it takes.
+
+    A cut stream that can't be resumed has to be made anew, one that can be has its
+    prompt read again.
+    """
+    made = 0.0 if stream.resumable else stream.made_seconds
+    cost = stream.tokens * token_seconds + MOVE_OVERHEAD_SECONDS
+    return (stream.reread_seconds + made) / cost
+
+
+def _assign(due, staying, destinations, token_seconds, left):
+    """Return the :class:`Decision` that gives the streams ``due`` their destinations.
+
+    The dearest to lose come first, those that can't be resumed before the others, until
+    the time or the room is used up. A move that may come too late is tried all the
+    same: without it, the stream is cut for sure.
+
+    :param left: seconds until the engine ends.
+    """
+    moves, queued = [], 0.0
+    room = {d.id: d.room for d in destinations}
+    order = sorted(
+        due, key=lambda s: (s.resumable, -_loss_for_cost(s, token_seconds), s.id)
+    )
+    for stream in order:
+        free = [d for d in destinations if room[d.id] >= 1]
+        if not free:
+            staying[stream.id] = "no room elsewhere"
+            continue
+        destination = _choose(stream, free, room)
+        transfer = stream.tokens * token_seconds * destination.distance
+        if queued + transfer > left:
+            staying[stream.id] = "no time left"
+            continue
+        room[destination.id] -= 1
+        queued += transfer
+        copies_first = queued > PAUSE_SHARE * stream.gap
+        seconds = MOVE_OVERHEAD_SECONDS + queued
+        moves.append(Move(stream.id, destination.id, copies_first, seconds))
+    return Decision(moves, staying)
+
+
+def _choose(stream, free, room):
+    """Return the emptier one of two of the nearest destinations.
+
+    Which two differs by stream, so that VMs which move theirs at the same moment don't
+    all choose the same engine.
+    """
+    nearest = min(d.distance for d in free)
+    near = sorted(
+        (d for d in free if d.distance == nearest), key=lambda d: rank(stream.id, d.id)
+    )
+    return max(near[:2], key=lambda d: room[d.id])
--- /dev/null
+++ b/src/mulberrydock/moves/mover.py
@@ -0,0 +1,338 @@
+"""Moves the streams that this VM relays away from engines that leave."""
+
+import asyncio
+import time
+
+import attrs
+from loguru import logger
+
+from ..exceptions import UpstreamError
+from ..placement import REMOTE_TRANSFER_FACTOR
+from .decision import (
+    Destination,
+    LeavingEngine,
+    MoveUnfinished,
+    StreamState,
+    remaining_tokens,
+)
+from .stream import Step
+
+#: Seconds after a notice until its engine is asked when it ends: about one event, and
+#: streams that end by then needn't move.
+REPORT_DELAY_SECONDS = 0.05
+#: Seconds for the report of an engine.
+REPORT_TIMEOUT_SECONDS = 0.3
+#: Seconds between two decisions for the streams of a leaving engine: about one event.
+DECISION_INTERVAL_SECONDS = 0.05
+#: Seconds for a call that stops a run, beyond the estimate of its move. Clients wait
+#: for the next event meanwhile.
+CALL_MARGIN_SECONDS = 0.3
+#: Calls that stop a run before the move counts as failed: an answer may be lost.
+STOP_CALLS = 2
+#: Outcomes of a call.
+COPIED = "copied"
+NO_ANSWER = "no answer"
+#: Share of the time for which a leaving engine takes requests in which a stopped stream
+#: is sent back to it: the request takes some time to arrive.
+RETURN_SHARE = 0.9
+
+
+@attrs.define(eq=False)
+class Leave:
+    """What is known of an engine's leave; times are monotonic seconds.
+
+    ``learned_at`` is when this VM learned of it, ``ends_at`` when the engine ends; it
+    takes requests for ``drain_seconds``. ``tokens_per_event`` is that of its runs.
+    ``may_move`` is False if its streams needn't move, None until it has been asked;
+    ``task`` empties it.
+    """
+
+    instance: object
+    learned_at: float
+    drain_seconds: float
+    ends_at: float
+    tokens_per_event: float = 1.0
+    may_move: bool | None = None
+    task: object = None
+
+    def permits_return(self, now):
+        """Return whether a stream that was stopped may go on at the engine itself."""
+        accepts_until = self.learned_at + RETURN_SHARE * self.drain_seconds
+        return now < min(self.ends_at, accepts_until)
+
+
+class Mover:
+    """Moves streams of this VM; one for each :class:`~mulberrydock.relay.Relay`.
+
+    ``streams`` maps engine ids to the set of
+    :class:`~mulberrydock.moves.stream.StreamMove` that run there, ``leaves`` to the
+    :class:`Leave` of those that leave under streams.
+
+    :param policy: the :class:`~mulberrydock.moves.decision.MovePolicy`.
+    """
+
+    def __init__(self, relay, policy=None):
+        self.relay = relay
+        self.fleet = relay.fleet
+        self.wire = relay.wire
+        self.policy = policy or MoveUnfinished()
+        self.streams = {}
+        self.leaves = {}
+
+    def _spec(self, service):
+        config = self.fleet.routes.config
+        return config.services.get(service) if config else None
+
+    def applies_to(self, service):
+        """Return whether the engines of a service declare moves."""
+        spec = self._spec(service)
+        return spec is not None and spec.moves
+
+    def add(self, stream):
+        """Note that an engine was sent a stream."""
+        self.streams.setdefault(stream.source.id, set()).add(stream)
+        if stream.source.leaving:
+            # The stream was sent as the engine began to leave, or back to it.
+            self.record_leave(stream.source.id)
+
+    def remove(self, stream):
+        """Note that an engine runs a stream no more."""
+        running = self.streams.get(stream.source.id, set())
+        running.discard(stream)
+        if not running:
+            self.streams.pop(stream.source.id, None)
+
+    def record_leave(self, instance_id):
+        """Record that an engine leaves: it announced it, or its record is gone."""
+        if instance_id not in self.streams:
+            self.leaves.pop(instance_id, None)
+            return
+        leave = self.leaves.get(instance_id)
+        if leave is None:
+            leave = self.leaves[instance_id] = self._leave(instance_id)
+        if leave.task is None or leave.task.done():
+            leave.task = self.relay.run_in_background(self._empty(leave))
+
+    def _leave(self, instance_id):
+        instance = next(iter(self.streams[instance_id])).source
+        notices = self.fleet.instances.leave_notices
+        learned_at = notices.learned_at.get(instance_id, time.monotonic())
+        drain_seconds = self.fleet.timing.drain_seconds
+        return Leave(instance, learned_at, drain_seconds, learned_at + drain_seconds)
+
+    async def _empty(self, leave):
+        """Decide for the streams of a leaving engine until none is left."""
+        instance_id = leave.instance.id
+        if leave.may_move is None:
+            await asyncio.sleep(REPORT_DELAY_SECONDS)
+            if instance_id in self.streams:
+                leave.may_move = await self._read_report(leave)
+        while leave.may_move and instance_id in self.streams:
+            now = time.monotonic()
+            if now >= leave.ends_at:
+                break
+            self._decide(leave, now)
+            await asyncio.sleep(DECISION_INTERVAL_SECONDS)
+        if leave.instance.terminated:
+            self.leaves.pop(instance_id, None)
+            # Drops the connections that were made for the calls.
+            self.relay.forget(instance_id)
+
+    def _running(self, instance):
+        """Return this VM's streams at an engine that have begun."""
+        return [s for s in self.streams.get(instance.id, ()) if s.is_running]
+
+    async def _read_report(self, leave):
+        """Learn from an engine when it ends; return whether its streams may move.
+
+        An engine whose record is gone may live on without leaving, or have crashed.
+        """
+        instance = leave.instance
+        announced = instance.id in self.fleet.instances.leave_notices
+        call = self.wire.report_call(instance.record)
+        response = await self.relay.call(instance, call, REPORT_TIMEOUT_SECONDS)
+        if response is None or response.status != 200:
+            return announced
+        try:
+            report = self.wire.read_report(response.body)
+        except UpstreamError as error:
+            logger.warning("report refused", instance=instance.id, error=str(error))
+            return announced
+        now = time.monotonic()
+        if report.leaves_seconds is not None:
+            leave.ends_at = now + report.leaves_seconds
+        self._learn_event_size(leave, report)
+        logger.info(
+            "engine leaves under streams",
+            instance=instance.id,
+            streams=len(self._running(instance)),
+            runs=len(report.runs),
+            stated=report.leaves_seconds,
+            seconds_left=round(leave.ends_at - now, 3),
+            tokens_per_event=round(leave.tokens_per_event, 2),
+        )
+        return announced or report.leaving or report.leaves_seconds is not None
+
+    def _learn_event_size(self, leave, report):
+        """Learn from the engine's report how many tokens an event has."""
+        sizes = []
+        for stream in self._running(leave.instance):
+            run = report.runs.get(stream.request.id)
+            if run is not None and run.events:
+                made = run.tokens - stream.request.prompt.tokens
+                sizes.append(made / run.events)
+        if sizes:
+            leave.tokens_per_event = max(1.0, sum(sizes) / len(sizes))
+
+    def _decide(self, leave, now):
+        """Begin the moves that are due."""
+        streams = {s.request.id: s for s in self._running(leave.instance) if s.may_move}
+        if not streams:
+            return
+        service = leave.instance.record.service
+        pool = self.fleet.decode_pool(service, leave.instance.record, now)
+        refused = set().union(*(s.refused_by for s in streams.values()))
+        decision = self.policy.decide(
+            [self._state(s, leave, pool.cost, now) for s in streams.values()],
+            LeavingEngine(leave.ends_at, pool.load(leave.instance).running),
+            [d for d in _destinations(leave.instance, pool) if d.id not in refused],
+            pool.transfer_seconds_per_token,
+            now,
+        )
+        engines = {engine.id: engine for engine in pool.decoders}
+        for move in decision.moves:
+            stream = streams[move.stream_id]
+            stream.leave = leave
+            stream.attempts += 1
+            destination = engines[move.destination_id]
+            stream.call = self.relay.run_in_background(
+                self._move(stream, destination, move)
+            )
+        for stream_id, reason in decision.staying.items():
+            streams[stream_id].record_stay(reason)
+
+    def _state(self, stream, leave, cost, now):
+        """Return the :class:`StreamState` of a stream."""
+        prompt, route = stream.request.prompt, stream.lifecycle.route
+        made = stream.splitter.last_id * leave.tokens_per_event
+        running_seconds = now - stream.listener.first_progress_at
+        tokens_here = max(1, stream.events) * leave.tokens_per_event
+        left = remaining_tokens(prompt.length_hint, prompt.max_output_tokens, made)
+        return StreamState(
+            id=stream.request.id,
+            tokens=int(prompt.tokens + made),
+            remaining=left * running_seconds / tokens_here,
+            gap=route.gap_objective,
+            resumable=route.resumable,
+            reread_seconds=cost.seconds(prompt.tokens),
+            made_seconds=running_seconds,
+        )
+
+    async def _move(self, stream, destination, move):
+        """Move one stream: copy its memory, stop it, and let it go on elsewhere."""
+        started, leave = time.monotonic(), stream.leave
+        events = stream.splitter.last_id
+        place = self.fleet.loads.begin(destination.id, 0)
+        outcome = "failed"
+        try:
+            outcome = await self._copy_and_stop(stream, destination, move)
+        finally:
+            place.end()
+            stream.call = None
+            logger.info(
+                "move",
+                request=stream.request.id,
+                source=leave.instance.id,
+                destination=destination.id,
+                tokens=stream.request.prompt.tokens,
+                events=events,
+                copied_first=move.copies_first,
+                estimate=round(move.seconds, 3),
+                seconds=round(time.monotonic() - started, 3),
+                seconds_left=round(leave.ends_at - time.monotonic(), 3),
+                outcome=outcome,
+            )
+            self.count(stream.lifecycle.service, outcome)
+
+    async def _copy_and_stop(self, stream, destination, move):
+        """Make the calls of a move; return its outcome for the log."""
+        # The request will arrive at a second engine.
+        if not stream.reserve_retry(time.monotonic()):
+            return "retry budget spent"
+        source = stream.source
+        if move.copies_first:
+            seconds = max(0.0, stream.leave.ends_at - time.monotonic())
+            outcome, handle = await self._call(stream, destination, False, seconds)
+            if outcome != COPIED:
+                return outcome
+            # The stream can go on there even if its source crashes from now on.
+            stream.steps = [Step(destination, handle, source)]
+        for _ in range(STOP_CALLS):
+            if not stream.is_running or stream.source is not source:
+                break
+            seconds = move.seconds + CALL_MARGIN_SECONDS
+            outcome, handle = await self._call(stream, destination, True, seconds)
+            if outcome != NO_ANSWER:
+                break
+        return self._end_move(stream, source, destination, outcome, handle)
+
+    def _end_move(self, stream, source, destination, outcome, handle):
+        """Let a stopped stream go on, or release its copy if it has ended."""
+        steps = []
+        if outcome == COPIED:
+            steps = [Step(destination, handle, source)]
+        if handle is not None:
+            steps.append(Step(source, handle, source))
+        if not stream.is_running or stream.source is not source:
+            if steps:
+                self.release(steps[0])
+            return "stream ended meanwhile"
+        if steps:
+            stream.record_stop(steps)
+        return "stopped" if outcome == COPIED else outcome
+
+    async def _call(self, stream, destination, last, seconds):
+        """Call the source once.
+
+        :param last: whether the source stops the run.
+        :returns: the outcome, and the handle or None.
+        """
+        source = stream.source
+        call = self.wire.move_call(
+            source.record, stream.request.id, destination.record, last
+        )
+        response = await self.relay.call(source, call, seconds)
+        if response is None:
+            return NO_ANSWER, None
+        if response.status in (200, 503):
+            handle = self.wire.read_move(source.address, response.body)
+            if response.status == 200 and handle is not None:
+                return COPIED, handle
+            stream.refused_by.add(destination.id)
+            return "no room", handle if last else None
+        if response.status == 404:
+            stream.run_ended = True
+            return "run has ended", None
+        return f"status {response.status}", None
+
+    def release(self, step):
+        """Release the memory of a stream that doesn't go on with it."""
+        engine = step.instance if step.source.terminated else step.source
+        handle = attrs.evolve(step.handle, address=engine.address)
+        self.relay.release_handle(engine, handle)
+
+    def count(self, service, outcome):
+        """Count a move, or a stream that was sent on, by its outcome."""
+        self.relay.metrics.moves.labels(service, outcome).inc()
+
+
+def _destinations(source, pool):
+    """Return the :class:`Destination` of each engine at which a stream may go on."""
+    unreported = pool.streams * pool.report_delay / max(1, len(pool.decoders))
+    rows = []
+    for engine in pool.decoders:
+        room = max(1, engine.record.slots) - pool.load(engine).running - unreported
+        near = engine.record.data_centre == source.record.data_centre
+        distance = 1.0 if near else REMOTE_TRANSFER_FACTOR
+        rows.append(Destination(engine.id, room, distance))
+    return rows
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -3,8 +3,9 @@
 import ipaddress
 import json
 
+from ..engine_report import EngineReport, RunReport
 from ..exceptions import SettingsError, UpstreamError
-from ..instances import EngineReport, InstanceRecord, Stage
+from ..instances import InstanceRecord, Stage
 from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
 from ..scaling import AutoscaleSpec
 from ..teams import Team
@@ -96,6 +97,7 @@
         slots=int(engine.get("slots", 0)),
         transfer_seconds_per_token=bits / (link * 1e6) if link > 0 else 0.0,
         autoscale=_autoscale(row.get("autoscale")),
+        moves=engine.get("moves") is True,
     )
 
 
@@ -189,11 +191,27 @@
             _count(row["sequence"], "sequence"),
             _started_at_ms(row),
             row.get("state") == DRAINING,
+            _leaves_seconds(row.get("leaves_ms")),
+            _runs(row.get("runs") or ()),
         )
     except DECODE_ERRORS as error:
         raise UpstreamError(f"invalid engine report: {error!r}") from error
 
 
+def _leaves_seconds(value):
+    """Return the seconds until an engine ends, None if it doesn't know."""
+    return None if value is None else _count(value, "leaves_ms") / 1000
+
+
+def _runs(rows):
+    return {
+        _text(row[0], "run"): RunReport(
+            _count(row[1], "tokens"), _count(row[2], "events")
+        )
+        for row in rows
+    }
+
+
 def _document(text):
     # The store client decodes bytes that aren't UTF-8 to lone surrogates, which
     # could otherwise pass as part of a valid name; encoding raises for them.
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -24,6 +24,7 @@
 INSTANCE_ID = "X-Mulberrydock-Instance-Id"
 KV_SOURCE = "X-Mulberrydock-Kv-Source"
 LAST_EVENT_ID = "Last-Event-Id"
+LENGTH_HINT = "X-Mulberrydock-Length-Hint"
 NOT_EXECUTED = "X-Mulberrydock-Not-Executed"
 PRIORITY = "X-Mulberrydock-Request-Priority"
 PROMPT_PREFIX = "X-Mulberrydock-Prompt-Prefix"
@@ -171,6 +172,19 @@
             "DELETE", f"/kv-handle/{handle.id}", {"Host": handle.address}
         )
 
+    def move_call(self, record, request_id, destination, last):
+        payload = json.dumps(
+            {"id": request_id, "to": destination.address, "last": last}
+        ).encode()
+        return UpstreamCall("POST", "/kv-move", _call_headers(record, payload), payload)
+
+    def read_move(self, address, body):
+        try:
+            handle = json.loads(body)["kv_handle"]
+        except (ValueError, KeyError, TypeError):
+            return None
+        return KvHandle(address, handle, 0) if handle else None
+
     def report_call(self, record):
         return UpstreamCall(
             "GET",
@@ -190,13 +204,17 @@
             "expected": orders,
         }
         payload = json.dumps(body).encode()
-        headers = {
-            "Host": record.address,
-            "Content-Type": "application/json",
-            "Content-Length": str(len(payload)),
-            EXPECT_INSTANCE: record.id,
-        }
-        return UpstreamCall("POST", "/order", headers, payload)
+        return UpstreamCall("POST", "/order", _call_headers(record, payload), payload)
+
+
+def _call_headers(record, payload):
+    """Return the headers of a call with a body, to the instance of ``record`` only."""
+    return {
+        "Host": record.address,
+        "Content-Type": "application/json",
+        "Content-Length": str(len(payload)),
+        EXPECT_INSTANCE: record.id,
+    }
 
 
 def _end_to_end(headers, dropped):
@@ -250,7 +268,8 @@
     counts = headers.get(TOKEN_COUNTS, "").split(",")
     tokens = int(_quantity(counts[0], 0))
     output = int(_quantity(counts[1], 0)) if len(counts) > 1 else 0
-    return Prompt(tokens, output, _parts(headers.get(PROMPT_PREFIX, "")))
+    hint = int(_quantity(headers.get(LENGTH_HINT), 0))
+    return Prompt(tokens, output, _parts(headers.get(PROMPT_PREFIX, "")), hint)
 
 
 def _parts(text):
--- a/src/mulberrydock/ports.py
+++ b/src/mulberrydock/ports.py
@@ -44,13 +44,30 @@
     def release_call(self, handle):
         """Return the :class:`UpstreamCall` that releases ``handle``."""
 
+    @abc.abstractmethod
+    def move_call(self, record, request_id, destination, last):
+        """Return the :class:`UpstreamCall` that copies a run's memory to an engine.
+
+        :param record: the :class:`InstanceRecord` of the engine that runs the request;
+            ``destination`` is that of the other engine.
+        :param last: whether the run stops before the copy.
+        """
+
+    @abc.abstractmethod
+    def read_move(self, address, body):
+        """Return the :class:`~mulberrydock.request.KvHandle` of a moved run.
+
+        :param address: the engine that was called.
+        :returns: None when the body names no handle.
+        """
+
     @abc.abstractmethod
     def report_call(self, record):
         """Return the :class:`UpstreamCall` that asks for an engine's report."""
 
     @abc.abstractmethod
     def read_report(self, body):
-        """Return the :class:`~mulberrydock.instances.EngineReport` in ``body``.
+        """Return the :class:`~mulberrydock.engine_report.EngineReport` in ``body``.
 
         :raises UpstreamError: when the body isn't such a response.
         """
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -17,6 +17,7 @@
 )
 from .forward_messages import ForwardOutcome
 from .link_monitor import LinkMonitor
+from .moves import Mover
 from .origin_exchange import OriginExchange
 from .refusal import RETRY_AFTER_SECONDS
 from .serving import RequestLifecycle
@@ -54,6 +55,8 @@
         self.link_monitor = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
         self.background_tasks = set()
+        self.mover = Mover(self)
+        fleet.instances.leave_notices.on_new = self.mover.record_leave
 
     def connection_pool(self, instance):
         """Return the connection pool of one incarnation of an instance."""
@@ -75,6 +78,7 @@
         pool = self.connection_pools.pop(instance_id, None)
         if pool is not None:
             pool.close()
+        self.mover.record_leave(instance_id)
 
     async def serve(self, request, sink):
         """Answer ``request`` through ``sink``."""
@@ -180,6 +184,10 @@
         """Return the coroutine that sends ``request`` to ``instance`` once."""
         sent_at = time.monotonic()
         self.fleet.limits.take(instance.id, sent_at)
+        check_send = self.fleet.check_send
+        if options.kv_source and options.kv_source.address == instance.address:
+            # An engine that leaves may go on with what it has stopped for a move.
+            check_send = self.fleet.check_call
         return self.connection_pool(instance).exchange(
             request.method,
             request.target,
@@ -190,7 +198,7 @@
                 instance, request, sent_at, status, headers
             ),
             keep_alive=self._keep_alive,
-            check_send=lambda: self.fleet.check_send(instance, time.monotonic()),
+            check_send=lambda: check_send(instance, time.monotonic()),
         )
 
     def _accept_response(self, instance, request, sent_at, status, headers):
@@ -237,7 +245,7 @@
         metadata = self.wire.read_metadata(headers)
         return 0 if metadata.closing else metadata.keep_alive_seconds
 
-    def _run_in_background(self, coroutine):
+    def run_in_background(self, coroutine):
         """Run ``coroutine`` independently of any request; return its task."""
         task = asyncio.ensure_future(coroutine)
         self.background_tasks.add(task)
@@ -265,7 +273,7 @@
         :param with_parts: as for :meth:`record_crash`.
         """
         probe = self._probe_after_cut(request, instance, with_parts)
-        await asyncio.shield(self._run_in_background(probe))
+        await asyncio.shield(self.run_in_background(probe))
 
     async def _probe_after_cut(self, request, instance, with_parts):
         if instance.leaving:
@@ -301,7 +309,7 @@
 
     def release_handle(self, engine, handle):
         """Release an unused KV handle, independently of its request."""
-        self._run_in_background(self._release_handle(engine, handle))
+        self.run_in_background(self._release_handle(engine, handle))
 
     async def _release_handle(self, engine, handle):
         await self.call(engine, self.wire.release_call(handle), RELEASE_TIMEOUT_SECONDS)
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -78,7 +78,8 @@
     once; ``transfer_seconds_per_token`` is the time that the KV cache of one token
     takes on an engine's link. ``autoscale`` is the
     :class:`~mulberrydock.scaling.AutoscaleSpec` of a service whose engines are ordered
-    by need, None if their number is given.
+    by need, None if their number is given. ``moves`` says that a running stream can go
+    on at another engine with its KV cache.
     """
 
     name: str
@@ -87,6 +88,7 @@
     slots: int = 0
     transfer_seconds_per_token: float = 0.0
     autoscale: AutoscaleSpec | None = None
+    moves: bool = False
 
     @property
     def is_engine_pool(self):
@@ -127,11 +129,15 @@
 
 @attrs.define(frozen=True)
 class Prompt:
-    """The prompt and the output limit of a request to a model engine, in tokens."""
+    """The prompt and the output limit of a request to a model engine, in tokens.
+
+    ``length_hint`` is the client's estimate of the output, 0 without one.
+    """
 
     tokens: int = 0
     max_output_tokens: int = 0
     parts: tuple = ()
+    length_hint: int = 0
 
     @property
     def shared_parts(self):
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -109,6 +109,11 @@
         """True when the response is a signed stream."""
         return self.status == 200 and self.metadata.signed
 
+    @property
+    def has_begun(self):
+        """True once a signed stream has begun."""
+        return self.metadata is not None and self.is_signed_stream
+
     @property
     def body(self):
         """The body of a response that isn't a stream."""
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -18,6 +18,7 @@
 from .forward_attempt import ForwardAttempt
 from .forward_messages import PriorCalls
 from .forwarding import ForwardPlan
+from .moves import StreamMove, StreamMoved
 from .placement import PRIORITY_MAX
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
@@ -56,8 +57,9 @@
     ``error_response`` is an instance's failure that is passed on if no attempt gives
     better, ``cause`` says why the last attempt failed. ``begin`` is its
     :class:`RequestBegin`, ``quarantine`` its :class:`RequestQuarantine`, ``version``
-    its :class:`StreamVersion`. ``served`` is True once an instance has answered with
-    success, ``began_at`` when it began to write its answer, None if unknown.
+    its :class:`StreamVersion`, ``move`` its :class:`~mulberrydock.moves.StreamMove`.
+    ``served`` is True once an instance has answered with success, ``began_at`` when it
+    began to write its answer, None if unknown.
     ``forwards`` counts the attempts through peers, ``refused_by`` names the peers that
     didn't take the request.
 
@@ -97,6 +99,7 @@
         )
         self.begin = RequestBegin(relay, request, self.prior.begun)
         self.quarantine = RequestQuarantine(relay, request)
+        self.move = StreamMove(self)
         self.served = False
         self.began_at = None
         self.error_response = None
@@ -124,6 +127,7 @@
             return final_response.expire(self)
         finally:
             self.begin.record_plain(self.sends)
+            self.move.close()
 
     def _record_arrival(self):
         """Record a client's request; a forwarded one was recorded by its sender."""
@@ -330,27 +334,31 @@
             plan = self.fleet.decode_plan(
                 self.request, self.service, plan, self.tried, now
             )
-        handle_used = False
+        listener = StreamListener(self.wire, self.stream)
         try:
             if plan is None or self.is_quarantined(time.monotonic()):
                 return False
-            tokens = plan.tokens if handle is None else 0
-            urgency = min(PRIORITY_MAX, self.route.priority)
-            in_flight_send = self.fleet.loads.begin(plan.target.id, tokens, urgency)
-            estimates = self.fleet.estimates.pool(self.service)
-            estimates.demand.record(Demand(decode_engine_work=tokens), time.monotonic())
-            listener = StreamListener(
-                self.wire, self.stream, in_flight_send.mark_prefilled
-            )
-            timeouts = self.attempt_timeouts(plan.wait)
-            complete = await self._send(
-                plan, listener, in_flight_send, timeouts, handle
-            )
-            handle_used = listener.metadata is not None and listener.is_signed_stream
+            if await self.run_stream(plan, listener, handle):
+                return True
         finally:
             # The KV cache of an unused handle would occupy its engine's memory.
-            if handle is not None and not handle_used:
+            if handle is not None and not listener.has_begun:
                 self.relay.release_handle(prefill, handle)
+        return await self.move.go_on(plan)
+
+    async def run_stream(self, plan, listener, handle):
+        """Send a streamed request once; return whether the client was answered.
+
+        :param handle: that of the KV cache to go on from, None without one.
+        """
+        tokens = plan.tokens if handle is None else 0
+        urgency = min(PRIORITY_MAX, self.route.priority)
+        in_flight_send = self.fleet.loads.begin(plan.target.id, tokens, urgency)
+        listener.on_first_event = in_flight_send.mark_prefilled
+        estimates = self.fleet.estimates.pool(self.service)
+        estimates.demand.record(Demand(decode_engine_work=tokens), time.monotonic())
+        timeouts = self.attempt_timeouts(plan.wait)
+        complete = await self._send(plan, listener, in_flight_send, timeouts, handle)
         if complete and listener.is_signed_stream:
             self.fleet.estimates.record_prefill(plan.target.id, self.request.prompt)
             self._record_stream(plan, time.monotonic())
@@ -446,9 +454,13 @@
         )
         self.relay.metrics.sends.labels(target.record.service).inc()
         exchange = self.relay.exchange(target, self.request, options, listener)
+        exchange = self.move.watch(target, listener, exchange)
         try:
             await run_exchange(exchange, listener, timeouts)
             await self._check_end(target, listener.headers)
+        except StreamMoved:
+            self.may_have_run = True
+            return False
         except UpstreamError as error:
             await self._record_failure(target, error, listener)
             return False
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -75,7 +75,8 @@
 class Run:
     """A request that the instance started to execute.
 
-    ``ended`` is "done" or "cancelled", empty while it runs.
+    ``ended`` is "done", "cancelled" or "stopped", empty while it runs; ``made`` is the
+    last event that it has made.
     """
 
     id: str
@@ -85,6 +86,8 @@
     body: bytes
     last_event_id: int
     ended: str = ""
+    made: int = 0
+    reader: object = None
 
 
 @attrs.define(eq=False)
@@ -111,6 +114,9 @@
     :param version: what its record states as the version of its software, None for a
         record without one.
     :param retry_after: seconds without further calls that its refusals ask for.
+    :param moves: the :class:`~mulberrydock.standin.platform_moves.MoveLedger` of
+        engines that move runs, None for one that doesn't.
+    :param states_leave: whether its report says when it terminates.
 
     For assertions, ``runs`` lists the requests that it started to execute,
     ``arrived_ids`` the ids of all that arrived, ``arrival_times`` their times in
@@ -148,6 +154,9 @@
     rate_limit: float | None = None
     leaving: bool = False
     retry_after: float | None = None
+    moves: object = None
+    states_leave: bool = True
+    leaves_at: float | None = None
     version: object = "v1"
     arrived_ids: list = attrs.field(factory=list)
     arrival_times: list = attrs.field(factory=list)
@@ -219,6 +228,17 @@
         self.server_running = False
         self.server.stop()
 
+    def leave(self, seconds):
+        """Terminate after ``seconds``, without regard to what runs then."""
+        self.leaves_at = time.monotonic() + seconds
+        asyncio.get_running_loop().call_later(seconds, self.terminate)
+
+    def terminate(self):
+        """Stop listening and cut off everything that runs."""
+        self.stop()
+        for reader in list(self.readers):
+            reader.close()
+
     async def answer(self, reader):
         """Answer one request.
 
@@ -235,18 +255,30 @@
         elif path.startswith("/kv-handle/"):
             self.released_handles.append(path.rsplit("/", 1)[1])
             reader.respond(200, {}, b"")
+        elif path == "/kv-move" and self.moves is not None:
+            await self.moves.move(self, reader)
         else:
             await self._serve(reader)
 
     def _report(self):
-        return {
+        report = {
             "stage": self.stage,
             "models": [],
             "busy": False,
             "sequence": len(self.orders),
             "queued": 0,
             "running": 0,
-        } | self._start_field()
+            "state": "ready" if self.leaves_at is None else "draining",
+            "runs": [[r.id, 100 + r.made, r.made, 1] for r in self.running()],
+        }
+        if self.leaves_at is not None and self.states_leave:
+            left = self.leaves_at - time.monotonic()
+            report["leaves_ms"] = max(0, int(left * 1000))
+        return report | self._start_field()
+
+    def running(self):
+        """Return the runs in progress."""
+        return [run for run in self.runs if not run.ended]
 
     def _order(self, reader):
         order = json.loads(reader.body)
@@ -277,7 +309,11 @@
             reader.headers,
             reader.body,
             int(reader.headers.get(wire.LAST_EVENT_ID, "0")),
+            reader=reader,
         )
+        if self.moves is not None and not self.moves.claim(self, run):
+            self._refuse(reader)
+            return
         self.runs.append(run)
         if self.crash_marker and self.crash_marker in reader.body:
             self.crash()
@@ -294,7 +330,7 @@
             await self._run(reader, run, fault)
             run.ended = run.ended or "done"
         except asyncio.CancelledError:
-            run.ended = "cancelled"
+            run.ended = run.ended or "cancelled"
             raise
 
     async def _prefill(self, reader):
@@ -404,6 +440,7 @@
             if number - first == 2 and fault is Fault.PAUSE:
                 await asyncio.sleep(PAUSE_SECONDS)
             reader.write(self._event(run, number))
+            run.made = number
             await asyncio.sleep(self.event_interval_seconds)
         reader.finish_stream()
 
--- a/tests/test_stage_controller.py
+++ b/tests/test_stage_controller.py
@@ -7,8 +7,9 @@
 from test_budget import TIMING
 
 from mulberrydock.clock import boot_seconds
+from mulberrydock.engine_report import EngineReport
 from mulberrydock.fleet_view import FleetView
-from mulberrydock.instances import EngineReport, InstanceRecord, Stage
+from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.lease import Authority, LeaderLease
 from mulberrydock.request import RoutingConfig, ServiceSpec
 from mulberrydock.stage_controller import StageController
