A stopped stream without framing doesn't pass as complete

A stream whose end only its connection marks looks complete when its engine stops it for a move; it now goes on, or counts as cut if the engine may have stopped it.

--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -99,8 +99,12 @@
         """Note that an engine runs a stream no more."""
         running = self.streams.get(stream.source.id, set())
         running.discard(stream)
-        if not running:
-            self.streams.pop(stream.source.id, None)
+        if running:
+            return
+        self.streams.pop(stream.source.id, None)
+        if stream.source.terminated and self.leaves.pop(stream.source.id, None):
+            # Drops the connections that were made for the calls.
+            self.relay.forget(stream.source.id)
 
     def record_leave(self, instance_id):
         """Record that an engine leaves: it announced it, or its record is gone."""
@@ -133,10 +137,6 @@
                 break
             self._decide(leave, now)
             await asyncio.sleep(DECISION_INTERVAL_SECONDS)
-        if leave.instance.terminated:
-            self.leaves.pop(instance_id, None)
-            # Drops the connections that were made for the calls.
-            self.relay.forget(instance_id)
 
     def _running(self, instance):
         """Return this VM's streams at an engine that have begun."""
@@ -215,7 +215,7 @@
         """Return the :class:`StreamState` of a stream."""
         prompt, route = stream.request.prompt, stream.lifecycle.route
         made = stream.splitter.last_id * leave.tokens_per_event
-        running_seconds = now - stream.listener.first_progress_at
+        running_seconds = max(1e-3, now - stream.listener.first_progress_at)
         tokens_here = max(1, stream.events) * leave.tokens_per_event
         left = remaining_tokens(prompt.length_hint, prompt.max_output_tokens, made)
         return StreamState(
@@ -284,6 +284,7 @@
         if handle is not None:
             steps.append(Step(source, handle, source))
         if not stream.is_running or stream.source is not source:
+            stream.steps = []
             if steps:
                 self.release(steps[0])
             return "stream ended meanwhile"
@@ -301,18 +302,20 @@
         call = self.wire.move_call(
             source.record, stream.request.id, destination.record, last
         )
+        stream.may_have_stopped = stream.may_have_stopped or last
         response = await self.relay.call(source, call, seconds)
         if response is None:
             return NO_ANSWER, None
+        handle = None
         if response.status in (200, 503):
             handle = self.wire.read_move(source.address, response.body)
-            if response.status == 200 and handle is not None:
-                return COPIED, handle
+        if response.status == 200 and handle is not None:
+            return COPIED, handle
+        if response.status == 503:
             stream.refused_by.add(destination.id)
             return "no room", handle if last else None
-        if response.status == 404:
-            stream.run_ended = True
-            return "run has ended", None
+        stream.run_ended = response.status == 404
+        stream.may_have_stopped = response.status == 200
         return f"status {response.status}", None
 
     def release(self, step):
--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -6,6 +6,7 @@
 import attrs
 from loguru import logger
 
+from ..connections import ends_with_connection
 from ..exceptions import ConnectionCut, ResultCode, UpstreamError
 from ..request import Kind
 from ..sends import StreamListener
@@ -46,7 +47,8 @@
     earlier engines. ``leave`` is the :class:`~mulberrydock.moves.mover.Leave` of the
     source, ``call`` the task of the move in progress. ``steps`` are where the stream
     may go on once it has ended there; ``stopped`` says that the source has stopped it,
-    ``run_ended`` that the source knows no such run. ``attempts`` counts the moves from
+    ``may_have_stopped`` that it was told to and hasn't denied it, ``run_ended`` that it
+    knows no such run. ``attempts`` counts the moves from
     this source, ``refused_by`` names the engines that had no room. ``has_retry`` is
     True while the retry budget has granted a send that wasn't made yet.
     """
@@ -60,6 +62,7 @@
     call: object = None
     steps: list = attrs.field(factory=list)
     stopped: bool = False
+    may_have_stopped: bool = False
     run_ended: bool = False
     closed: bool = False
     attempts: int = 0
@@ -116,15 +119,15 @@
         self.source, self.listener = instance, listener
         self.task = asyncio.current_task()
         self.events_before = self.splitter.count
-        self.stopped = self.run_ended = False
+        self.stopped = self.run_ended = self.may_have_stopped = False
         self.attempts = 0
         self.mover.add(self)
         try:
-            return await exchange
+            await exchange
+            if ends_with_connection(listener.headers):
+                await self._check_unframed_end()
         except ConnectionCut as error:
-            if self.call is not None:
-                # The source may have stopped the run for the move.
-                await asyncio.wait([self.call])
+            await self._wait_for_call()
             if not self.steps:
                 raise
             raise StreamMoved(str(error)) from error
@@ -135,6 +138,20 @@
         finally:
             self.mover.remove(self)
 
+    async def _wait_for_call(self):
+        """Wait for the end of a call that may have stopped the run."""
+        if self.call is not None:
+            await asyncio.wait([self.call])
+
+    async def _check_unframed_end(self):
+        """Check that a stream whose end nothing marks wasn't stopped by a move.
+
+        :raises ConnectionCut: when it was or may have been.
+        """
+        await self._wait_for_call()
+        if self.may_have_stopped:
+            raise ConnectionCut(f"{self.source.id} may have stopped the run")
+
     def record_stop(self, steps):
         """Record that the source has stopped the run, which goes on at ``steps``."""
         self.steps, self.stopped = steps, True
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -412,6 +412,7 @@
                 self.crash()
                 return
             reader.raw(self._event(run, number))
+            run.made = number
             await asyncio.sleep(self.event_interval_seconds)
         reader.close()
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -15,6 +15,7 @@
 from platform_fleet import RESUMABLE_PATH, STREAM_PATH, wait_until
 
 from mulberrydock.platform import wire
+from mulberrydock.standin.platform_engine import Fault
 from mulberrydock.standin.platform_moves import MoveFault
 
 ALL = list(range(1, EVENTS + 1))
@@ -71,6 +72,14 @@
     assert move["outcome"] == "went on" and move["pause"] < 0.3
 
 
+# Guards against a stopped stream that passes as complete, as only the end of its
+# connection would mark its end.
+def test_stream_without_framing_goes_on(fleet):
+    fleet.fail_next("llm", Fault.UNFRAMED)
+    stream, source = begin_and_leave(fleet, STREAM_PATH)
+    assert_whole(stream.end(), source)
+
+
 # Guards against a stream that stands still for the whole transfer of a long prompt.
 @large
 def test_stream_runs_on_during_a_long_transfer(fleet):
