--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import math
 
 from ..engine_report import EngineReport, RunReport
 from ..exceptions import SettingsError, UpstreamError
@@ -192,24 +193,30 @@
             _started_at_ms(row),
             row.get("state") == DRAINING,
             _leaves_seconds(row.get("leaves_ms")),
-            _runs(row.get("runs") or ()),
+            _runs(row.get("runs")),
         )
     except DECODE_ERRORS as error:
         raise UpstreamError(f"invalid engine report: {error!r}") from error
 
 
 def _leaves_seconds(value):
-    """Return the seconds until an engine ends, None if it doesn't know."""
-    return None if value is None else _count(value, "leaves_ms") / 1000
+    """Return the seconds until an engine ends, None if it states no valid time."""
+    valid = type(value) in (int, float) and 0 <= value < math.inf
+    return value / 1000 if valid else None
 
 
 def _runs(rows):
-    return {
-        _text(row[0], "run"): RunReport(
-            _count(row[1], "tokens"), _count(row[2], "events")
-        )
-        for row in rows
-    }
+    """Return the valid :class:`RunReport` rows by request id; others are left out."""
+    runs = {}
+    for row in rows if isinstance(rows, list) else ():
+        try:
+            request_id, tokens, events = _text(row[0], "run"), row[1], row[2]
+            runs[request_id] = RunReport(
+                _count(tokens, "tokens"), _count(events, "events")
+            )
+        except (TypeError, ValueError, LookupError):
+            continue
+    return runs
 
 
 def _document(text):
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -183,7 +183,8 @@
             handle = json.loads(body)["kv_handle"]
         except (ValueError, KeyError, TypeError):
             return None
-        return KvHandle(address, handle, 0) if handle else None
+        valid = isinstance(handle, str) and handle
+        return KvHandle(address, handle, 0) if valid else None
 
     def report_call(self, record):
         return UpstreamCall(
