--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -29,6 +29,8 @@
 CALL_MARGIN_SECONDS = 0.3
 #: Calls that stop a run before the move counts as failed: an answer may be lost.
 STOP_CALLS = 2
+#: Factor by which a transfer to another region takes longer than within a data centre.
+REGION_TRANSFER_FACTOR = 10.0
 #: Outcomes of a call.
 COPIED = "copied"
 NO_ANSWER = "no answer"
@@ -69,6 +71,8 @@
     :class:`Leave` of those that leave under streams.
 
     :param policy: the :class:`~mulberrydock.moves.decision.MovePolicy`.
+
+    An owner may set ``regions``, which maps data centres to their regions.
     """
 
     def __init__(self, relay, policy=None):
@@ -76,6 +80,7 @@
         self.fleet = relay.fleet
         self.wire = relay.wire
         self.policy = policy or MoveUnfinished()
+        self.regions = {}
         self.streams = {}
         self.leaves = {}
 
@@ -195,7 +200,11 @@
         decision = self.policy.decide(
             [self._state(s, leave, pool.cost, now) for s in streams.values()],
             LeavingEngine(leave.ends_at, pool.load(leave.instance).running),
-            [d for d in _destinations(leave.instance, pool) if d.id not in refused],
+            [
+                d
+                for d in self._destinations(leave.instance, pool)
+                if d.id not in refused
+            ],
             pool.transfer_seconds_per_token,
             now,
         )
@@ -211,6 +220,25 @@
         for stream_id, reason in decision.staying.items():
             streams[stream_id].record_stay(reason)
 
+    def _destinations(self, source, pool):
+        """Return the :class:`Destination` of each engine at which streams may go on."""
+        unreported = pool.streams * pool.report_delay / max(1, len(pool.decoders))
+        rows = []
+        for engine in pool.decoders:
+            room = max(1, engine.record.slots) - pool.load(engine).running
+            distance = self._distance(source.record, engine.record)
+            rows.append(Destination(engine.id, room - unreported, distance))
+        return rows
+
+    def _distance(self, record, other):
+        """Return the factor by which a transfer between two engines takes longer."""
+        if record.data_centre == other.data_centre:
+            return 1.0
+        region = self.regions.get(record.data_centre)
+        if region == self.regions.get(other.data_centre):
+            return REMOTE_TRANSFER_FACTOR
+        return REGION_TRANSFER_FACTOR
+
     def _state(self, stream, leave, cost, now):
         """Return the :class:`StreamState` of a stream."""
         prompt, route = stream.request.prompt, stream.lifecycle.route
@@ -327,15 +355,3 @@
     def count(self, service, outcome):
         """Count a move, or a stream that was sent on, by its outcome."""
         self.relay.metrics.moves.labels(service, outcome).inc()
-
-
-def _destinations(source, pool):
-    """Return the :class:`Destination` of each engine at which a stream may go on."""
-    unreported = pool.streams * pool.report_delay / max(1, len(pool.decoders))
-    rows = []
-    for engine in pool.decoders:
-        room = max(1, engine.record.slots) - pool.load(engine).running - unreported
-        near = engine.record.data_centre == source.record.data_centre
-        distance = 1.0 if near else REMOTE_TRANSFER_FACTOR
-        rows.append(Destination(engine.id, room, distance))
-    return rows
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -134,6 +134,7 @@
         self.instance_feed = InstanceFeed(self.fleet.instances)
         self.usage_ledger = UsageLedger()
         self.relay = Relay(self.fleet, wire, self.metrics)
+        self.relay.mover.regions = settings.regions
         self.front = Front(self.relay, wire, time.monotonic)
         self.groups = PeerGroups(
             self.membership,
