--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -198,6 +198,25 @@
     assert fleet.ledger.calls == []
 
 
+# Guards against streams that are lost at an engine which never announces its leave: its
+# record is removed, and only its report tells that it leaves.
+def test_leave_that_is_not_announced(fleet):
+    stream = MovingStream(fleet, STREAM_PATH).begin()
+    source = stream.source
+    fleet.call_on_loop(source.leave, SHORT_NOTICE_SECONDS)
+    fleet.remove(f"servers/{source.id}")
+    assert_whole(stream.end(), source)
+
+
+# Guards against moves from an engine whose record is missing while it goes on to serve.
+def test_missing_record_of_an_engine_that_stays(fleet):
+    stream = MovingStream(fleet, STREAM_PATH).begin()
+    source = stream.source
+    fleet.remove(f"servers/{source.id}")
+    assert_whole(stream.end(), source)
+    assert fleet.ledger.calls == []
+
+
 # Guards against an engine that doesn't say when it ends: its streams move within the
 # time for which any engine serves after its notice.
 def test_end_that_is_not_stated(fleet):
