--- a/src/mulberrydock/moves/decision.py
+++ b/src/mulberrydock/moves/decision.py
@@ -23,9 +23,10 @@
 #: Seconds before the end of an engine by which its streams must have moved: what it
 #: reports of its end is some hundred milliseconds old.
 END_MARGIN_SECONDS = 0.15
-#: Share of the longest pause that a route allows which a stream may stand still during
-#: a transfer. The rest is for the calls and for the first event at the destination.
-PAUSE_SHARE = 0.5
+#: Share of the longest pause that a route allows which a transfer may take while its
+#: stream stands still. Transfers queue behind those of prompts, which may take several
+#: times as long, and the calls and the first event at the destination come on top.
+PAUSE_SHARE = 0.1
 #: Share of the tokens that a stream has made by which it is expected to go on once it
 #: has outlived its hint.
 OVERRUN_SHARE = 0.25
@@ -35,15 +36,16 @@
 class StreamState:
     """A running stream of which ``tokens`` are in its engine's memory.
 
-    ``remaining`` is the estimate of seconds to its end, ``gap`` the longest pause
-    between events that its route allows, ``reread_seconds`` the time in which an engine
-    reads its prompt again, ``made_seconds`` the time since its first event. Only a
-    ``resumable`` stream goes on without its memory.
+    ``remaining`` is the estimate of seconds to its end, None if there is none yet;
+    ``gap`` is the longest pause between events that its route allows,
+    ``reread_seconds`` the time in which an engine reads its prompt again,
+    ``made_seconds`` the time since its first event. Only a ``resumable`` stream goes on
+    without its memory.
     """
 
     id: str
     tokens: int
-    remaining: float
+    remaining: float | None
     gap: float
     resumable: bool
     reread_seconds: float
@@ -146,10 +148,16 @@
     """Moves the streams that won't end in time, as late as that is safe."""
 
     def due(self, streams, engine, token_seconds, left):
-        doubtful = [s for s in streams if s.remaining * LENGTH_ERROR > left]
+        doubtful = [s for s in streams if _may_last(s, left / LENGTH_ERROR)]
         if left <= _reserve_seconds(doubtful, len(streams), engine, token_seconds):
             return doubtful
-        return [s for s in doubtful if s.remaining > LENGTH_ERROR * left]
+        known = [s for s in doubtful if s.remaining is not None]
+        return [s for s in known if s.remaining > LENGTH_ERROR * left]
+
+
+def _may_last(stream, seconds):
+    """Return whether a stream is expected to last longer, or may for all one knows."""
+    return stream.remaining is None or stream.remaining > seconds
 
 
 def _reserve_seconds(doubtful, own, engine, token_seconds):
--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -17,9 +17,10 @@
 )
 from .stream import Step
 
-#: Seconds after a notice until its engine is asked when it ends: about one event, and
-#: streams that end by then needn't move.
-REPORT_DELAY_SECONDS = 0.05
+#: Seconds after a notice until its engine is asked when it ends, and until it is asked
+#: again if it didn't say so: about one event, by which some streams have ended, and the
+#: age of a report.
+REPORT_DELAYS_SECONDS = (0.05, 0.25)
 #: Seconds for the report of an engine.
 REPORT_TIMEOUT_SECONDS = 0.3
 #: Seconds between two decisions for the streams of a leaving engine: about one event.
@@ -44,16 +45,14 @@
     """What is known of an engine's leave; times are monotonic seconds.
 
     ``learned_at`` is when this VM learned of it, ``ends_at`` when the engine ends; it
-    takes requests for ``drain_seconds``. ``tokens_per_event`` is that of its runs.
-    ``may_move`` is False if its streams needn't move, None until it has been asked;
-    ``task`` empties it.
+    takes requests for ``drain_seconds``. ``may_move`` is False if its streams needn't
+    move, None until it has been asked; ``task`` empties it.
     """
 
     instance: object
     learned_at: float
     drain_seconds: float
     ends_at: float
-    tokens_per_event: float = 1.0
     may_move: bool | None = None
     task: object = None
 
@@ -68,7 +67,8 @@
 
     ``streams`` maps engine ids to the set of
     :class:`~mulberrydock.moves.stream.StreamMove` that run there, ``leaves`` to the
-    :class:`Leave` of those that leave under streams.
+    :class:`Leave` of those that leave under streams. ``event_tokens`` maps services to
+    the tokens of an event.
 
     :param policy: the :class:`~mulberrydock.moves.decision.MovePolicy`.
 
@@ -81,6 +81,7 @@
         self.wire = relay.wire
         self.policy = policy or MoveUnfinished()
         self.regions = {}
+        self.event_tokens = {}
         self.streams = {}
         self.leaves = {}
 
@@ -133,9 +134,10 @@
         """Decide for the streams of a leaving engine until none is left."""
         instance_id = leave.instance.id
         if leave.may_move is None:
-            await asyncio.sleep(REPORT_DELAY_SECONDS)
-            if instance_id in self.streams:
-                leave.may_move = await self._read_report(leave)
+            for delay in REPORT_DELAYS_SECONDS:
+                await asyncio.sleep(delay)
+                if instance_id not in self.streams or await self._read_report(leave):
+                    break
         while leave.may_move and instance_id in self.streams:
             now = time.monotonic()
             if now >= leave.ends_at:
@@ -148,46 +150,50 @@
         return [s for s in self.streams.get(instance.id, ()) if s.is_running]
 
     async def _read_report(self, leave):
-        """Learn from an engine when it ends; return whether its streams may move.
+        """Ask an engine whether it leaves; return whether it says when it ends.
 
         An engine whose record is gone may live on without leaving, or have crashed.
         """
         instance = leave.instance
         announced = instance.id in self.fleet.instances.leave_notices
+        leave.may_move = announced
         call = self.wire.report_call(instance.record)
         response = await self.relay.call(instance, call, REPORT_TIMEOUT_SECONDS)
         if response is None or response.status != 200:
-            return announced
+            return False
         try:
             report = self.wire.read_report(response.body)
         except UpstreamError as error:
             logger.warning("report refused", instance=instance.id, error=str(error))
-            return announced
-        now = time.monotonic()
-        if report.leaves_seconds is not None:
-            leave.ends_at = now + report.leaves_seconds
-        self._learn_event_size(leave, report)
+            return False
+        now, stated = time.monotonic(), report.leaves_seconds
+        if stated is not None:
+            leave.ends_at = now + stated
+        leave.may_move = announced or report.leaving or stated is not None
+        self._learn_event_size(instance, report)
         logger.info(
             "engine leaves under streams",
             instance=instance.id,
             streams=len(self._running(instance)),
             runs=len(report.runs),
-            stated=report.leaves_seconds,
+            may_move=leave.may_move,
+            stated=stated,
             seconds_left=round(leave.ends_at - now, 3),
-            tokens_per_event=round(leave.tokens_per_event, 2),
+            tokens_per_event=self.event_tokens.get(instance.record.service),
         )
-        return announced or report.leaving or report.leaves_seconds is not None
+        return stated is not None
 
-    def _learn_event_size(self, leave, report):
-        """Learn from the engine's report how many tokens an event has."""
+    def _learn_event_size(self, instance, report):
+        """Learn from an engine's report how many tokens an event has."""
         sizes = []
-        for stream in self._running(leave.instance):
+        for stream in self._running(instance):
             run = report.runs.get(stream.request.id)
             if run is not None and run.events:
                 made = run.tokens - stream.request.prompt.tokens
                 sizes.append(made / run.events)
         if sizes:
-            leave.tokens_per_event = max(1.0, sum(sizes) / len(sizes))
+            size = max(1.0, sum(sizes) / len(sizes))
+            self.event_tokens[instance.record.service] = round(size, 2)
 
     def _decide(self, leave, now):
         """Begin the moves that are due."""
@@ -198,7 +204,7 @@
         pool = self.fleet.decode_pool(service, leave.instance.record, now)
         refused = set().union(*(s.refused_by for s in streams.values()))
         decision = self.policy.decide(
-            [self._state(s, leave, pool.cost, now) for s in streams.values()],
+            [self._state(stream, pool.cost, now) for stream in streams.values()],
             LeavingEngine(leave.ends_at, pool.load(leave.instance).running),
             [
                 d
@@ -211,6 +217,10 @@
         engines = {engine.id: engine for engine in pool.decoders}
         for move in decision.moves:
             stream = streams[move.stream_id]
+            # The request will arrive at a second engine.
+            if not stream.reserve_retry(now):
+                stream.record_stay("retry budget spent")
+                continue
             stream.leave = leave
             stream.attempts += 1
             destination = engines[move.destination_id]
@@ -239,21 +249,24 @@
             return REMOTE_TRANSFER_FACTOR
         return REGION_TRANSFER_FACTOR
 
-    def _state(self, stream, leave, cost, now):
+    def _state(self, stream, cost, now):
         """Return the :class:`StreamState` of a stream."""
         prompt, route = stream.request.prompt, stream.lifecycle.route
-        made = stream.splitter.last_id * leave.tokens_per_event
-        running_seconds = max(1e-3, now - stream.listener.first_progress_at)
-        tokens_here = max(1, stream.events) * leave.tokens_per_event
-        left = remaining_tokens(prompt.length_hint, prompt.max_output_tokens, made)
+        event_tokens = self.event_tokens.get(stream.source.record.service)
+        made = stream.splitter.last_id * (event_tokens or 1)
+        made_seconds = now - stream.listener.first_progress_at
+        remaining = None
+        if event_tokens and stream.events > 1:
+            left = remaining_tokens(prompt.length_hint, prompt.max_output_tokens, made)
+            remaining = left / event_tokens * made_seconds / (stream.events - 1)
         return StreamState(
             id=stream.request.id,
             tokens=int(prompt.tokens + made),
-            remaining=left * running_seconds / tokens_here,
+            remaining=remaining,
             gap=route.gap_objective,
             resumable=route.resumable,
             reread_seconds=cost.seconds(prompt.tokens),
-            made_seconds=running_seconds,
+            made_seconds=made_seconds,
         )
 
     async def _move(self, stream, destination, move):
@@ -284,9 +297,6 @@
 
     async def _copy_and_stop(self, stream, destination, move):
         """Make the calls of a move; return its outcome for the log."""
-        # The request will arrive at a second engine.
-        if not stream.reserve_retry(time.monotonic()):
-            return "retry budget spent"
         source = stream.source
         if move.copies_first:
             seconds = max(0.0, stream.leave.ends_at - time.monotonic())
--- a/tests/test_move_decision.py
+++ b/tests/test_move_decision.py
@@ -64,6 +64,8 @@
         (1.0, 1.4, True),
         (1.0, 1.95, True),
         (1.0, 2.1, False),
+        (None, 0.0, False),
+        (None, 1.6, True),
     ],
 )
 def test_stream_moves_when_its_end_is_in_doubt(remaining, now, moves):
@@ -145,9 +147,9 @@
     assert len(decision.moves) == 3
     assert set(decision.staying.values()) == {"no time left"}
     assert all(move.copies_first for move in decision.moves)
-    short = decide(streams_of(*[9.0] * 5), 0.0)
+    short = decide(streams_of(*[9.0] * 5, tokens=2_000), 0.0)
     flags = [move.copies_first for move in short.moves]
-    assert flags == [False, False, False, False, True]
+    assert flags == [False] * 5
 
 
 # A stream that outlives its client's estimate isn't taken for one that is about to end.
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -1,16 +1,16 @@
 """What a VM derives for a decision from its streams and engines; without network."""
 
-import asyncio
 import types
 
+import attrs
 import pytest
 from test_budget import TIMING
 
 from mulberrydock.fleet_view import FleetView
 from mulberrydock.instances import Instance, InstanceRecord
-from mulberrydock.moves import Mover, StreamMove
-from mulberrydock.moves.decision import Move
+from mulberrydock.moves import MoveAll, Mover, StreamMove
 from mulberrydock.moves.mover import Leave
+from mulberrydock.placement import Pool
 from mulberrydock.prefill_cost import PrefillCost
 from mulberrydock.request import Prompt, Request
 from mulberrydock.sse import EventSplitter
@@ -27,13 +27,13 @@
     return InstanceRecord("e", "llm", "127.0.0.1:1", data_centre, 4, False)
 
 
-def make_stream(mover, prompt=Prompt(1000, 400), events=10, begun_at=0.0):
+def make_stream(mover, prompt=Prompt(1000, 400), events=11, begun_at=0.0, name="r"):
     route = types.SimpleNamespace(gap_objective=0.15, resumable=False)
     lifecycle = types.SimpleNamespace(
         relay=types.SimpleNamespace(mover=mover),
         route=route,
         service="llm",
-        request=Request("r", "POST", "/", "h", [], b"", 0.0, 5.0, prompt),
+        request=Request(name, "POST", "/", "h", [], b"", 0.0, 5.0, prompt),
         stream=types.SimpleNamespace(splitter=EventSplitter()),
     )
     lifecycle.stream.splitter.last_id = lifecycle.stream.splitter.count = events
@@ -61,36 +61,51 @@
     assert mover._distance(record(source), record(other)) == factor
 
 
-# Streams of engines whose events have one token or a dozen, with and without a hint.
+# Streams of engines whose events have one token or a dozen, with and without a hint; a
+# first event says nothing about the rate.
 @pytest.mark.parametrize(
-    ("prompt", "tokens_per_event", "now", "remaining"),
+    ("prompt", "event_tokens", "events", "remaining"),
     [
-        (Prompt(1000, 400), 1.0, 1.0, 39.0),
-        (Prompt(1000, 400), 12.0, 1.0, 280 / 120),
-        (Prompt(1000, 400, (), 240), 12.0, 1.0, 1.0),
-        (Prompt(1000, 400, (), 240), 12.0, 0.5, 0.5),
-        (Prompt(1000, 120, (), 240), 12.0, 1.0, 0.0),
+        (Prompt(1000, 410), 1.0, 11, 39.9),
+        (Prompt(1000, 410), 12.0, 11, 278 / 120),
+        (Prompt(1000, 410, (), 252), 12.0, 11, 1.0),
+        (Prompt(1000, 120, (), 240), 12.0, 11, 0.0),
+        (Prompt(1000, 410), 12.0, 1, None),
+        (Prompt(1000, 410), None, 11, None),
     ],
 )
-def test_remaining_time_of_a_stream(prompt, tokens_per_event, now, remaining):
+def test_remaining_time_of_a_stream(prompt, event_tokens, events, remaining):
     mover = make_mover()
-    leave = Leave(None, 0.0, 2.0, 2.0, tokens_per_event)
-    cost = PrefillCost(0.0, 1e-5, 0.0)
-    state = mover._state(make_stream(mover, prompt), leave, cost, now)
-    assert state.remaining == pytest.approx(remaining)
-    assert state.tokens == 1000 + 10 * tokens_per_event
+    mover.event_tokens = {"llm": event_tokens}
+    stream = make_stream(mover, prompt, events)
+    state = mover._state(stream, PrefillCost(0.0, 1e-5, 0.0), now=1.0)
+    assert state.remaining == (remaining and pytest.approx(remaining))
+    assert state.tokens == 1000 + events * (event_tokens or 1)
     assert state.reread_seconds == pytest.approx(0.01)
 
 
 # Guards against a pool whose engines all leave at once: the moved requests arrive at a
 # second engine each, which the retry budget of the fleet has to allow.
-def test_no_move_without_retry_budget():
+@pytest.mark.parametrize("granted", [0, 2, 9])
+def test_moves_stay_within_the_retry_budget(granted):
     mover = make_mover()
-    mover.fleet.budget("llm").allow = lambda now, count=1: False
-    stream = make_stream(mover)
-    move = Move("r", "d", False, 0.1)
-    outcome = asyncio.run(mover._copy_and_stop(stream, None, move))
-    assert outcome == "retry budget spent"
+    grants = [True] * granted
+    mover.fleet.budget("llm").allow = lambda now, count=1: bool(grants and grants.pop())
+    started = []
+    mover.relay.run_in_background = lambda task: started.append(task) or task.close()
+    streams = [make_stream(mover, name=f"r{number}") for number in range(4)]
+    source = streams[0].source
+    for stream in streams:
+        stream.source, stream.task = source, types.SimpleNamespace(done=lambda: False)
+    mover.streams = {source.id: set(streams)}
+    target = Instance(attrs.evolve(source.record, id="d", slots=24))
+    pool = Pool([], [target], {}, PrefillCost(0.0, 1e-5, 0.0), None)
+    mover.fleet.decode_pool = lambda service, record, now: pool
+    mover.policy = MoveAll()
+    mover._decide(Leave(source, 0.0, 3.0, 2.0), now=1.0)
+    assert len(started) == min(granted, 4)
+    reasons = [s.logged_reason for s in streams if s.logged_reason]
+    assert reasons == ["retry budget spent"] * (4 - len(started))
 
 
 # Guards against a stopped stream that is sent back to its engine later than allowed.
