--- a/src/mulberrydock/moves/decision.py
+++ b/src/mulberrydock/moves/decision.py
@@ -85,14 +85,6 @@
     seconds: float
 
 
-@attrs.define(frozen=True)
-class Decision:
-    """The moves to begin now, in order; ``staying`` maps other streams to a reason."""
-
-    moves: list = attrs.field(factory=list)
-    staying: dict = attrs.field(factory=dict)
-
-
 def remaining_tokens(hint, maximum, made):
     """Return how many tokens a stream is expected still to make.
 
@@ -107,47 +99,37 @@
 
 
 class MovePolicy(abc.ABC):
-    """Decides for the streams that this VM has at one leaving engine."""
+    """Decides which streams of this VM at a leaving engine have to move."""
 
-    def decide(self, streams, engine, destinations, token_seconds, now):
-        """Return the :class:`Decision` at ``now``.
+    @abc.abstractmethod
+    def due(self, streams, engine, token_seconds, now):
+        """Return the streams that have to move at ``now``.
 
         :param streams: :class:`StreamState` list of those that don't move yet.
         :param engine: the :class:`LeavingEngine`.
-        :param destinations: :class:`Destination` list.
         :param token_seconds: seconds to transfer one token within a data centre.
         """
-        left = engine.ends_at - now
-        due = self.due(streams, engine, token_seconds, left - END_MARGIN_SECONDS)
-        staying = {s.id: "may end in time" for s in streams if s not in due}
-        return _assign(due, staying, destinations, token_seconds, left)
-
-    @abc.abstractmethod
-    def due(self, streams, engine, token_seconds, left):
-        """Return the streams that have to move now.
-
-        :param left: seconds within which moves must end.
-        """
 
 
 class StayUntilCut(MovePolicy):
     """Moves nothing: streams end in time or are cut."""
 
-    def due(self, streams, engine, token_seconds, left):
+    def due(self, streams, engine, token_seconds, now):
         return []
 
 
 class MoveAll(MovePolicy):
     """Moves every stream as soon as its engine is known to leave."""
 
-    def due(self, streams, engine, token_seconds, left):
+    def due(self, streams, engine, token_seconds, now):
         return list(streams)
 
 
 class MoveUnfinished(MovePolicy):
     """Moves the streams that won't end in time, as late as that is safe."""
 
-    def due(self, streams, engine, token_seconds, left):
+    def due(self, streams, engine, token_seconds, now):
+        left = engine.ends_at - END_MARGIN_SECONDS - now
         doubtful = [s for s in streams if _may_last(s, left / LENGTH_ERROR)]
         if left <= _reserve_seconds(doubtful, len(streams), engine, token_seconds):
             return doubtful
@@ -185,21 +167,21 @@
     return (stream.reread_seconds + made) / cost
 
 
-def _assign(due, staying, destinations, token_seconds, left):
-    """Return the :class:`Decision` that gives the streams ``due`` their destinations.
+def assign(due, destinations, token_seconds, left):
+    """Return the :class:`Move` list of the streams ``due``, and why others stay.
 
     The dearest to lose come first, those that can't be resumed before the others, until
     the time or the room is used up. A move that may come too late is tried all the
     same: without it, the stream is cut for sure.
 
+    :param destinations: :class:`Destination` list.
+    :param token_seconds: seconds to transfer one token within a data centre.
     :param left: seconds until the engine ends.
+    :returns: the moves in order, and the reasons by stream id.
     """
-    moves, queued = [], 0.0
+    moves, staying, queued = [], {}, 0.0
     room = {d.id: d.room for d in destinations}
-    order = sorted(
-        due, key=lambda s: (s.resumable, -_loss_for_cost(s, token_seconds), s.id)
-    )
-    for stream in order:
+    for stream in sorted(due, key=lambda s: _order(s, token_seconds)):
         free = [d for d in destinations if room[d.id] >= 1]
         if not free:
             staying[stream.id] = "no room elsewhere"
@@ -214,7 +196,12 @@
         copies_first = queued > PAUSE_SHARE * stream.gap
         seconds = MOVE_OVERHEAD_SECONDS + queued
         moves.append(Move(stream.id, destination.id, copies_first, seconds))
-    return Decision(moves, staying)
+    return moves, staying
+
+
+def _order(stream, token_seconds):
+    """Return the sort key by which streams move."""
+    return stream.resumable, -_loss_for_cost(stream, token_seconds), stream.id
 
 
 def _choose(stream, free, room):
--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -13,6 +13,7 @@
     LeavingEngine,
     MoveUnfinished,
     StreamState,
+    assign,
     remaining_tokens,
 )
 from .stream import Step
@@ -23,8 +24,9 @@
 REPORT_DELAYS_SECONDS = (0.05, 0.25)
 #: Seconds for the report of an engine.
 REPORT_TIMEOUT_SECONDS = 0.3
-#: Seconds between two decisions for the streams of a leaving engine: about one event.
-DECISION_INTERVAL_SECONDS = 0.05
+#: Seconds between two decisions for the streams of a leaving engine: a few events, and
+#: less than the margin that is kept before its end.
+DECISION_INTERVAL_SECONDS = 0.1
 #: Seconds for a call that stops a run, beyond the estimate of its move. Clients wait
 #: for the next event meanwhile.
 CALL_MARGIN_SECONDS = 0.3
@@ -45,7 +47,8 @@
     """What is known of an engine's leave; times are monotonic seconds.
 
     ``learned_at`` is when this VM learned of it, ``ends_at`` when the engine ends; it
-    takes requests for ``drain_seconds``. ``may_move`` is False if its streams needn't
+    takes requests for ``drain_seconds``. ``running`` are the requests that it has
+    reported, of all VMs. ``may_move`` is False if its streams needn't
     move, None until it has been asked; ``task`` empties it.
     """
 
@@ -53,6 +56,7 @@
     learned_at: float
     drain_seconds: float
     ends_at: float
+    running: int = 0
     may_move: bool | None = None
     task: object = None
 
@@ -169,6 +173,7 @@
         now, stated = time.monotonic(), report.leaves_seconds
         if stated is not None:
             leave.ends_at = now + stated
+        leave.running = len(report.runs)
         leave.may_move = announced or report.leaving or stated is not None
         self._learn_event_size(instance, report)
         logger.info(
@@ -198,24 +203,37 @@
     def _decide(self, leave, now):
         """Begin the moves that are due."""
         streams = {s.request.id: s for s in self._running(leave.instance) if s.may_move}
-        if not streams:
-            return
         service = leave.instance.record.service
-        pool = self.fleet.decode_pool(service, leave.instance.record, now)
-        refused = set().union(*(s.refused_by for s in streams.values()))
-        decision = self.policy.decide(
-            [self._state(stream, pool.cost, now) for stream in streams.values()],
-            LeavingEngine(leave.ends_at, pool.load(leave.instance).running),
-            [
-                d
-                for d in self._destinations(leave.instance, pool)
-                if d.id not in refused
-            ],
-            pool.transfer_seconds_per_token,
-            now,
-        )
+        spec = self._spec(service)
+        if not streams or spec is None:
+            return
+        cost = self.fleet.estimates.pool(service).cost_model.cost
+        states = [self._state(stream, cost, now) for stream in streams.values()]
+        token_seconds = spec.transfer_seconds_per_token
+        engine = LeavingEngine(leave.ends_at, leave.running)
+        due = self.policy.due(states, engine, token_seconds, now)
+        for state in states:
+            if state not in due:
+                streams[state.id].record_stay("may end in time")
+        if due:
+            self._begin_moves(leave, streams, due, token_seconds, now)
+
+    def _begin_moves(self, leave, streams, due, token_seconds, now):
+        """Move the streams ``due`` as far as there are room, time and retries.
+
+        :param streams: the streams by request id.
+        """
+        record = leave.instance.record
+        pool = self.fleet.decode_pool(record.service, record, now)
         engines = {engine.id: engine for engine in pool.decoders}
-        for move in decision.moves:
+        refused = set().union(*(streams[state.id].refused_by for state in due))
+        destinations = self._destinations(leave.instance, pool)
+        destinations = [d for d in destinations if d.id not in refused]
+        left = leave.ends_at - now
+        moves, staying = assign(due, destinations, token_seconds, left)
+        for stream_id, reason in staying.items():
+            streams[stream_id].record_stay(reason)
+        for move in moves:
             stream = streams[move.stream_id]
             # The request will arrive at a second engine.
             if not stream.reserve_retry(now):
@@ -227,8 +245,6 @@
             stream.call = self.relay.run_in_background(
                 self._move(stream, destination, move)
             )
-        for stream_id, reason in decision.staying.items():
-            streams[stream_id].record_stay(reason)
 
     def _destinations(self, source, pool):
         """Return the :class:`Destination` of each engine at which streams may go on."""
--- a/tests/test_move_decision.py
+++ b/tests/test_move_decision.py
@@ -14,6 +14,7 @@
     MoveUnfinished,
     StayUntilCut,
     StreamState,
+    assign,
     remaining_tokens,
 )
 
@@ -34,9 +35,18 @@
 ROOMY = [Destination("d1", 10), Destination("d2", 10)]
 
 
+@attrs.define
+class Decision:
+    """The moves to begin, and why other due streams stay."""
+
+    moves: list
+    staying: dict
+
+
 def decide(streams, now, destinations=ROOMY, policy=None, token_seconds=TOKEN_SECONDS):
     policy = policy or MoveUnfinished()
-    return policy.decide(streams, ENGINE, destinations, token_seconds, now)
+    due = policy.due(streams, ENGINE, token_seconds, now)
+    return Decision(*assign(due, destinations, token_seconds, ENGINE.ends_at - now))
 
 
 def streams_of(*remaining, **changes):
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -12,7 +12,7 @@
 from mulberrydock.moves.mover import Leave
 from mulberrydock.placement import Pool
 from mulberrydock.prefill_cost import PrefillCost
-from mulberrydock.request import Prompt, Request
+from mulberrydock.request import Prompt, Request, ServiceSpec
 from mulberrydock.sse import EventSplitter
 
 REGIONS = {"dc1": "r1", "dc2": "r1", "dc3": "r2"}
@@ -100,6 +100,7 @@
     mover.streams = {source.id: set(streams)}
     target = Instance(attrs.evolve(source.record, id="d", slots=24))
     pool = Pool([], [target], {}, PrefillCost(0.0, 1e-5, 0.0), None)
+    mover._spec = lambda service: ServiceSpec("llm", 100, moves=True)
     mover.fleet.decode_pool = lambda service, record, now: pool
     mover.policy = MoveAll()
     mover._decide(Leave(source, 0.0, 3.0, 2.0), now=1.0)
