--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -2,9 +2,11 @@
 
 import ipaddress
 import json
+import math
 
+from ..engine_report import EngineReport, RunReport
 from ..exceptions import SettingsError, UpstreamError
-from ..instances import EngineReport, InstanceRecord, Stage
+from ..instances import InstanceRecord, Stage
 from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
 from ..scaling import AutoscaleSpec
 from ..teams import Team
@@ -96,6 +98,7 @@
         slots=int(engine.get("slots", 0)),
         transfer_seconds_per_token=bits / (link * 1e6) if link > 0 else 0.0,
         autoscale=_autoscale(row.get("autoscale")),
+        moves=engine.get("moves") is True,
     )
 
 
@@ -189,11 +192,33 @@
             _count(row["sequence"], "sequence"),
             _started_at_ms(row),
             row.get("state") == DRAINING,
+            _leaves_seconds(row.get("leaves_ms")),
+            _runs(row.get("runs")),
         )
     except DECODE_ERRORS as error:
         raise UpstreamError(f"invalid engine report: {error!r}") from error
 
 
+def _leaves_seconds(value):
+    """Return the seconds until an engine ends, None if it states no valid time."""
+    valid = type(value) in (int, float) and 0 <= value < math.inf
+    return value / 1000 if valid else None
+
+
+def _runs(rows):
+    """Return the valid :class:`RunReport` rows by request id; others are left out."""
+    runs = {}
+    for row in rows if isinstance(rows, list) else ():
+        try:
+            request_id, tokens, events = _text(row[0], "run"), row[1], row[2]
+            runs[request_id] = RunReport(
+                _count(tokens, "tokens"), _count(events, "events")
+            )
+        except (TypeError, ValueError, LookupError):
+            continue
+    return runs
+
+
 def _document(text):
     # The store client decodes bytes that aren't UTF-8 to lone surrogates, which
     # could otherwise pass as part of a valid name; encoding raises for them.
