--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -393,8 +393,14 @@
         instance = self.instances.get(incarnation.partition("@")[0])
         return instance if instance and instance.id == incarnation else None
 
+    def leaving(self, service):
+        """Return the instances of ``service`` that are about to leave."""
+        return [
+            i
+            for i in self.instances.values()
+            if i.leaving and i.record.service == service
+        ]
+
     def any_leaving(self, service):
         """Return whether an instance of ``service`` is leaving."""
-        return any(
-            i.leaving and i.record.service == service for i in self.instances.values()
-        )
+        return bool(self.leaving(service))
--- a/src/mulberrydock/lease.py
+++ b/src/mulberrydock/lease.py
@@ -61,6 +61,8 @@
         turns.
     :param first_start: True when the whole system starts for the first time. While no
         other leader was seen, there is no predecessor to wait for.
+    :param is_readable: returns False while it isn't known whether there is a leader.
+        A leader may have come and gone if that lasts for as long as a lease.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         clock=time.monotonic,
         takeover_delay=lambda: 0.0,
         first_start=False,
+        is_readable=lambda: True,
     ):
         self.store = store
         self.name = name
@@ -80,6 +83,8 @@
         self.clock = clock
         self.takeover_delay = takeover_delay
         self.may_have_predecessor = not first_start
+        self.is_readable = is_readable
+        self.unreadable_since = None
         self.vacant_since = None
         self.authority = Authority()
 
@@ -164,13 +169,23 @@
     def may_acquire(self, now):
         """Return whether the lease is vacant and this controller's turn has come."""
         if not self.is_vacant():
-            self.may_have_predecessor = True
+            self._note_predecessor(now)
             self.vacant_since = None
             return False
         if self.vacant_since is None:
             self.vacant_since = now
         return now - self.vacant_since >= self.takeover_delay()
 
+    def _note_predecessor(self, now):
+        """Record that there may be another leader, unless this is still unknown."""
+        if self.is_readable():
+            self.may_have_predecessor = True
+            return
+        if self.unreadable_since is None:
+            self.unreadable_since = now
+        elif now - self.unreadable_since >= self.ttl:
+            self.may_have_predecessor = True
+
     async def release(self):
         """Revoke the lease, so that another controller can acquire it at once."""
         if self.authority.lease:
--- a/src/mulberrydock/scale_controller.py
+++ b/src/mulberrydock/scale_controller.py
@@ -15,6 +15,17 @@
 POLL_INTERVAL_SECONDS = 0.5
 
 
+def _log_lost(service, lost, signs):
+    logger.info(
+        "reclaimable engines lost" if lost else "reclaimable engines back",
+        service=service,
+        data_centres=sorted(lost),
+        leaving=sorted(signs.leaving),
+        refused=sorted(signs.refused),
+        starting=signs.starting,
+    )
+
+
 @attrs.define
 class ScaleController:
     """Decides the engines of each pool, and orders them while this VM is the leader.
@@ -51,10 +62,31 @@
             scaler = self.scalers.setdefault(service.name, PoolScaler())
             engines = self.fleet.instances.serving(service.name)
             needs = self.fleet.stage_needs(service, now)
-            orders = scaler.decide(service.name, service.autoscale, engines, needs, now)
+            signs = self._reclaim_signs(service, engines, now)
+            known_lost = scaler.lost
+            orders = scaler.decide(
+                service.name, service.autoscale, engines, needs, now, signs
+            )
+            if scaler.lost != known_lost:
+                _log_lost(service.name, scaler.lost, signs)
             if may_act:
                 await self._send_due(orders, service.autoscale, engines, needs, now)
 
+    def _reclaim_signs(self, service, engines, now):
+        """Return the :class:`~mulberrydock.scaling.ReclaimSigns` of a pool."""
+        present = collections.Counter(
+            e.record.data_centre for e in engines if e.record.reclaimable
+        )
+        leaving = {
+            e.record.data_centre
+            for e in self.fleet.instances.leaving(service.name)
+            if e.record.reclaimable
+        }
+        boot_seconds = service.autoscale.boot_seconds
+        return self.book.reclaim_signs(
+            service.name, present, leaving, boot_seconds, now
+        )
+
     async def _send_due(self, orders, spec, engines, needs, now):
         present = collections.Counter(
             (e.record.service, e.record.data_centre, e.record.reclaimable)
--- a/src/mulberrydock/scaling.py
+++ b/src/mulberrydock/scaling.py
@@ -3,7 +3,8 @@
 A platform that bills engines by the second offers two kinds of them. Reclaimable ones
 cost a fraction, but the platform may take back all of a data centre at once and may
 then have no others for a while. So they are spread over the data centres such that
-the loss of one leaves what the pool needs; others are only ordered for what is missing.
+the loss of one leaves what the pool needs. While more are lost, the other data centres
+take their place; engines that aren't reclaimable are only ordered for what is missing.
 """
 
 import abc
@@ -153,6 +154,46 @@
     return data_centres * math.ceil(needed / (data_centres - 1))
 
 
+@attrs.define(frozen=True)
+class ReclaimSigns:
+    """What shows that reclaimable engines are lost, or that others are on their way.
+
+    ``leaving`` are the data centres where one has announced that it leaves,
+    ``refused`` those that had none for the last order. ``starting`` is the number
+    that the platform has accepted to start and that may still come in time.
+    """
+
+    leaving: frozenset = frozenset()
+    refused: frozenset = frozenset()
+    starting: int = 0
+
+
+class ReclaimedCapacity(abc.ABC):
+    """Decides how many reclaimable engines the other data centres take over."""
+
+    @abc.abstractmethod
+    def total(self, needed, data_centres):
+        """Return the engines wanted in the data centres that have some.
+
+        :param needed: engines that the pool needs.
+        :param data_centres: number of data centres that have reclaimable engines.
+        """
+
+
+class NeededCapacity(ReclaimedCapacity):
+    """What the pool needs, without cover for a further loss."""
+
+    def total(self, needed, data_centres):
+        return needed
+
+
+class CoveredCapacity(ReclaimedCapacity):
+    """What the pool needs even after the loss of one more data centre."""
+
+    def total(self, needed, data_centres):
+        return with_loss_cover(needed, data_centres)
+
+
 @attrs.define
 class PoolScaler:
     """Decides the wanted engines of one pool, from pass to pass.
@@ -160,22 +201,26 @@
     ``declared`` is the largest number of engines that the pool had before any request.
     ``kept`` is the wanted number of the dearer engines that aren't reclaimable, None
     while those that are there stay. They have been too few since ``short_since`` or too
-    many since ``surplus_since`` (monotonic seconds).
+    many since ``surplus_since`` (monotonic seconds). ``lost`` are the data centres
+    whose reclaimable engines were taken back and aren't there again.
     """
 
     policy: CapacityPolicy = attrs.field(factory=UtilizationCapacity)
+    reclaimed: ReclaimedCapacity = attrs.field(factory=NeededCapacity)
     declared: int = 0
     kept: int | None = None
     short_since: float | None = None
     surplus_since: float | None = None
+    lost: frozenset = frozenset()
 
-    def decide(self, service, spec, engines, needs, now):
+    def decide(self, service, spec, engines, needs, now, signs=ReclaimSigns()):
         """Return the list of :class:`EngineOrder` that should be in force.
 
         :param spec: the pool's :class:`AutoscaleSpec`.
         :param engines: its instances that may take new work.
         :param needs: the measured :class:`~mulberrydock.stages.StageNeeds`, None before
             any request.
+        :param signs: the :class:`ReclaimSigns`.
         """
         others = collections.Counter(
             e.record.data_centre for e in engines if not e.record.reclaimable
@@ -189,30 +234,84 @@
         if spec.reclaimable_price is None:
             numbers = spread(needed, spec.prices, spec.minimum, spec.maximum)
             return _orders(service, False, numbers)
+        present = collections.Counter(
+            e.record.data_centre for e in engines if e.record.reclaimable
+        )
         covered = with_loss_cover(needed, len(spec.prices))
         numbers = spread(covered, spec.prices, spec.minimum, spec.maximum)
+        self._update_lost(numbers, present, signs)
+        numbers = self._cover_lost(numbers, needed, spec)
+        missing = max(0, needed - present.total())
+        if missing and needs is not None:
+            numbers = _leave_room(numbers, present, others, spec.maximum)
         orders = _orders(service, True, numbers)
-        reclaimable = len(engines) - others.total()
-        self._update_kept(max(0, needed - reclaimable), others.total(), now)
+        self._update_kept(missing, others.total(), signs.starting, now)
         if self.kept is not None:
             room = {name: spec.maximum - numbers[name] for name in numbers}
             kept = resize(others, self.kept, spec.prices, room)
             orders += _orders(service, False, kept)
         return orders
 
-    def _update_kept(self, missing, present, now):
+    def _update_lost(self, numbers, present, signs):
+        """Update which data centres have lost their reclaimable engines.
+
+        :param numbers: the engines wanted in each.
+        :param present: those that there are.
+        """
+        gone = {
+            name
+            for name, number in numbers.items()
+            if number
+            and not present[name]
+            and (name in signs.leaving or name in signs.refused)
+        }
+        # The others stay in place until at least half of the engines are back.
+        missing = {name for name in self.lost if 2 * present[name] < numbers[name]}
+        self.lost = frozenset(gone | missing)
+
+    def _cover_lost(self, numbers, needed, spec):
+        """Return ``numbers`` with those of the lost data centres added to the others.
+
+        The lost ones keep theirs, so that their engines are ordered again as soon as
+        there are some.
+        """
+        prices = {n: p for n, p in spec.prices.items() if n not in self.lost}
+        if not self.lost or not prices:
+            return numbers
+        total = self.reclaimed.total(needed, len(prices))
+        raised = spread(total, prices, spec.minimum, spec.maximum)
+        return {name: max(n, raised.get(name, 0)) for name, n in numbers.items()}
+
+    def _update_kept(self, missing, present, starting, now):
         """Update how many engines to have that aren't reclaimable.
 
         :param missing: engines that the reclaimable ones lack of those needed.
         :param present: engines there are of the other kind.
+        :param starting: reclaimable engines that are on their way.
         """
         kept = present if self.kept is None else self.kept
-        self.short_since = _since(missing > kept, self.short_since, now)
+        self.short_since = _since(missing - starting > kept, self.short_since, now)
         self.surplus_since = _since(missing < kept, self.surplus_since, now)
-        if _lasted(self.short_since, SHORTAGE_SECONDS, now) or _lasted(
+        # A crashed engine may be back soon; one that was taken back isn't.
+        patience = 0.0 if self.lost else SHORTAGE_SECONDS
+        if _lasted(self.short_since, patience, now) or _lasted(
             self.surplus_since, SURPLUS_SECONDS, now
         ):
-            self.kept, self.short_since, self.surplus_since = missing, None, None
+            # More than are missing only while some of them are on their way.
+            self.kept = max(0, missing - starting) if self.short_since else missing
+            self.short_since, self.surplus_since = None, None
+
+
+def _leave_room(numbers, present, others, maximum):
+    """Return ``numbers`` of reclaimable engines that displace no engine that serves.
+
+    Where a data centre has its maximum, another kind of engine takes the place of one
+    that is there and starts only seconds later.
+    """
+    return {
+        name: min(number, max(present[name], maximum - others[name]))
+        for name, number in numbers.items()
+    }
 
 
 def _since(holds, since, now):
@@ -283,6 +382,22 @@
         settled = elapsed >= boot_seconds + self.record_lag_seconds
         return settled and present != order.count
 
+    def reclaim_signs(self, service, present, leaving, boot_seconds, now):
+        """Return the :class:`ReclaimSigns` of a pool.
+
+        :param present: reclaimable engines that there are, by data centre.
+        :param leaving: the data centres where one has announced that it leaves.
+        """
+        refused, starting = set(), 0
+        for (name, data_centre, reclaimable), state in self.states.items():
+            if name != service or not reclaimable:
+                continue
+            if not state.confirmed:
+                refused.add(data_centre)
+            elif now - state.sent_at < boot_seconds + SHORTAGE_SECONDS:
+                starting += max(0, state.count - present[data_centre])
+        return ReclaimSigns(frozenset(leaving), frozenset(refused), starting)
+
     def record(self, order, confirmed, now):
         """Record that ``order`` was sent at ``now``."""
         self.states[order.subject] = OrderState(order.count, now, confirmed)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -154,6 +154,7 @@
             boot_seconds,
             self._takeover_delay,
             settings.first_start,
+            lambda: self.store_available is not None,
         )
         self.stage_controller = StageController(
             self.fleet,
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -89,6 +89,33 @@
     assert lease.may_act(now)
 
 
+@pytest.mark.parametrize(
+    ("unread_seconds", "waits"), [(0.0, False), (1.0, False), (3.0, True), (5.0, True)]
+)
+def test_store_that_has_not_answered_yet_is_no_predecessor(unread_seconds, waits):
+    """Guards against a first leader that waits for the calls of nobody while the
+    engines that it doesn't need are paid for. If the store is silent for as long as a
+    lease, another leader may have come and gone meanwhile."""
+    state, now, readable = StoreState(), 100.0, False
+    store = DirectStore(state, lambda: now)
+    lease = LeaderLease(
+        store,
+        "a",
+        3.0,
+        lambda: readable,
+        lambda: now,
+        first_start=True,
+        is_readable=lambda: readable,
+    )
+    for _ in range(1 + int(unread_seconds)):
+        assert not lease.may_acquire(now)
+        now += 1.0
+    readable = True
+    assert lease.may_acquire(now)
+    assert asyncio.run(lease.acquire(now))
+    assert lease.may_act(now) is not waits
+
+
 def test_vm_that_lost_the_race_knows_that_there_is_a_leader():
     """Guards against a VM that never saw the record of the VM that was faster."""
     store = DirectStore(StoreState(), lambda: 100.0)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -23,10 +23,13 @@
     SHORTAGE_SECONDS,
     SURPLUS_SECONDS,
     AutoscaleSpec,
+    CoveredCapacity,
     DeclaredCapacity,
     EngineOrder,
+    NeededCapacity,
     OrderBook,
     PoolScaler,
+    ReclaimSigns,
     UtilizationCapacity,
     resize,
     spread,
@@ -244,6 +247,111 @@
     assert wanted(pool.orders, False) == {"dc1": 0, "dc2": 0, "dc3": 0}
 
 
+def reclaimed_orders(scaler, needs, starting=0, now=20.0, **present):
+    """Return the orders once dc2 and dc3 have announced that all their engines leave.
+
+    Two engines of dc2 and dc3 each were there, beside those that are still present.
+    """
+    scaler.decide("llm", SPEC, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    full = engines(reclaimable=True, dc1=4, dc2=4, dc3=4)
+    for step in range(6):
+        scaler.decide("llm", SPEC, full, needs, now - 3.0 + step / 2)
+    signs = ReclaimSigns(frozenset({"dc2", "dc3"}), frozenset(), starting)
+    left = engines(reclaimable=True, **present)
+    return scaler.decide("llm", SPEC, left, needs, now, signs)
+
+
+@pytest.mark.parametrize(
+    ("reclaimed", "busy", "starting", "reclaimable", "others"),
+    [
+        # What the pool needs, at once, in the data centre that is left.
+        (NeededCapacity(), 3.0, 0, {"dc1": 8, "dc2": 4, "dc3": 4}, 4),
+        (CoveredCapacity(), 3.0, 0, {"dc1": 8, "dc2": 4, "dc3": 4}, 4),
+        # The platform has accepted to start four: no dear ones are needed.
+        (NeededCapacity(), 3.0, 4, {"dc1": 8, "dc2": 4, "dc3": 4}, 0),
+        # The load is above what the pool was declared for.
+        (NeededCapacity(), 6.0, 0, {"dc1": 12, "dc2": 6, "dc3": 6}, 8),
+    ],
+)
+def test_announced_reclaim_of_two_data_centres_at_a_peak_is_replaced_at_once(
+    reclaimed, busy, starting, reclaimable, others
+):
+    """Guards against a second without orders after a loss that is certain, while what
+    is left of the pool serves the peak."""
+    scaler = PoolScaler(reclaimed=reclaimed)
+    orders = reclaimed_orders(scaler, demand(busy), starting, dc1=4)
+    assert wanted(orders, True) == reclaimable
+    assert sum((wanted(orders, False) or {}).values()) == others
+
+
+def test_data_centre_without_engines_for_an_order_is_covered_by_the_others():
+    """Guards against orders that are only repeated where there are no engines."""
+    scaler = PoolScaler()
+    scaler.decide("llm", SPEC, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    there = engines(reclaimable=True, dc1=4, dc2=4)
+    signs = ReclaimSigns(refused=frozenset({"dc3"}))
+    orders = scaler.decide("llm", SPEC, there, demand(5.0), 1.0, signs)
+    assert wanted(orders, True) == {"dc1": 5, "dc2": 5, "dc3": 5}
+    orders = scaler.decide("llm", SPEC, there, demand(6.0), 2.0, signs)
+    assert wanted(orders, True) == {"dc1": 6, "dc2": 6, "dc3": 6}
+
+
+@pytest.mark.parametrize(("back", "raised"), [(0, True), (1, True), (2, False)])
+def test_others_stay_until_half_of_the_reclaimed_engines_are_back(back, raised):
+    """Guards against a pool that gives up the replacements while the engines that they
+    replace are still starting."""
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    there = engines(reclaimable=True, dc1=8, dc2=back, dc3=back)
+    orders = scaler.decide("llm", SPEC, there, demand(3.0), 21.0)
+    assert wanted(orders, True)["dc1"] == (8 if raised else 4)
+
+
+def test_engines_that_serve_a_peak_are_not_displaced_by_reclaimable_ones():
+    """Guards against a pool that gives up engines while too few are left, as a data
+    centre that has its maximum gets reclaimable ones that have yet to start."""
+    spec = attrs.evolve(SPEC, maximum=5)
+    scaler = PoolScaler()
+    scaler.decide("llm", spec, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    left = engines(reclaimable=True, dc1=4) + engines(dc1=1, dc2=5)
+    signs = ReclaimSigns(refused=frozenset({"dc2", "dc3"}))
+    scaler.kept = 6
+    orders = scaler.decide("llm", spec, left, demand(6.0), 1.0, signs)
+    assert wanted(orders, True)["dc1"] == 4
+    assert wanted(orders, False)["dc1"] == 1
+
+
+def test_crashed_engines_of_a_data_centre_are_not_taken_for_reclaimed_ones():
+    """Guards against replacements for engines that are back within seconds."""
+    scaler = PoolScaler()
+    scaler.decide("llm", SPEC, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    there = engines(reclaimable=True, dc1=4, dc2=4)
+    orders = scaler.decide("llm", SPEC, there, demand(3.0), 1.0)
+    assert wanted(orders, True) == {"dc1": 4, "dc2": 4, "dc3": 4}
+    assert not scaler.lost
+
+
+@pytest.mark.parametrize(
+    ("sent", "seconds", "present", "refused", "starting"),
+    [
+        ((4, True), 0.5, 1, set(), 3),
+        # What hasn't come once its start is over doesn't count any more.
+        ((4, True), 6.0, 1, set(), 0),
+        ((4, False), 0.5, 0, {"dc1"}, 0),
+    ],
+)
+def test_orders_show_what_is_lost_and_what_is_on_its_way(
+    sent, seconds, present, refused, starting
+):
+    book = OrderBook()
+    count, confirmed = sent
+    book.record(attrs.evolve(ORDER, count=count), confirmed, 10.0)
+    book.record(EngineOrder("other", "dc2", True, 3), False, 10.0)
+    there = collections.Counter(dc1=present)
+    signs = book.reclaim_signs("llm", there, {"dc3"}, SPEC.boot_seconds, 10.0 + seconds)
+    assert signs == ReclaimSigns(frozenset({"dc3"}), frozenset(refused), starting)
+
+
 @pytest.mark.parametrize("policy", [DeclaredCapacity(), UtilizationCapacity()])
 def test_first_seconds_of_demand_shrink_no_pool(policy):
     """Guards against a pool that is cut to the first requests' demand and then lacks
