Count a suspension as time in which the leader is unknown

A VM of a first start that was suspended before the store had answered found the lease vacant afterwards and sent orders at once, although another VM may have led meanwhile: only passes during the silence counted. The silence is now also measured when it ends. The new test fails before (suspended for 10 s).

--- a/src/mulberrydock/lease.py
+++ b/src/mulberrydock/lease.py
@@ -168,23 +168,27 @@
 
     def may_acquire(self, now):
         """Return whether the lease is vacant and this controller's turn has come."""
+        self._note_unreadable(now)
         if not self.is_vacant():
-            self._note_predecessor(now)
+            self.may_have_predecessor |= self.is_readable()
             self.vacant_since = None
             return False
         if self.vacant_since is None:
             self.vacant_since = now
         return now - self.vacant_since >= self.takeover_delay()
 
-    def _note_predecessor(self, now):
-        """Record that there may be another leader, unless this is still unknown."""
+    def _note_unreadable(self, now):
+        """Record for how long it wasn't known whether there is a leader.
+
+        A VM that was suspended meanwhile finds that out when it is known again.
+        """
+        if self.unreadable_since is not None:
+            unread = now - self.unreadable_since
+            self.may_have_predecessor |= unread >= self.ttl
         if self.is_readable():
-            self.may_have_predecessor = True
-            return
-        if self.unreadable_since is None:
+            self.unreadable_since = None
+        elif self.unreadable_since is None:
             self.unreadable_since = now
-        elif now - self.unreadable_since >= self.ttl:
-            self.may_have_predecessor = True
 
     async def release(self):
         """Revoke the lease, so that another controller can acquire it at once."""
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -116,6 +116,30 @@
     assert lease.may_act(now) is not waits
 
 
+@pytest.mark.parametrize(("suspended_seconds", "waits"), [(1.0, False), (10.0, True)])
+def test_vm_suspended_at_its_start_waits_for_calls_of_a_predecessor(
+    suspended_seconds, waits
+):
+    """Guards against a VM that is suspended before the store has answered, and that
+    sends orders as soon as it goes on: another one may have led meanwhile."""
+    now, readable = 100.0, False
+    store = DirectStore(StoreState(), lambda: now)
+    lease = LeaderLease(
+        store,
+        "a",
+        3.0,
+        lambda: readable,
+        lambda: now,
+        first_start=True,
+        is_readable=lambda: readable,
+    )
+    assert not lease.may_acquire(now)
+    now, readable = now + suspended_seconds, True
+    assert lease.may_acquire(now)
+    assert asyncio.run(lease.acquire(now))
+    assert lease.may_act(now) is not waits
+
+
 def test_vm_that_lost_the_race_knows_that_there_is_a_leader():
     """Guards against a VM that never saw the record of the VM that was faster."""
     store = DirectStore(StoreState(), lambda: 100.0)
