Keep what a pool needs while reclaimed engines come back

Found in a review of the reclaims, each with a test: - Half of one data centre's engines back while another had none: the replacements were given up below the pool's need (6 left of 8). Engines that serve now stay until the need is met without them, within the maximum. - A configuration that drops a data centre whose engines were just taken back raised a KeyError in the scaling task, which ends the process, on each VM. - An order without an answer, or one call too many, counted as 'none to be had'. Only a refusal does; the others may still be carried out. - Engines accepted just before their data centre was taken back counted as on their way for boot time + 1 s and held other engines back, and their order wasn't repeated for boot time + 4 s.

The table of order signs has a new column and two more rows; its old rows are the same.

--- a/src/mulberrydock/scale_controller.py
+++ b/src/mulberrydock/scale_controller.py
@@ -62,17 +62,18 @@
             scaler = self.scalers.setdefault(service.name, PoolScaler())
             engines = self.fleet.instances.serving(service.name)
             needs = self.fleet.stage_needs(service, now)
-            signs = self._reclaim_signs(service, engines, now)
+            signs = self._reclaim_signs(service, engines, scaler.lost, now)
             known_lost = scaler.lost
             orders = scaler.decide(
                 service.name, service.autoscale, engines, needs, now, signs
             )
             if scaler.lost != known_lost:
                 _log_lost(service.name, scaler.lost, signs)
+            self.book.forget_lost(service.name, scaler.lost - known_lost)
             if may_act:
                 await self._send_due(orders, service.autoscale, engines, needs, now)
 
-    def _reclaim_signs(self, service, engines, now):
+    def _reclaim_signs(self, service, engines, lost, now):
         """Return the :class:`~mulberrydock.scaling.ReclaimSigns` of a pool."""
         present = collections.Counter(
             e.record.data_centre for e in engines if e.record.reclaimable
@@ -84,7 +85,7 @@
         }
         boot_seconds = service.autoscale.boot_seconds
         return self.book.reclaim_signs(
-            service.name, present, leaving, boot_seconds, now
+            service.name, present, leaving, lost, boot_seconds, now
         )
 
     async def _send_due(self, orders, spec, engines, needs, now):
@@ -101,7 +102,8 @@
             token = self.lease.authority.token
             outcome = await self.platform.order_engines(self.name, token, order)
             confirmed = outcome in (DutyOutcome.ACCEPTED, DutyOutcome.INVALID)
-            self.book.record(order, confirmed, now)
+            refused = outcome is DutyOutcome.REFUSED
+            self.book.record(order, confirmed, now, refused)
             logger.info(
                 "engines ordered",
                 service=order.service,
--- a/src/mulberrydock/scaling.py
+++ b/src/mulberrydock/scaling.py
@@ -244,6 +244,7 @@
         missing = max(0, needed - present.total())
         if missing and needs is not None:
             numbers = _leave_room(numbers, present, others, spec.maximum)
+        numbers = _keep_needed(numbers, present, needed, spec.maximum)
         orders = _orders(service, True, numbers)
         self._update_kept(missing, others.total(), signs.starting, now)
         if self.kept is not None:
@@ -266,7 +267,9 @@
             and (name in signs.leaving or name in signs.refused)
         }
         # The others stay in place until at least half of the engines are back.
-        missing = {name for name in self.lost if 2 * present[name] < numbers[name]}
+        missing = {
+            name for name in self.lost if 2 * present[name] < numbers.get(name, 0)
+        }
         self.lost = frozenset(gone | missing)
 
     def _cover_lost(self, numbers, needed, spec):
@@ -297,8 +300,9 @@
         if _lasted(self.short_since, patience, now) or _lasted(
             self.surplus_since, SURPLUS_SECONDS, now
         ):
-            # More than are missing only while some of them are on their way.
-            self.kept = max(0, missing - starting) if self.short_since else missing
+            # Engines on their way aren't replaced; replacements stay until they serve.
+            short = self.short_since is not None
+            self.kept = max(0, missing - starting) if short else missing
             self.short_since, self.surplus_since = None, None
 
 
@@ -314,6 +318,21 @@
     }
 
 
+def _keep_needed(numbers, present, needed, maximum):
+    """Return ``numbers`` that leave the pool the engines it needs of those that serve.
+
+    Where more serve than are wanted, they stay until others do elsewhere.
+    """
+    left = {name: min(number, present[name]) for name, number in numbers.items()}
+    lacking = max(0, needed - sum(left.values()))
+    kept = dict(numbers)
+    for name in sorted(numbers):
+        extra = min(lacking, min(present[name], maximum) - left[name])
+        kept[name] += extra
+        lacking -= extra
+    return kept
+
+
 def _since(holds, since, now):
     """Return since when a condition holds, None while it doesn't."""
     if not holds:
@@ -337,12 +356,13 @@
     """What is known of the last order on one subject.
 
     ``count`` was ordered at ``sent_at`` (monotonic seconds); ``confirmed`` is True once
-    the platform accepted it.
+    the platform accepted it, ``refused`` if it had none.
     """
 
     count: int
     sent_at: float
     confirmed: bool
+    refused: bool = False
 
 
 @attrs.define
@@ -382,25 +402,36 @@
         settled = elapsed >= boot_seconds + self.record_lag_seconds
         return settled and present != order.count
 
-    def reclaim_signs(self, service, present, leaving, boot_seconds, now):
+    def reclaim_signs(self, service, present, leaving, lost, boot_seconds, now):
         """Return the :class:`ReclaimSigns` of a pool.
 
         :param present: reclaimable engines that there are, by data centre.
         :param leaving: the data centres where one has announced that it leaves.
+        :param lost: the data centres that are known to have lost theirs. What was
+            accepted there may have been taken back as well.
         """
         refused, starting = set(), 0
         for (name, data_centre, reclaimable), state in self.states.items():
             if name != service or not reclaimable:
                 continue
-            if not state.confirmed:
+            if state.refused:
                 refused.add(data_centre)
-            elif now - state.sent_at < boot_seconds + SHORTAGE_SECONDS:
+            gone = data_centre in leaving and not present[data_centre]
+            in_time = now - state.sent_at < boot_seconds + SHORTAGE_SECONDS
+            if state.confirmed and in_time and not (gone or data_centre in lost):
                 starting += max(0, state.count - present[data_centre])
         return ReclaimSigns(frozenset(leaving), frozenset(refused), starting)
 
-    def record(self, order, confirmed, now):
-        """Record that ``order`` was sent at ``now``."""
-        self.states[order.subject] = OrderState(order.count, now, confirmed)
+    def record(self, order, confirmed, now, refused=False):
+        """Record that ``order`` was sent at ``now``, and how it was answered."""
+        state = OrderState(order.count, now, confirmed, refused)
+        self.states[order.subject] = state
+
+    def forget_lost(self, service, data_centres):
+        """Forget the accepted orders whose reclaimable engines were taken back."""
+        for subject in [(service, name, True) for name in data_centres]:
+            if subject in self.states and self.states[subject].confirmed:
+                del self.states[subject]
 
     def forget(self):
         """Forget all orders, as another VM may order from now on."""
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -332,26 +332,78 @@
 
 
 @pytest.mark.parametrize(
-    ("sent", "seconds", "present", "refused", "starting"),
+    ("answer", "seconds", "present", "lost", "refused", "starting"),
     [
-        ((4, True), 0.5, 1, set(), 3),
+        ("accepted", 0.5, 1, set(), set(), 3),
         # What hasn't come once its start is over doesn't count any more.
-        ((4, True), 6.0, 1, set(), 0),
-        ((4, False), 0.5, 0, {"dc1"}, 0),
+        ("accepted", 6.0, 1, set(), set(), 0),
+        # What was accepted before the loss was taken back with the others.
+        ("accepted", 0.5, 0, {"dc1"}, set(), 0),
+        ("refused", 0.5, 0, set(), {"dc1"}, 0),
+        # No answer, or too many calls, doesn't show that there are no engines.
+        ("unknown", 0.5, 0, set(), set(), 0),
     ],
 )
 def test_orders_show_what_is_lost_and_what_is_on_its_way(
-    sent, seconds, present, refused, starting
+    answer, seconds, present, lost, refused, starting
 ):
     book = OrderBook()
-    count, confirmed = sent
-    book.record(attrs.evolve(ORDER, count=count), confirmed, 10.0)
-    book.record(EngineOrder("other", "dc2", True, 3), False, 10.0)
-    there = collections.Counter(dc1=present)
-    signs = book.reclaim_signs("llm", there, {"dc3"}, SPEC.boot_seconds, 10.0 + seconds)
+    order = attrs.evolve(ORDER, count=4)
+    book.record(order, answer == "accepted", 10.0, answer == "refused")
+    book.record(EngineOrder("other", "dc2", True, 3), False, 10.0, True)
+    there, now = collections.Counter(dc1=present), 10.0 + seconds
+    signs = book.reclaim_signs("llm", there, {"dc3"}, lost, SPEC.boot_seconds, now)
     assert signs == ReclaimSigns(frozenset({"dc3"}), frozenset(refused), starting)
 
 
+def test_engines_accepted_just_before_they_are_taken_back_are_not_awaited():
+    """Guards against a peak that is left without replacements for as long as a start
+    takes, as engines ordered for it are taken back with the others."""
+    book = OrderBook()
+    book.record(attrs.evolve(ORDER, count=9), True, 10.0)
+    there = collections.Counter(dc2=4, dc3=4)
+    signs = book.reclaim_signs(
+        "llm", there, {"dc1"}, frozenset(), SPEC.boot_seconds, 10.5
+    )
+    assert signs == ReclaimSigns(frozenset({"dc1"}), frozenset(), 0)
+
+
+def test_replacements_stay_until_the_engines_of_all_data_centres_are_back():
+    """Guards against a pool that falls below its need when one of two data centres has
+    half of its engines again and the other has none."""
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    there = engines(reclaimable=True, dc1=8, dc2=2)
+    orders = scaler.decide("llm", SPEC, there, demand(3.0), 21.0)
+    assert wanted(orders, True) == {"dc1": 6, "dc2": 4, "dc3": 4}
+
+
+@pytest.mark.parametrize("maximum", [8, 5])
+def test_replacements_stay_within_the_bounds_of_a_new_configuration(maximum):
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    spec = attrs.evolve(SPEC, maximum=maximum)
+    there = engines(reclaimable=True, dc1=8)
+    orders = scaler.decide("llm", spec, there, demand(3.0), 21.0)
+    assert wanted(orders, True)["dc1"] == maximum
+    total = collections.Counter()
+    for order in orders:
+        total[order.data_centre] += order.count
+        assert order.count >= 0
+    assert max(total.values()) <= maximum
+
+
+def test_lost_data_centre_that_the_configuration_drops_is_forgotten():
+    """Guards against a VM that ends by itself when a new configuration no longer
+    has a data centre whose engines were just taken back."""
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    spec = attrs.evolve(SPEC, prices={"dc1": 1.0, "dc2": 0.8})
+    left = engines(reclaimable=True, dc1=4)
+    scaler.decide("llm", spec, left, demand(3.0), 21.0)
+    assert scaler.lost == {"dc2"}
+
+
 @pytest.mark.parametrize("policy", [DeclaredCapacity(), UtilizationCapacity()])
 def test_first_seconds_of_demand_shrink_no_pool(policy):
     """Guards against a pool that is cut to the first requests' demand and then lacks
@@ -448,6 +500,23 @@
     assert len(platform.orders) == 9
 
 
+def test_order_is_sent_again_as_soon_as_its_engines_are_taken_back():
+    """Guards against a data centre whose order counts as carried out for seconds, as
+    its engines had come just before they were taken back."""
+    platform = Platform()
+    scale = controller(platform)
+    asyncio.run(scale.run_pass(10.0))
+    for engine in engines(reclaimable=True, dc1=4, dc2=4, dc3=4):
+        scale.fleet.instances.put(engine.record, 10.5)
+    asyncio.run(scale.run_pass(11.0))
+    assert len(platform.orders) == 3
+    for instance in scale.fleet.instances.serving("llm"):
+        if instance.record.data_centre == "dc1" and instance.record.reclaimable:
+            scale.fleet.instances.mark_leaving(instance.id, "test", 11.0)
+    asyncio.run(scale.run_pass(11.5))
+    assert [order for _, _, order in platform.orders[3:]] == [ORDER]
+
+
 def test_nothing_is_ordered_while_records_are_missing():
     """Guards against orders based on a pool that seems empty in an outage of the
     store."""
