--- a/src/mulberrydock/scale_controller.py
+++ b/src/mulberrydock/scale_controller.py
@@ -74,7 +74,7 @@
                 await self._send_due(orders, service.autoscale, engines, needs, now)
 
     def _reclaim_signs(self, service, engines, lost, now):
-        """Return the :class:`~mulberrydock.scaling.ReclaimSigns` of a pool."""
+        """Return the :class:`~mulberrydock.reclaims.ReclaimSigns` of a pool."""
         present = collections.Counter(
             e.record.data_centre for e in engines if e.record.reclaimable
         )
--- a/src/mulberrydock/scaling.py
+++ b/src/mulberrydock/scaling.py
@@ -13,6 +13,15 @@
 
 import attrs
 
+from .reclaims import (
+    NeededCapacity,
+    ReclaimedCapacity,
+    ReclaimSigns,
+    keep_needed,
+    leave_room,
+    with_loss_cover,
+)
+
 #: Utilization at which the engines of a pool are kept: prompts wait about as long as
 #: they take to prefill, and a burst of twice the load is still served.
 TARGET_UTILIZATION = 0.5
@@ -147,53 +156,6 @@
     return numbers
 
 
-def with_loss_cover(needed, data_centres):
-    """Return the engines of which ``needed`` are left without any one data centre."""
-    if data_centres < 2:
-        return needed
-    return data_centres * math.ceil(needed / (data_centres - 1))
-
-
-@attrs.define(frozen=True)
-class ReclaimSigns:
-    """What shows that reclaimable engines are lost, or that others are on their way.
-
-    ``leaving`` are the data centres where one has announced that it leaves,
-    ``refused`` those that had none for the last order. ``starting`` is the number
-    that the platform has accepted to start and that may still come in time.
-    """
-
-    leaving: frozenset = frozenset()
-    refused: frozenset = frozenset()
-    starting: int = 0
-
-
-class ReclaimedCapacity(abc.ABC):
-    """Decides how many reclaimable engines the other data centres take over."""
-
-    @abc.abstractmethod
-    def total(self, needed, data_centres):
-        """Return the engines wanted in the data centres that have some.
-
-        :param needed: engines that the pool needs.
-        :param data_centres: number of data centres that have reclaimable engines.
-        """
-
-
-class NeededCapacity(ReclaimedCapacity):
-    """What the pool needs, without cover for a further loss."""
-
-    def total(self, needed, data_centres):
-        return needed
-
-
-class CoveredCapacity(ReclaimedCapacity):
-    """What the pool needs even after the loss of one more data centre."""
-
-    def total(self, needed, data_centres):
-        return with_loss_cover(needed, data_centres)
-
-
 @attrs.define
 class PoolScaler:
     """Decides the wanted engines of one pool, from pass to pass.
@@ -243,8 +205,8 @@
         numbers = self._cover_lost(numbers, needed, spec)
         missing = max(0, needed - present.total())
         if missing and needs is not None:
-            numbers = _leave_room(numbers, present, others, spec.maximum)
-        numbers = _keep_needed(numbers, present, needed, spec.maximum)
+            numbers = leave_room(numbers, present, others, spec.maximum)
+        numbers = keep_needed(numbers, present, needed, spec.maximum)
         orders = _orders(service, True, numbers)
         self._update_kept(missing, others.total(), signs.starting, now)
         if self.kept is not None:
@@ -306,33 +268,6 @@
             self.short_since, self.surplus_since = None, None
 
 
-def _leave_room(numbers, present, others, maximum):
-    """Return ``numbers`` of reclaimable engines that displace no engine that serves.
-
-    Where a data centre has its maximum, another kind of engine takes the place of one
-    that is there and starts only seconds later.
-    """
-    return {
-        name: min(number, max(present[name], maximum - others[name]))
-        for name, number in numbers.items()
-    }
-
-
-def _keep_needed(numbers, present, needed, maximum):
-    """Return ``numbers`` that leave the pool the engines it needs of those that serve.
-
-    Where more serve than are wanted, they stay until others do elsewhere.
-    """
-    left = {name: min(number, present[name]) for name, number in numbers.items()}
-    lacking = max(0, needed - sum(left.values()))
-    kept = dict(numbers)
-    for name in sorted(numbers):
-        extra = min(lacking, min(present[name], maximum) - left[name])
-        kept[name] += extra
-        lacking -= extra
-    return kept
-
-
 def _since(holds, since, now):
     """Return since when a condition holds, None while it doesn't."""
     if not holds:
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -16,6 +16,12 @@
 from mulberrydock.instances import Instance, InstanceRecord, Stage
 from mulberrydock.lease import Authority, LeaderLease
 from mulberrydock.platform import DutyOutcome, read_config, read_instance
+from mulberrydock.reclaims import (
+    CoveredCapacity,
+    NeededCapacity,
+    ReclaimSigns,
+    with_loss_cover,
+)
 from mulberrydock.request import RoutingConfig, ServiceSpec
 from mulberrydock.scale_controller import ScaleController
 from mulberrydock.scaling import (
@@ -23,17 +29,13 @@
     SHORTAGE_SECONDS,
     SURPLUS_SECONDS,
     AutoscaleSpec,
-    CoveredCapacity,
     DeclaredCapacity,
     EngineOrder,
-    NeededCapacity,
     OrderBook,
     PoolScaler,
-    ReclaimSigns,
     UtilizationCapacity,
     resize,
     spread,
-    with_loss_cover,
 )
 from mulberrydock.stages import StageNeeds
 
