Change a full pool to reclaimable engines one by one

Where the data centres had their maximum of the dearer engines when the first requests came, no reclaimable one was ever ordered, as each would have displaced one that served: 12 dear engines for as long as the demand lasted. While no data centre is lost, one in each may now be displaced at a time. The new test fails without that step (0 reclaimable and 12 others after 50 s). It doesn't show how the platform treats an order for which a data centre has no room.

The tests of a first leader share the making of their lease (duplicates).

--- a/src/mulberrydock/reclaims.py
+++ b/src/mulberrydock/reclaims.py
@@ -58,14 +58,17 @@
         return with_loss_cover(needed, data_centres)
 
 
-def leave_room(numbers, present, others, maximum):
-    """Return ``numbers`` of reclaimable engines that displace no engine that serves.
+def leave_room(numbers, present, others, maximum, step):
+    """Return ``numbers`` of reclaimable engines that displace few that serve.
 
     Where a data centre has its maximum, another kind of engine takes the place of one
     that is there and starts only seconds later.
+
+    :param step: engines of the other kind that may be displaced in a data centre at a
+        time. Without any, a full pool would keep the dearer ones for ever.
     """
     return {
-        name: min(number, max(present[name], maximum - others[name]))
+        name: min(number, max(present[name] + step, maximum - others[name]))
         for name, number in numbers.items()
     }
 
--- a/src/mulberrydock/scaling.py
+++ b/src/mulberrydock/scaling.py
@@ -205,7 +205,8 @@
         numbers = self._cover_lost(numbers, needed, spec)
         missing = max(0, needed - present.total())
         if missing and needs is not None:
-            numbers = leave_room(numbers, present, others, spec.maximum)
+            step = 0 if self.lost else 1
+            numbers = leave_room(numbers, present, others, spec.maximum, step)
         numbers = keep_needed(numbers, present, needed, spec.maximum)
         orders = _orders(service, True, numbers)
         self._update_kept(missing, others.total(), signs.starting, now)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -89,6 +89,19 @@
     assert lease.may_act(now)
 
 
+def first_lease(store, is_readable, clock):
+    """Return the lease of a VM of a first start, vacant once the store is readable."""
+    return LeaderLease(
+        store,
+        "a",
+        3.0,
+        is_readable,
+        clock,
+        first_start=True,
+        is_readable=is_readable,
+    )
+
+
 @pytest.mark.parametrize(
     ("unread_seconds", "waits"), [(0.0, False), (1.0, False), (3.0, True), (5.0, True)]
 )
@@ -98,15 +111,7 @@
     lease, another leader may have come and gone meanwhile."""
     state, now, readable = StoreState(), 100.0, False
     store = DirectStore(state, lambda: now)
-    lease = LeaderLease(
-        store,
-        "a",
-        3.0,
-        lambda: readable,
-        lambda: now,
-        first_start=True,
-        is_readable=lambda: readable,
-    )
+    lease = first_lease(store, lambda: readable, lambda: now)
     for _ in range(1 + int(unread_seconds)):
         assert not lease.may_acquire(now)
         now += 1.0
@@ -124,15 +129,7 @@
     sends orders as soon as it goes on: another one may have led meanwhile."""
     now, readable = 100.0, False
     store = DirectStore(StoreState(), lambda: now)
-    lease = LeaderLease(
-        store,
-        "a",
-        3.0,
-        lambda: readable,
-        lambda: now,
-        first_start=True,
-        is_readable=lambda: readable,
-    )
+    lease = first_lease(store, lambda: readable, lambda: now)
     assert not lease.may_acquire(now)
     now, readable = now + suspended_seconds, True
     assert lease.may_acquire(now)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -323,6 +323,18 @@
     assert wanted(orders, False)["dc1"] == 1
 
 
+def test_full_pool_under_load_changes_to_reclaimable_engines_one_by_one():
+    """Guards against a pool that keeps the dearer engines for ever, as its data centres
+    had their maximum of them when the first requests came."""
+    spec = attrs.evolve(SPEC, maximum=4)
+    pool = Pool(spec, dc1=4, dc2=4, dc3=4)
+    pool.scaler.decide("llm", spec, pool.engines, None, 0.0)
+    for _ in range(100):
+        pool.run(0.5, demand(6.0))
+        assert pool.count() >= 9
+    assert (pool.count(True), pool.count(False)) == (12, 0)
+
+
 def test_crashed_engines_of_a_data_centre_are_not_taken_for_reclaimed_ones():
     """Guards against replacements for engines that are back within seconds."""
     scaler = PoolScaler()
