--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -16,6 +16,12 @@
 from mulberrydock.instances import Instance, InstanceRecord, Stage
 from mulberrydock.lease import Authority, LeaderLease
 from mulberrydock.platform import DutyOutcome, read_config, read_instance
+from mulberrydock.reclaims import (
+    CoveredCapacity,
+    NeededCapacity,
+    ReclaimSigns,
+    with_loss_cover,
+)
 from mulberrydock.request import RoutingConfig, ServiceSpec
 from mulberrydock.scale_controller import ScaleController
 from mulberrydock.scaling import (
@@ -30,7 +36,6 @@
     UtilizationCapacity,
     resize,
     spread,
-    with_loss_cover,
 )
 from mulberrydock.stages import StageNeeds
 
@@ -244,6 +249,175 @@
     assert wanted(pool.orders, False) == {"dc1": 0, "dc2": 0, "dc3": 0}
 
 
+def reclaimed_orders(scaler, needs, starting=0, now=20.0, **present):
+    """Return the orders once dc2 and dc3 have announced that all their engines leave.
+
+    Two engines of dc2 and dc3 each were there, beside those that are still present.
+    """
+    scaler.decide("llm", SPEC, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    full = engines(reclaimable=True, dc1=4, dc2=4, dc3=4)
+    for step in range(6):
+        scaler.decide("llm", SPEC, full, needs, now - 3.0 + step / 2)
+    signs = ReclaimSigns(frozenset({"dc2", "dc3"}), frozenset(), starting)
+    left = engines(reclaimable=True, **present)
+    return scaler.decide("llm", SPEC, left, needs, now, signs)
+
+
+@pytest.mark.parametrize(
+    ("reclaimed", "busy", "starting", "reclaimable", "others"),
+    [
+        # What the pool needs, at once, in the data centre that is left.
+        (NeededCapacity(), 3.0, 0, {"dc1": 8, "dc2": 4, "dc3": 4}, 4),
+        (CoveredCapacity(), 3.0, 0, {"dc1": 8, "dc2": 4, "dc3": 4}, 4),
+        # The platform has accepted to start four: no dear ones are needed.
+        (NeededCapacity(), 3.0, 4, {"dc1": 8, "dc2": 4, "dc3": 4}, 0),
+        # The load is above what the pool was declared for.
+        (NeededCapacity(), 6.0, 0, {"dc1": 12, "dc2": 6, "dc3": 6}, 8),
+    ],
+)
+def test_announced_reclaim_of_two_data_centres_at_a_peak_is_replaced_at_once(
+    reclaimed, busy, starting, reclaimable, others
+):
+    """Guards against a second without orders after a loss that is certain, while what
+    is left of the pool serves the peak."""
+    scaler = PoolScaler(reclaimed=reclaimed)
+    orders = reclaimed_orders(scaler, demand(busy), starting, dc1=4)
+    assert wanted(orders, True) == reclaimable
+    assert sum((wanted(orders, False) or {}).values()) == others
+
+
+def test_data_centre_without_engines_for_an_order_is_covered_by_the_others():
+    """Guards against orders that are only repeated where there are no engines."""
+    scaler = PoolScaler()
+    scaler.decide("llm", SPEC, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    there = engines(reclaimable=True, dc1=4, dc2=4)
+    signs = ReclaimSigns(refused=frozenset({"dc3"}))
+    orders = scaler.decide("llm", SPEC, there, demand(5.0), 1.0, signs)
+    assert wanted(orders, True) == {"dc1": 5, "dc2": 5, "dc3": 5}
+    orders = scaler.decide("llm", SPEC, there, demand(6.0), 2.0, signs)
+    assert wanted(orders, True) == {"dc1": 6, "dc2": 6, "dc3": 6}
+
+
+@pytest.mark.parametrize(("back", "raised"), [(0, True), (1, True), (2, False)])
+def test_others_stay_until_half_of_the_reclaimed_engines_are_back(back, raised):
+    """Guards against a pool that gives up the replacements while the engines that they
+    replace are still starting."""
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    there = engines(reclaimable=True, dc1=8, dc2=back, dc3=back)
+    orders = scaler.decide("llm", SPEC, there, demand(3.0), 21.0)
+    assert wanted(orders, True)["dc1"] == (8 if raised else 4)
+
+
+def test_engines_that_serve_a_peak_are_not_displaced_by_reclaimable_ones():
+    """Guards against a pool that gives up engines while too few are left, as a data
+    centre that has its maximum gets reclaimable ones that have yet to start."""
+    spec = attrs.evolve(SPEC, maximum=5)
+    scaler = PoolScaler()
+    scaler.decide("llm", spec, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    left = engines(reclaimable=True, dc1=4) + engines(dc1=1, dc2=5)
+    signs = ReclaimSigns(refused=frozenset({"dc2", "dc3"}))
+    scaler.kept = 6
+    orders = scaler.decide("llm", spec, left, demand(6.0), 1.0, signs)
+    assert wanted(orders, True)["dc1"] == 4
+    assert wanted(orders, False)["dc1"] == 1
+
+
+def test_full_pool_under_load_changes_to_reclaimable_engines_one_by_one():
+    """Guards against a pool that keeps the dearer engines for ever, as its data centres
+    had their maximum of them when the first requests came."""
+    spec = attrs.evolve(SPEC, maximum=4)
+    pool = Pool(spec, dc1=4, dc2=4, dc3=4)
+    pool.scaler.decide("llm", spec, pool.engines, None, 0.0)
+    for _ in range(100):
+        pool.run(0.5, demand(6.0))
+        assert pool.count() >= 9
+    assert (pool.count(True), pool.count(False)) == (12, 0)
+
+
+def test_crashed_engines_of_a_data_centre_are_not_taken_for_reclaimed_ones():
+    """Guards against replacements for engines that are back within seconds."""
+    scaler = PoolScaler()
+    scaler.decide("llm", SPEC, engines(dc1=3, dc2=2, dc3=3), None, 0.0)
+    there = engines(reclaimable=True, dc1=4, dc2=4)
+    orders = scaler.decide("llm", SPEC, there, demand(3.0), 1.0)
+    assert wanted(orders, True) == {"dc1": 4, "dc2": 4, "dc3": 4}
+    assert not scaler.lost
+
+
+@pytest.mark.parametrize(
+    ("answer", "seconds", "present", "lost", "refused", "starting"),
+    [
+        ("accepted", 0.5, 1, set(), set(), 3),
+        # What hasn't come once its start is over doesn't count any more.
+        ("accepted", 6.0, 1, set(), set(), 0),
+        # What was accepted before the loss was taken back with the others.
+        ("accepted", 0.5, 0, {"dc1"}, set(), 0),
+        ("refused", 0.5, 0, set(), {"dc1"}, 0),
+        # No answer, or too many calls, doesn't show that there are no engines.
+        ("unknown", 0.5, 0, set(), set(), 0),
+    ],
+)
+def test_orders_show_what_is_lost_and_what_is_on_its_way(
+    answer, seconds, present, lost, refused, starting
+):
+    book = OrderBook()
+    order = attrs.evolve(ORDER, count=4)
+    book.record(order, answer == "accepted", 10.0, answer == "refused")
+    book.record(EngineOrder("other", "dc2", True, 3), False, 10.0, True)
+    there, now = collections.Counter(dc1=present), 10.0 + seconds
+    signs = book.reclaim_signs("llm", there, {"dc3"}, lost, SPEC.boot_seconds, now)
+    assert signs == ReclaimSigns(frozenset({"dc3"}), frozenset(refused), starting)
+
+
+def test_engines_accepted_just_before_they_are_taken_back_are_not_awaited():
+    """Guards against a peak that is left without replacements for as long as a start
+    takes, as engines ordered for it are taken back with the others."""
+    book = OrderBook()
+    book.record(attrs.evolve(ORDER, count=9), True, 10.0)
+    there = collections.Counter(dc2=4, dc3=4)
+    signs = book.reclaim_signs(
+        "llm", there, {"dc1"}, frozenset(), SPEC.boot_seconds, 10.5
+    )
+    assert signs == ReclaimSigns(frozenset({"dc1"}), frozenset(), 0)
+
+
+def test_replacements_stay_until_the_engines_of_all_data_centres_are_back():
+    """Guards against a pool that falls below its need when one of two data centres has
+    half of its engines again and the other has none."""
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    there = engines(reclaimable=True, dc1=8, dc2=2)
+    orders = scaler.decide("llm", SPEC, there, demand(3.0), 21.0)
+    assert wanted(orders, True) == {"dc1": 6, "dc2": 4, "dc3": 4}
+
+
+@pytest.mark.parametrize("maximum", [8, 5])
+def test_replacements_stay_within_the_bounds_of_a_new_configuration(maximum):
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    spec = attrs.evolve(SPEC, maximum=maximum)
+    there = engines(reclaimable=True, dc1=8)
+    orders = scaler.decide("llm", spec, there, demand(3.0), 21.0)
+    assert wanted(orders, True)["dc1"] == maximum
+    total = collections.Counter()
+    for order in orders:
+        total[order.data_centre] += order.count
+        assert order.count >= 0
+    assert max(total.values()) <= maximum
+
+
+def test_lost_data_centre_that_the_configuration_drops_is_forgotten():
+    """Guards against a VM that ends by itself when a new configuration no longer
+    has a data centre whose engines were just taken back."""
+    scaler = PoolScaler()
+    reclaimed_orders(scaler, demand(3.0), dc1=4)
+    spec = attrs.evolve(SPEC, prices={"dc1": 1.0, "dc2": 0.8})
+    left = engines(reclaimable=True, dc1=4)
+    scaler.decide("llm", spec, left, demand(3.0), 21.0)
+    assert scaler.lost == {"dc2"}
+
+
 @pytest.mark.parametrize("policy", [DeclaredCapacity(), UtilizationCapacity()])
 def test_first_seconds_of_demand_shrink_no_pool(policy):
     """Guards against a pool that is cut to the first requests' demand and then lacks
@@ -340,6 +514,23 @@
     assert len(platform.orders) == 9
 
 
+def test_order_is_sent_again_as_soon_as_its_engines_are_taken_back():
+    """Guards against a data centre whose order counts as carried out for seconds, as
+    its engines had come just before they were taken back."""
+    platform = Platform()
+    scale = controller(platform)
+    asyncio.run(scale.run_pass(10.0))
+    for engine in engines(reclaimable=True, dc1=4, dc2=4, dc3=4):
+        scale.fleet.instances.put(engine.record, 10.5)
+    asyncio.run(scale.run_pass(11.0))
+    assert len(platform.orders) == 3
+    for instance in scale.fleet.instances.serving("llm"):
+        if instance.record.data_centre == "dc1" and instance.record.reclaimable:
+            scale.fleet.instances.mark_leaving(instance.id, "test", 11.0)
+    asyncio.run(scale.run_pass(11.5))
+    assert [order for _, _, order in platform.orders[3:]] == [ORDER]
+
+
 def test_nothing_is_ordered_while_records_are_missing():
     """Guards against orders based on a pool that seems empty in an outage of the
     store."""
