--- a/src/mulberrydock/store_changes.py
+++ b/src/mulberrydock/store_changes.py
@@ -21,12 +21,16 @@
     if key.startswith((defaults.ENTRY_PREFIX, defaults.CRASH_PREFIX)):
         # Datagrams tell of leaving VMs and of crashes at once.
         return Urgency.SOON
-    if key.startswith(platform.INSTANCE_PREFIX) and value is not None:
+    if key.startswith(platform.INSTANCE_PREFIX):
         return _record_urgency(key, value, instances, serving)
     return Urgency.NOW
 
 
 def _record_urgency(key, value, instances, serving):
+    if value is None:
+        known = instances.get(platform.instance_id(key))
+        # All VMs know already that it leaves: its record said so, or a datagram.
+        return Urgency.SOON if known is not None and known.leaving else Urgency.NOW
     try:
         record = platform.read_instance(key, value)
     except SettingsError:
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -267,11 +267,12 @@
 
 
 def registry(known, expired):
-    """Return an instance registry that knows ``e1`` or not."""
+    """Return an instance registry that knows ``e1`` or not, or that it leaves."""
     instances = InstanceRegistry()
     if known:
+        draining = known == "leaving"
         record = InstanceRecord(
-            "e1", "llm", "127.0.0.1:7", "dc1", 64, False, Stage.DECODE, 5
+            "e1", "llm", "127.0.0.1:7", "dc1", 64, draining, Stage.DECODE, 5
         )
         instances.put(record, NOW)
         if expired:
@@ -284,6 +285,7 @@
     [
         ("op/config", "{}", False, False, False, Urgency.NOW),
         ("servers/e1", None, True, False, False, Urgency.NOW),
+        ("servers/e1", None, "leaving", False, True, Urgency.SOON),
         ("servers/e1", engine_record("draining"), True, False, True, Urgency.NOW),
         ("servers/e1", "unreadable", True, False, True, Urgency.NOW),
         ("servers/e1", engine_record(), False, False, True, Urgency.NOW),
