A follower hears at once when an observer's calls fail

All three observers cut off from the store at once were noticed by the next check, 2.0 s after a change with a lost datagram; now 1.9 s at most, from an earlier renewal too.

Tests: test_store_freshness passes.

--- a/src/mulberrydock/store_freshness.py
+++ b/src/mulberrydock/store_freshness.py
@@ -29,9 +29,9 @@
 MIN_PEERS = OBSERVERS
 #: Messages of a peer that may be lost before it counts as not heard.
 HEARD_INTERVALS = 4
-#: Seconds from an observer's failure or a change that it saw until a follower has read
-#: the store: a message and its repetition, a late timer, and a call.
-TELL_SECONDS = 0.7
+#: Seconds from an observer's failed call or a change that it saw until a follower has
+#: read the store: a late renewal, a message and its repetition, a check, and a call.
+TELL_SECONDS = 0.8
 #: Minimum seconds between an observer's lease renewals, which show that its calls are
 #: answered. Where less is left, there are no followers.
 MIN_RENEWAL_SECONDS = 0.4
@@ -122,7 +122,7 @@
     """What this VM and its peers know of the store's state.
 
     An owner may set ``on_news``: called when a peer knows an urgent change that this
-    VM doesn't know.
+    VM doesn't know, or when the store no longer answers the peer.
 
     :param name: this VM's name.
     :param poll_seconds: seconds that a poll may wait and stay unanswered unnoticed.
@@ -206,8 +206,12 @@
             HEARD_INTERVALS * interval, self.notice_seconds - TELL_SECONDS
         )
         answered_at = now - report.age if report is not None else -math.inf
+        before = self.heard.get(name)
         self.heard[name] = HeardPeer(report, answered_at, heard_until)
-        if report is not None and self._is_unknown(report, report.urgent_revision):
+        if report is None:
+            return
+        fails_now = report.failing and not (before is not None and before.failing)
+        if fails_now or self._is_unknown(report, report.urgent_revision):
             self.on_news()
 
     def report(self, now):
