--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -190,9 +190,12 @@
 def test_one_sound_observer_is_enough():
     """Guards against calls of the whole fleet when observers fail one by one, and
     against a change that only the last one saw."""
-    known = follower()
+    known, wakened = follower(), []
+    known.on_news = lambda: wakened.append(True)
     failing = StoreReport(1, failing=True)
-    hear(known, dict.fromkeys(OBSERVER_NAMES[1:], failing), NOW + 0.1)
+    for _ in range(2):
+        hear(known, dict.fromkeys(OBSERVER_NAMES[1:], failing), NOW + 0.1)
+    assert len(wakened) == 2, "once for each observer"
     assert not known.is_poll_due(NOW + 0.1)
     news = attrs.evolve(CURRENT, urgent_revision=51)
     hear(known, {OBSERVER_NAMES[0]: news}, NOW + 0.2)
@@ -267,11 +270,12 @@
 
 
 def registry(known, expired):
-    """Return an instance registry that knows ``e1`` or not."""
+    """Return an instance registry that knows ``e1`` or not, or that it leaves."""
     instances = InstanceRegistry()
     if known:
+        draining = known == "leaving"
         record = InstanceRecord(
-            "e1", "llm", "127.0.0.1:7", "dc1", 64, False, Stage.DECODE, 5
+            "e1", "llm", "127.0.0.1:7", "dc1", 64, draining, Stage.DECODE, 5
         )
         instances.put(record, NOW)
         if expired:
@@ -284,6 +288,7 @@
     [
         ("op/config", "{}", False, False, False, Urgency.NOW),
         ("servers/e1", None, True, False, False, Urgency.NOW),
+        ("servers/e1", None, "leaving", False, True, Urgency.SOON),
         ("servers/e1", engine_record("draining"), True, False, True, Urgency.NOW),
         ("servers/e1", "unreadable", True, False, True, Urgency.NOW),
         ("servers/e1", engine_record(), False, False, True, Urgency.NOW),
