--- a/src/mulberrydock/_serve_model.py
+++ b/src/mulberrydock/_serve_model.py
@@ -56,6 +56,7 @@
     name: str = attrs.field()
     data_centre: str = attrs.field()
     region: str = attrs.field()
+    regions: dict[str, str] = attrs.field(factory=lambda: {})
     ip: str = attrs.field()
     first_start: bool = attrs.field(default=False)
     listen: Listen = attrs.field()
--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -182,7 +182,7 @@
     """Connections to one address, for one incarnation of the server there.
 
     An owner may set ``on_connect``: it is called after each attempt to connect, with
-    whether it succeeded.
+    whether it succeeded and the seconds that it took.
 
     :param limit: maximum number of open connections.
     """
@@ -190,7 +190,7 @@
     def __init__(self, address, limit=1000):
         self.address = address
         self.limit = limit
-        self.on_connect = lambda connected: None
+        self.on_connect = lambda connected, seconds: None
         self.idle = []
         self.open = 0
         self.waiting_since = {}
@@ -237,6 +237,7 @@
         _configure(sock)
         stream = _Stream(sock)
         self.open += 1
+        started = time.monotonic()
         try:
             await asyncio.wait_for(stream.connect((host, port)), timeout)
         except BaseException as error:
@@ -246,12 +247,12 @@
                 error,
                 (OSError, asyncio.TimeoutError, tornado.iostream.StreamClosedError),
             ):
-                self.on_connect(False)
+                self.on_connect(False, time.monotonic() - started)
                 raise UpstreamError(
                     f"can't connect to {self.address}: {error!r}", ResultCode.NOT_RUN
                 ) from error
             raise
-        self.on_connect(True)
+        self.on_connect(True, time.monotonic() - started)
         return Connection(stream)
 
     async def acquire(self, now):
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -10,7 +10,6 @@
 from .links import Links
 from .peer_loads import LoadTracker
 from .placement import (
-    REMOTE_TRANSFER_FACTOR,
     Placement,
     Plan,
     Pool,
@@ -20,6 +19,8 @@
 from .prefill_cost import IN_PLACE_SPEED_RATIO
 from .quarantine import Quarantine
 from .rate_limits import RateLimits
+from .regions import Distances
+from .regions.distances import REMOTE_TRANSFER_FACTOR
 from .rendezvous import rank
 from .route_table import RouteTable
 from .stages import MAX_DECODE_UTILIZATION, StageNeeds, sustainable_streams
@@ -49,11 +50,14 @@
     :param on_removed: called with the incarnation of each instance that is removed.
     :param limits: the :class:`~mulberrydock.rate_limits.RateLimits` of the
         instances, None for a VM without peers.
+    :param regions: the region of each data centre, None if they lie in one.
 
     ``configuration_current`` is False while this VM couldn't hear of a new version.
     """
 
-    def __init__(self, data_centre, timing, vm_count, on_removed, limits=None):
+    def __init__(
+        self, data_centre, timing, vm_count, on_removed, limits=None, regions=None
+    ):
         self.routes = RouteTable()
         self.instances = InstanceRegistry(on_removed)
         self.loads = LoadTracker()
@@ -62,7 +66,8 @@
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
         self.quarantine = Quarantine()
-        self.placement = Placement(data_centre)
+        self.distances = Distances(data_centre, regions)
+        self.placement = Placement(data_centre, self.distances)
         self.estimates = FleetEstimates(self._kv_capacity)
         self.timing = timing
         self.vm_count = vm_count
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -11,6 +11,7 @@
 from .fill_level import fill_level
 from .peer_loads import Load
 from .prefill_cost import IN_PLACE_SPEED_RATIO
+from .regions import Distances
 from .rendezvous import rank
 
 #: Seconds that a handoff adds to the prefill and the KV cache transfer: two more
@@ -41,14 +42,9 @@
 BOOST_WAIT_SHARE = 0.5
 #: Least urgent priority that an engine accepts.
 PRIORITY_MAX = 9
-#: Seconds that a hop to another data centre adds; its traffic is billed by the byte
-#: as well.
-REMOTE_HOP_SECONDS = 0.002
 #: Share of the prefill work queued at a decode engine by which the first token of a
 #: stream is delayed: prompts are prefilled in chunks between decode steps.
 INTERLEAVED_PREFILL_SHARE = 0.1
-#: Factor by which a KV cache transfer to another data centre takes longer.
-REMOTE_TRANSFER_FACTOR = 2.0
 #: Preference for the owner of a document while no engine is known to have it cached,
 #: in multiples of the time to prefill the document. VMs that get the same document at
 #: the same moment, or that have just started and know no caches, then all choose the
@@ -207,17 +203,24 @@
     """Chooses instances by their loads.
 
     :param data_centre: the data centre of this VM.
+    :param distances: the :class:`~mulberrydock.regions.Distances` to the others, None
+        if all lie in one region.
     """
 
-    def __init__(self, data_centre):
+    def __init__(self, data_centre, distances=None):
         self.data_centre = data_centre
+        self.distances = distances or Distances(data_centre)
 
     def _hop_seconds(self, instance):
-        same = instance.record.data_centre == self.data_centre
-        return 0.0 if same else REMOTE_HOP_SECONDS
+        return self.distances.hop_seconds(instance.record.data_centre)
 
     def least_loaded(self, instances, loads):
-        """Return the plain-service instance with the lowest share of used slots."""
+        """Return the plain-service instance with the lowest share of used slots.
+
+        One in this VM's region is preferred while one there has a free slot.
+        """
+        if self.distances.several_regions:
+            instances = self._near_with_slot(instances, loads) or instances
         return min(
             instances,
             key=lambda i: (
@@ -227,6 +230,15 @@
             ),
         )
 
+    def _near_with_slot(self, instances, loads):
+        """Return the instances of this VM's region that have a free slot."""
+        return [
+            i
+            for i in instances
+            if self.distances.is_near(i.record.data_centre)
+            and loads.get(i.id, Load()).running < max(1, i.record.slots)
+        ]
+
     def _options(
         self,
         prompt,
@@ -326,8 +338,9 @@
         load = pool.load(instance)
         transfer = transferred_tokens * pool.transfer_seconds_per_token
         if source is not None:
-            if source.record.data_centre != instance.record.data_centre:
-                transfer *= REMOTE_TRANSFER_FACTOR
+            transfer *= self.distances.transfer_factor(
+                source.record.data_centre, instance.record.data_centre
+            )
         in_place = pool.cost.seconds(load.prefill_tokens) / IN_PLACE_SPEED_RATIO
         running = max(level, self._running_seconds(instance, pool))
         return (
--- /dev/null
+++ b/src/mulberrydock/regions/distances.py
@@ -0,0 +1,74 @@
+"""How far the instances of other data centres are, in time and for their KV cache.
+
+Data centres of one region are about a millisecond apart, those of different regions ten
+times as far. A request crosses that distance twice for each call, and a prompt that is
+prefilled there makes two calls, so a hop is weighed against the wait that it saves.
+"""
+
+import collections
+
+#: Seconds that a hop to another data centre of the region adds.
+REMOTE_HOP_SECONDS = 0.002
+#: Seconds that a hop to another region adds before any connection has shown it: regions
+#: of one country are 10 to 15 ms apart.
+REGION_HOP_SECONDS = 0.025
+#: Factor by which a KV cache transfer to another data centre takes longer, and by which
+#: it does to another region.
+REMOTE_TRANSFER_FACTOR = 2.0
+REGION_TRANSFER_FACTOR = 10.0
+#: Number of connection times by which a distance is known. The shortest one counts:
+#: what else takes time at either end isn't distance.
+MAX_SAMPLES = 8
+
+
+class Distances:
+    """Distances between this VM's data centre and the others.
+
+    :param data_centre: the data centre of this VM.
+    :param regions: the region of each data centre. One that isn't named, or isn't while
+        this VM's own is, counts as one of this VM's region.
+    """
+
+    def __init__(self, data_centre, regions=None):
+        self.data_centre = data_centre
+        self.regions = regions or {}
+        self.samples = {}
+
+    @property
+    def several_regions(self):
+        """Whether the data centres lie in more than one region."""
+        return len(set(self.regions.values())) > 1
+
+    def same_region(self, first, second):
+        """Return whether two data centres lie in one region, as far as is known."""
+        regions = {self.regions.get(first), self.regions.get(second)}
+        return None in regions or len(regions) == 1
+
+    def is_near(self, data_centre):
+        """Return whether a data centre lies in this VM's region."""
+        return self.same_region(self.data_centre, data_centre)
+
+    def record(self, data_centre, seconds):
+        """Record the time in which an instance there accepted a connection."""
+        if self.is_near(data_centre):
+            return
+        samples = self.samples.setdefault(
+            data_centre, collections.deque(maxlen=MAX_SAMPLES)
+        )
+        samples.append(seconds)
+
+    def hop_seconds(self, data_centre):
+        """Return the seconds that a call to an instance there takes longer."""
+        if data_centre == self.data_centre:
+            return 0.0
+        if self.is_near(data_centre):
+            return REMOTE_HOP_SECONDS
+        return min(self.samples.get(data_centre, ()), default=REGION_HOP_SECONDS)
+
+    def transfer_factor(self, source, target):
+        """Return by how much a KV cache transfer between two data centres is slower."""
+        if source == target:
+            return 1.0
+        if self.same_region(source, target):
+            return REMOTE_TRANSFER_FACTOR
+        return REGION_TRANSFER_FACTOR
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -1,6 +1,7 @@
 """Relays requests to instances: matches routes, pools connections, logs outcomes."""
 
 import asyncio
+import functools
 import time
 
 import attrs
@@ -60,14 +61,18 @@
         pool = self.connection_pools.get(instance.id)
         if pool is None:
             pool = ConnectionPool(instance.address)
-            pool.on_connect = lambda connected: self.link_monitor.record(
-                instance, connected, time.monotonic()
-            )
+            pool.on_connect = functools.partial(self._record_connect, instance)
             self.connection_pools[instance.id] = pool
         # This VM's share of the cap shrinks as more entry VMs become known.
         pool.limit = self.fleet.connection_limit(instance)
         return pool
 
+    def _record_connect(self, instance, connected, seconds):
+        """Record an attempt to connect to an instance, which took so many seconds."""
+        self.link_monitor.record(instance, connected, time.monotonic())
+        if connected:
+            self.fleet.distances.record(instance.record.data_centre, seconds)
+
     def forget(self, instance_id):
         """Close the idle connections of a terminated instance."""
         self.link_monitor.forget(instance_id)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -127,6 +127,7 @@
                 lambda instance_id: self.fleet.instances.get_incarnation(instance_id)
                 is not None,
             ),
+            settings.regions,
         )
         self.fleet.links.on_change = (
             lambda service, lost: self.metrics.links_lost.labels(service).set(int(lost))
--- a/tools/generate_settings.py
+++ b/tools/generate_settings.py
@@ -23,6 +23,8 @@
         return prop["$ref"].rsplit("/", 1)[1]
     if prop["type"] == "array":
         return f"list[{_type(prop['items'])}]"
+    if prop["type"] == "object":
+        return f"dict[str, {_type(prop['additionalProperties'])}]"
     return SCALARS[prop["type"]]
 
 
@@ -33,7 +35,7 @@
     default = prop.get("default")
     if "$ref" in prop:
         return f"    {name}: {kind} = attrs.field(factory={kind})"
-    if isinstance(default, list):
+    if isinstance(default, list | dict):
         return f"    {name}: {kind} = attrs.field(factory=lambda: {default!r})"
     return f"    {name}: {kind} = attrs.field(default={default!r})"
 
