Forget connection times to other regions after 30 s

A region whose link was slow for eight connections, or that a busy VM connected to at its start, kept that distance for ever: connections are kept, and while it seems far no request goes there whose connection would show otherwise. The times of a distance now expire, and the assumed one counts again.

New tests: a slow time expires (fails before: there was nothing to expire), and the relay records only connections that were accepted. The table of distances passes the present time; its rows are the same.

--- a/src/mulberrydock/regions/distances.py
+++ b/src/mulberrydock/regions/distances.py
@@ -19,6 +19,9 @@
 #: Number of connection times by which a distance is known. The shortest one counts:
 #: what else takes time at either end isn't distance.
 MAX_SAMPLES = 8
+#: Seconds for which a connection time counts. A link is slow or a VM busy for seconds,
+#: but while no requests are sent there, no new connection shows that it is over.
+SAMPLE_SECONDS = 30.0
 
 
 class Distances:
@@ -48,14 +51,20 @@
         """Return whether a data centre lies in this VM's region."""
         return self.same_region(self.data_centre, data_centre)
 
-    def record(self, data_centre, seconds):
+    def record(self, data_centre, seconds, now):
         """Record the time in which an instance there accepted a connection."""
         if self.is_near(data_centre):
             return
         samples = self.samples.setdefault(
             data_centre, collections.deque(maxlen=MAX_SAMPLES)
         )
-        samples.append(seconds)
+        samples.append((now, seconds))
+
+    def expire(self, now):
+        """Forget the connection times that are too old."""
+        for samples in self.samples.values():
+            while samples and now - samples[0][0] >= SAMPLE_SECONDS:
+                samples.popleft()
 
     def hop_seconds(self, data_centre):
         """Return the seconds that a call to an instance there takes longer."""
@@ -63,7 +72,8 @@
             return 0.0
         if self.is_near(data_centre):
             return REMOTE_HOP_SECONDS
-        return min(self.samples.get(data_centre, ()), default=REGION_HOP_SECONDS)
+        samples = self.samples.get(data_centre, ())
+        return min((seconds for _, seconds in samples), default=REGION_HOP_SECONDS)
 
     def transfer_factor(self, source, target):
         """Return by how much a KV cache transfer between two data centres is slower."""
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -69,9 +69,10 @@
 
     def _record_connect(self, instance, connected, seconds):
         """Record an attempt to connect to an instance, which took so many seconds."""
-        self.link_monitor.record(instance, connected, time.monotonic())
+        now = time.monotonic()
+        self.link_monitor.record(instance, connected, now)
         if connected:
-            self.fleet.distances.record(instance.record.data_centre, seconds)
+            self.fleet.distances.record(instance.record.data_centre, seconds, now)
 
     def forget(self, instance_id):
         """Close the idle connections of a terminated instance."""
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -73,7 +73,7 @@
 CLIENT_IDLE_TIMEOUT_SECONDS = 120
 #: Bytes of the key that signs requests forwarded to this VM, as long as a SHA-256 hash.
 FORWARD_KEY_BYTES = 32
-#: Seconds between two sweeps of the instances whose records have expired.
+#: Seconds between two sweeps of instances and distances that have expired.
 SWEEP_INTERVAL_SECONDS = 0.25
 
 
@@ -322,7 +322,9 @@
 
     async def _sweep(self):
         while True:
-            self.fleet.instances.sweep(time.monotonic())
+            now = time.monotonic()
+            self.fleet.instances.sweep(now)
+            self.fleet.distances.expire(now)
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
     def _listen(self):
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -7,6 +7,7 @@
 
 from mulberrydock.fleet_view import FleetView
 from mulberrydock.instances import Instance, InstanceRecord
+from mulberrydock.metrics import ServeMetrics
 from mulberrydock.peer_loads import Load
 from mulberrydock.placement import Placement
 from mulberrydock.regions import Distances
@@ -14,7 +15,9 @@
     MAX_SAMPLES,
     REGION_HOP_SECONDS,
     REMOTE_HOP_SECONDS,
+    SAMPLE_SECONDS,
 )
+from mulberrydock.relay import Relay
 from mulberrydock.request import Prompt, PromptPart
 from mulberrydock.serve_settings import parse_serve_settings
 
@@ -45,10 +48,34 @@
 ):
     known = distances()
     for sample in samples:
-        known.record(data_centre, sample)
+        known.record(data_centre, sample, 10.0)
     assert known.hop_seconds(data_centre) == seconds
 
 
+def test_slow_connections_of_the_past_keep_no_region_away():
+    """Guards against a region that stays out of use after its link was slow, as no
+    request goes there whose connection would show that it is over."""
+    known = distances()
+    for now in range(MAX_SAMPLES):
+        known.record("far1", 0.4, float(now))
+    known.expire(MAX_SAMPLES + SAMPLE_SECONDS / 2)
+    assert known.hop_seconds("far1") == 0.4
+    known.expire(MAX_SAMPLES + SAMPLE_SECONDS)
+    assert known.hop_seconds("far1") == REGION_HOP_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("connected", "seconds"), [(True, 0.03), (False, REGION_HOP_SECONDS)]
+)
+def test_connections_of_the_relay_show_the_distance(connected, seconds):
+    """Guards against an instance that refuses at once and so seems to be near."""
+    fleet = FleetView("near1", None, lambda: 1, lambda instance: None, regions=REGIONS)
+    relay = Relay(fleet, None, ServeMetrics())
+    far = Instance(InstanceRecord("far", "llm", "h:1", "far1", 64, False, P))
+    relay._record_connect(far, connected, 0.03)
+    assert fleet.distances.hop_seconds("far1") == seconds
+
+
 @pytest.mark.parametrize(
     ("regions", "source", "target", "factor"),
     [
