--- a/src/mulberrydock/regions/distances.py
+++ b/src/mulberrydock/regions/distances.py
@@ -9,8 +9,8 @@
 
 #: Seconds that a hop to another data centre of the region adds.
 REMOTE_HOP_SECONDS = 0.002
-#: Seconds that a hop to another region adds before any connection has shown it: regions
-#: of one country are 10 to 15 ms apart.
+#: Seconds that a hop to another region and back adds before any connection has shown it:
+#: regions of one country are 10 to 15 ms apart, one way.
 REGION_HOP_SECONDS = 0.025
 #: Factor by which a KV cache transfer to another data centre takes longer, and by which
 #: it does to another region.
