--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -183,8 +183,8 @@
     """Connections to one address, for one incarnation of the server there.
 
     An owner may set ``on_connect``: it is called after each attempt to connect, with
-    whether it succeeded; and ``on_new``: called before it with the
-    :class:`~mulberrydock.connect_reason.ConnectReason`.
+    whether it succeeded and the seconds that it took; and ``on_new``: called before it
+    with the :class:`~mulberrydock.connect_reason.ConnectReason`.
 
     :param limit: maximum number of open connections.
     """
@@ -192,7 +192,7 @@
     def __init__(self, address, limit=1000):
         self.address = address
         self.limit = limit
-        self.on_connect = lambda connected: None
+        self.on_connect = lambda connected, seconds: None
         self.on_new = lambda reason: None
         self.last_end = ConnectReason.FIRST
         self.idle = []
@@ -243,6 +243,7 @@
         _configure(sock)
         stream = _Stream(sock)
         self.open += 1
+        started = time.monotonic()
         try:
             await asyncio.wait_for(stream.connect((host, port)), timeout)
         except BaseException as error:
@@ -252,12 +253,12 @@
                 error,
                 (OSError, asyncio.TimeoutError, tornado.iostream.StreamClosedError),
             ):
-                self.on_connect(False)
+                self.on_connect(False, time.monotonic() - started)
                 raise UpstreamError(
                     f"can't connect to {self.address}: {error!r}", ResultCode.NOT_RUN
                 ) from error
             raise
-        self.on_connect(True)
+        self.on_connect(True, time.monotonic() - started)
         return Connection(stream)
 
     async def acquire(self, now):
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -113,6 +113,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.far_sends = prometheus_client.Counter(
+            "mulberrydock_far_sends_total",
+            "Sends to instances of another region.",
+            ["service"],
+            registry=self.registry,
+        )
         self.forwards = prometheus_client.Counter(
             "mulberrydock_forwards_total",
             "Requests forwarded to a peer, as this VM has no links to the instances.",
--- a/src/mulberrydock/moves/decision.py
+++ b/src/mulberrydock/moves/decision.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from ..placement import REMOTE_TRANSFER_FACTOR
+from ..regions.distances import REMOTE_TRANSFER_FACTOR
 from ..rendezvous import rank
 
 #: Seconds of a move beside its transfer: two calls to the source, the request to the
--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -7,7 +7,6 @@
 from loguru import logger
 
 from ..exceptions import UpstreamError
-from ..placement import REMOTE_TRANSFER_FACTOR
 from .decision import (
     Destination,
     LeavingEngine,
@@ -32,8 +31,6 @@
 CALL_MARGIN_SECONDS = 0.3
 #: Calls that stop a run before the move counts as failed: an answer may be lost.
 STOP_CALLS = 2
-#: Factor by which a transfer to another region takes longer than within a data centre.
-REGION_TRANSFER_FACTOR = 10.0
 #: Outcomes of a call.
 COPIED = "copied"
 NO_ANSWER = "no answer"
@@ -75,8 +72,6 @@
     the tokens of an event.
 
     :param policy: the :class:`~mulberrydock.moves.decision.MovePolicy`.
-
-    An owner may set ``regions``, which maps data centres to their regions.
     """
 
     def __init__(self, relay, policy=None):
@@ -84,7 +79,6 @@
         self.fleet = relay.fleet
         self.wire = relay.wire
         self.policy = policy or MoveUnfinished()
-        self.regions = {}
         self.event_tokens = {}
         self.streams = {}
         self.leaves = {}
@@ -252,19 +246,12 @@
         rows = []
         for engine in pool.decoders:
             room = max(1, engine.record.slots) - pool.load(engine).running
-            distance = self._distance(source.record, engine.record)
+            distance = self.fleet.distances.transfer_factor(
+                source.record.data_centre, engine.record.data_centre
+            )
             rows.append(Destination(engine.id, room - unreported, distance))
         return rows
 
-    def _distance(self, record, other):
-        """Return the factor by which a transfer between two engines takes longer."""
-        if record.data_centre == other.data_centre:
-            return 1.0
-        region = self.regions.get(record.data_centre)
-        if region == self.regions.get(other.data_centre):
-            return REMOTE_TRANSFER_FACTOR
-        return REGION_TRANSFER_FACTOR
-
     def _state(self, stream, cost, now):
         """Return the :class:`StreamState` of a stream."""
         prompt, route = stream.request.prompt, stream.lifecycle.route
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -1,6 +1,7 @@
 """Relays requests to instances: matches routes, pools connections, logs outcomes."""
 
 import asyncio
+import functools
 import time
 
 import attrs
@@ -65,9 +66,7 @@
         pool = self.connection_pools.get(instance.id)
         if pool is None:
             pool = ConnectionPool(instance.address)
-            pool.on_connect = lambda connected: self.link_monitor.record(
-                instance, connected, time.monotonic()
-            )
+            pool.on_connect = functools.partial(self._record_connect, instance)
             pool.on_new = lambda reason: self.metrics.connections.labels(
                 reason.value
             ).inc()
@@ -76,6 +75,19 @@
         pool.limit = self.fleet.connection_limit(instance)
         return pool
 
+    def _record_connect(self, instance, connected, seconds):
+        """Record an attempt to connect to an instance, which took so many seconds."""
+        now = time.monotonic()
+        self.link_monitor.record(instance, connected, now)
+        if connected:
+            self.fleet.distances.record(instance.record.data_centre, seconds, now)
+
+    def count_send(self, record):
+        """Count a send to an instance, and whether it is one of another region."""
+        self.metrics.sends.labels(record.service).inc()
+        if not self.fleet.distances.is_near(record.data_centre):
+            self.metrics.far_sends.labels(record.service).inc()
+
     def forget(self, instance_id):
         """Close the idle connections of a terminated instance."""
         self.link_monitor.forget(instance_id)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -66,7 +66,7 @@
 CLIENT_IDLE_TIMEOUT_SECONDS = 120
 #: Bytes of the key that signs requests forwarded to this VM, as long as a SHA-256 hash.
 FORWARD_KEY_BYTES = 32
-#: Seconds between two sweeps of the instances whose records have expired.
+#: Seconds between two sweeps of instances and distances that have expired.
 SWEEP_INTERVAL_SECONDS = 0.25
 
 
@@ -125,6 +125,7 @@
                 lambda instance_id: self.fleet.instances.get_incarnation(instance_id)
                 is not None,
             ),
+            settings.regions,
         )
         self.fleet.links.on_change = (
             lambda service, lost: self.metrics.links_lost.labels(service).set(int(lost))
@@ -132,7 +133,6 @@
         self.instance_feed = InstanceFeed(self.fleet.instances)
         self.usage_ledger = UsageLedger()
         self.relay = Relay(self.fleet, wire, self.metrics)
-        self.relay.mover.regions = settings.regions
         self.front = Front(self.relay, wire, time.monotonic)
         self.groups = PeerGroups(
             self.membership,
@@ -333,7 +333,9 @@
 
     async def _sweep(self):
         while True:
-            self.fleet.instances.sweep(time.monotonic())
+            now = time.monotonic()
+            self.fleet.instances.sweep(now)
+            self.fleet.distances.expire(now)
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
     def _listen(self):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -454,8 +454,9 @@
             prefilled=handle is not None,
             wait=round(plan.wait, 3),
             config=self.fleet.routes.version,
+            data_centre=target.record.data_centre,
         )
-        self.relay.metrics.sends.labels(target.record.service).inc()
+        self.relay.count_send(target.record)
         exchange = self.relay.exchange(target, self.request, options, listener)
         exchange = self.move.watch(target, listener, exchange)
         try:
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -15,8 +15,6 @@
 from mulberrydock.request import Prompt, Request, ServiceSpec
 from mulberrydock.sse import EventSplitter
 
-REGIONS = {"dc1": "r1", "dc2": "r1", "dc3": "r2"}
-
 
 def make_mover():
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
@@ -43,24 +41,6 @@
     return stream
 
 
-# A transfer takes twice as long between data centres and ten times between regions; a
-# data centre that the settings don't know counts as one of another region.
-@pytest.mark.parametrize(
-    ("source", "other", "factor"),
-    [
-        ("dc1", "dc1", 1.0),
-        ("dc1", "dc2", 2.0),
-        ("dc1", "dc3", 10.0),
-        ("dc1", "new", 10.0),
-        ("new", "new", 1.0),
-    ],
-)
-def test_distance_between_engines(source, other, factor):
-    mover = make_mover()
-    mover.regions = REGIONS
-    assert mover._distance(record(source), record(other)) == factor
-
-
 # Streams of engines whose events have one token or a dozen, with and without a hint; a
 # first event says nothing about the rate.
 @pytest.mark.parametrize(
