Requests of equal teams compete in the order of their routes

A team's priority replaced that of the route. On a deployment whose 83 teams nearly all have priority 1, a counter-ask (route priority 0) was as urgent at the engines as a catalogue-quote (2), in every queue, and was refused like it while places were short, as a few teams have priority 0.

Engines now get the rank of the pair (team's priority, route's priority). Without priorities of teams nothing changes. The log's "answered" says the priority, the urgency and the limit that the client stated.

--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -12,6 +12,7 @@
 from .peer_loads import Load
 from .prefill_cost import IN_PLACE_SPEED_RATIO
 from .rendezvous import rank
+from .request import PRIORITY_MAX
 
 #: Seconds that a handoff adds to the prefill and the KV cache transfer: two more
 #: hops and the set-up of the transfer.
@@ -39,8 +40,6 @@
 #: is boosted. More urgent prompts that arrive later are prefilled first and aren't in
 #: the estimate.
 BOOST_WAIT_SHARE = 0.5
-#: Least urgent priority that an engine accepts.
-PRIORITY_MAX = 9
 #: Seconds that a hop to another data centre adds; its traffic is billed by the byte
 #: as well.
 REMOTE_HOP_SECONDS = 0.002
@@ -170,7 +169,7 @@
     :param load: the :class:`Load` of the engine.
     :param cost: the pool's :class:`~mulberrydock.prefill_cost.PrefillCost`.
     """
-    priority = min(PRIORITY_MAX, route.priority)
+    priority = route.urgency
     size = sum(
         prefill_seconds > step * route.latency_objective for step in URGENCY_STEPS
     )
@@ -252,7 +251,7 @@
             work = pool.cost.work(prompt.tokens - cached, cached)
             prefill_seconds = pool.cost.seconds(work) / speed_ratio
             load = pool.load(instance)
-            urgency = min(PRIORITY_MAX, route.priority)
+            urgency = route.urgency
             if speed_ratio == 1.0:
                 urgency = prefill_urgency(
                     prefill_seconds, route, hash_fraction, load, pool.cost
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-import attrs
 from loguru import logger
 
 from .connections import BufferedResponse, ConnectionPool
@@ -114,7 +113,7 @@
             cause = "no links to the instances" if route else "no route"
             self.reject(request, sink, 503, cause)
             return ForwardOutcome(ResultCode.NO_UPSTREAM, cause=cause)
-        route = attrs.evolve(route, priority=forwarded.priority)
+        route = routes.ranked(route, forwarded.priority)
         lifecycle = RequestLifecycle(
             self, request, route, service, sink, forwarded.prior
         )
@@ -153,11 +152,9 @@
             request.authorization = ()
         team = result.ok
         if team is None:
-            return route
+            return routes.ranked(route)
         request.team = team.name
-        if team.priority is None:
-            return route
-        return attrs.evolve(route, priority=team.priority)
+        return routes.ranked(route, team.priority)
 
     def _reject_credentials(self, request, sink, problem):
         """Refuse a request that isn't authenticated.
@@ -360,6 +357,9 @@
             "parts": lifecycle.request.prompt.shared_ids,
             "route": lifecycle.route.name,
             "service": lifecycle.service,
+            "priority": lifecycle.route.priority,
+            "urgency": lifecycle.route.urgency,
+            "limit": round(lifecycle.request.deadline - arrived, 3),
             "tokens": lifecycle.request.prompt.tokens,
             "output": lifecycle.request.prompt.max_output_tokens,
             "prefills": lifecycle.prefills.made,
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -13,6 +13,8 @@
 
 from .scaling import AutoscaleSpec
 
+#: Least urgent priority that an engine accepts.
+PRIORITY_MAX = 9
 #: Bytes of a fingerprint: enough that among millions of requests no two collide by
 #: chance.
 FINGERPRINT_BYTES = 12
@@ -44,7 +46,8 @@
     ``client_idle_timeout`` is the time, in seconds without an event, after which
     clients give a stream up; ``priority`` is 0 for the most urgent; ``max_attempts``
     bounds the instances that one request may be sent to. A ``public`` route requires no
-    API key.
+    API key. ``ranked_urgency`` is the place of ``priority`` among those of all teams
+    and routes, None where it is the priority itself.
     """
 
     name: str
@@ -60,6 +63,14 @@
     resumable: bool
     client_idle_timeout: float = math.inf
     public: bool = False
+    ranked_urgency: int | None = None
+
+    @property
+    def urgency(self):
+        """The priority of its requests at an engine, 0 for the most urgent."""
+        if self.ranked_urgency is None:
+            return min(PRIORITY_MAX, self.priority)
+        return self.ranked_urgency
 
     @property
     def retryable(self):
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -3,9 +3,11 @@
 import math
 import random
 
+import attrs
 from expression import Ok
 
 from .request import RoutingConfig
+from .room.urgency import UrgencyScale
 from .teams import TeamDirectory
 
 
@@ -23,6 +25,7 @@
         self.by_host = {}
         self.teams: TeamDirectory | None = None
         self.most_urgent = {}
+        self.scale = UrgencyScale()
         self.random = random.Random(seed)
 
     @property
@@ -45,6 +48,7 @@
         if config.teams is not None:
             self.teams = TeamDirectory.from_teams(config.teams)
         self.most_urgent = _most_urgent(config)
+        self.scale = UrgencyScale.from_config(config)
         return True
 
     def match(self, host, path):
@@ -65,6 +69,16 @@
             return Ok(None)
         return self.teams.authenticate(request.authorization, route.public)
 
+    def ranked(self, route, priority=None):
+        """Return ``route`` as it holds for one request.
+
+        :param priority: the priority of the request's team, None for the route's own.
+        """
+        if priority is None:
+            priority = route.priority
+        urgency = self.scale.urgency(priority, route.priority)
+        return attrs.evolve(route, priority=priority, ranked_urgency=urgency)
+
     def is_most_urgent(self, priority, service):
         """Return whether no request to ``service`` can have priority over this one."""
         return priority <= self.most_urgent.get(service, priority)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -18,7 +18,6 @@
 from .forward_attempt import ForwardAttempt
 from .forward_messages import PriorCalls
 from .forwarding import ForwardPlan
-from .placement import PRIORITY_MAX
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
 from .request_begin import RequestBegin
@@ -335,7 +334,7 @@
             if plan is None or self.is_quarantined(time.monotonic()):
                 return False
             tokens = plan.tokens if handle is None else 0
-            urgency = min(PRIORITY_MAX, self.route.priority)
+            urgency = self.route.urgency
             in_flight_send = self.fleet.loads.begin(plan.target.id, tokens, urgency)
             estimates = self.fleet.estimates.pool(self.service)
             estimates.demand.record(Demand(decode_engine_work=tokens), time.monotonic())
@@ -429,7 +428,7 @@
         options = SendOptions(
             instance=target.record.id,
             deadline_ms=int(self.seconds_left(now) * 1000),
-            priority=min(PRIORITY_MAX, self.route.priority),
+            priority=self.route.urgency,
             last_event_id=self.stream.splitter.last_id,
             kv_source=handle,
         )
