--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -13,6 +13,8 @@
 from .prefill_cost import IN_PLACE_SPEED_RATIO
 from .regions import Distances
 from .rendezvous import rank
+from .request import PRIORITY_MAX
+from .room.places import Places
 
 #: Seconds that a handoff adds to the prefill and the KV cache transfer: two more
 #: hops and the set-up of the transfer.
@@ -40,8 +42,6 @@
 #: is boosted. More urgent prompts that arrive later are prefilled first and aren't in
 #: the estimate.
 BOOST_WAIT_SHARE = 0.5
-#: Least urgent priority that an engine accepts.
-PRIORITY_MAX = 9
 #: Share of the prefill work queued at a decode engine by which the first token of a
 #: stream is delayed: prompts are prefilled in chunks between decode steps.
 INTERLEAVED_PREFILL_SHARE = 0.1
@@ -116,7 +116,7 @@
     ``prefill_seconds`` the part of it that prefilling the prompt takes, ``queued_work``
     the work that is prefilled before it, in the unit of ``tokens``. ``urgency`` is the
     priority at the engine that prefills. ``decode_slots_full`` is True when the slots
-    of all decode engines are in use.
+    of all decode engines are in use, ``places`` counts them.
     """
 
     target: object
@@ -128,6 +128,7 @@
     queued_work: float = 0.0
     urgency: int = 0
     decode_slots_full: bool = False
+    places: Places = Places()
 
 
 @attrs.define(frozen=True)
@@ -166,7 +167,7 @@
     :param load: the :class:`Load` of the engine.
     :param cost: the pool's :class:`~mulberrydock.prefill_cost.PrefillCost`.
     """
-    priority = min(PRIORITY_MAX, route.priority)
+    priority = route.urgency
     size = sum(
         prefill_seconds > step * route.latency_objective for step in URGENCY_STEPS
     )
@@ -264,7 +265,7 @@
             work = pool.cost.work(prompt.tokens - cached, cached)
             prefill_seconds = pool.cost.seconds(work) / speed_ratio
             load = pool.load(instance)
-            urgency = min(PRIORITY_MAX, route.priority)
+            urgency = route.urgency
             if speed_ratio == 1.0:
                 urgency = prefill_urgency(
                     prefill_seconds, route, hash_fraction, load, pool.cost
@@ -364,7 +365,9 @@
             rows, key=lambda row: (*row[:2], rank(hash_fraction, row[2].target.id))
         )
         return attrs.evolve(
-            plan, decode_slots_full=not any(map(pool.has_free_slot, pool.decoders))
+            plan,
+            decode_slots_full=not any(map(pool.has_free_slot, pool.decoders)),
+            places=Places.from_pool(pool),
         )
 
     def _cheaper(self, prompt, route, pool, hash_fraction):
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -3,9 +3,11 @@
 import math
 import random
 
+import attrs
 from expression import Ok
 
 from .request import RoutingConfig
+from .room.urgency import UrgencyScale
 from .teams import TeamDirectory
 
 
@@ -23,6 +25,8 @@
         self.by_host = {}
         self.teams: TeamDirectory | None = None
         self.most_urgent = {}
+        self.scale = UrgencyScale()
+        self.objectives = {}
         self.random = random.Random(seed)
 
     @property
@@ -45,6 +49,8 @@
         if config.teams is not None:
             self.teams = TeamDirectory.from_teams(config.teams)
         self.most_urgent = _most_urgent(config)
+        self.scale = UrgencyScale.from_config(config)
+        self.objectives = _shortest_objectives(config)
         return True
 
     def match(self, host, path):
@@ -65,10 +71,24 @@
             return Ok(None)
         return self.teams.authenticate(request.authorization, route.public)
 
+    def ranked(self, route, priority=None):
+        """Return ``route`` as it holds for one request.
+
+        :param priority: the priority of the request's team, None for the route's own.
+        """
+        if priority is None:
+            priority = route.priority
+        urgency = self.scale.urgency(priority, route.priority)
+        return attrs.evolve(route, priority=priority, ranked_urgency=urgency)
+
     def is_most_urgent(self, priority, service):
         """Return whether no request to ``service`` can have priority over this one."""
         return priority <= self.most_urgent.get(service, priority)
 
+    def shortest_objective(self, service):
+        """Return the shortest latency objective of a service's routes in seconds."""
+        return self.objectives.get(service, math.inf)
+
     def service_for(self, route):
         """Return the service's name for one request, chosen at random by weight."""
         if len(route.splits) == 1:
@@ -92,3 +112,13 @@
             known = most_urgent.get(split.service, override)
             most_urgent[split.service] = min(known, route.priority)
     return most_urgent
+
+
+def _shortest_objectives(config):
+    """Return the shortest latency objective of the routes to each service."""
+    shortest = {}
+    for route in config.routes:
+        for split in route.splits:
+            known = shortest.get(split.service, math.inf)
+            shortest[split.service] = min(known, route.latency_objective)
+    return shortest
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -7,6 +7,7 @@
 import tornado.httputil
 
 from mulberrydock.exceptions import SettingsError
+from mulberrydock.instances import InstanceRegistry
 from mulberrydock.metrics import ServeMetrics
 from mulberrydock.platform import CONFIG_PREFIX, PlatformWire, read_config, wire
 from mulberrydock.ports import Sink
@@ -161,6 +162,7 @@
 
     routes: RouteTable
     configuration_current: bool = True
+    instances: InstanceRegistry = attrs.field(factory=InstanceRegistry)
 
 
 class Answer(Sink):
