Requests are admitted by the length of the queue for decode places

While all decode places were taken, all but the most urgent requests were refused, however soon a place would be free, and told to return after 0.5 s, when most were refused again and failed: their clients come back once.

A request now gets room if a place is free within the shortest objective of its pool's routes. Less urgent ones wait for longer, as places are kept for what more urgent ones ask until VMs have heard of each other's sends, so they are refused first. Nothing changes while more than half of the places are free.

--- a/src/mulberrydock/estimates.py
+++ b/src/mulberrydock/estimates.py
@@ -6,6 +6,7 @@
 from .demand import Demand, DemandMeter
 from .prefill_cost import PrefillCost, PrefillCostModel
 from .prefix_cache import PrefixCacheIndex
+from .room.places import PlaceUse
 
 #: Number of samples from which a VM reports its fit to its peers.
 MIN_REPORTED_SAMPLES = 4
@@ -20,12 +21,14 @@
     """Estimates for one service: prefill cost, demand and duration of streams.
 
     ``stream_seconds`` is the average time from a stream's first event to its end, None
-    before the first; ``logged_token_seconds`` is the time a token that was last logged.
+    before the first; ``place_use`` is the :class:`~mulberrydock.room.places.PlaceUse`
+    of the streams; ``logged_token_seconds`` is the time a token that was last logged.
     """
 
     cost_model: PrefillCostModel = attrs.field(factory=PrefillCostModel)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
     stream_seconds: float | None = None
+    place_use: PlaceUse = attrs.field(factory=PlaceUse)
     logged_token_seconds: float = 0.0
 
     def record_stream(self, seconds):
--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -6,6 +6,7 @@
 
 from . import refusal
 from .exceptions import ResultCode
+from .placement import request_hash_fraction
 
 
 def give_up(lifecycle, now):
@@ -27,6 +28,7 @@
         bool(lifecycle.tried),
         lifecycle.fleet.pause_seconds(lifecycle.service, now),
         lifecycle.seconds_left(now),
+        request_hash_fraction(lifecycle.request.id),
     )
     _reject(lifecycle, 503, lifecycle.cause, retry_after)
     return ResultCode.NO_UPSTREAM
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -314,6 +314,17 @@
         work = cost.work(prompt.tokens - cached, cached)
         short = is_short(cost.seconds(work), route.latency_objective)
         self.estimates.record_demand(service, prompt, work, short, now)
+        self.estimates.pool(service).place_use.record_arrival(route.urgency, now)
+
+    def place_wait(self, service, route, places, now):
+        """Return the seconds until there is a place for a request, None if unknown.
+
+        :param places: the :class:`~mulberrydock.room.places.Places` of its pool.
+        """
+        estimates = self.estimates.pool(service)
+        # The sum over all peers is needed only while places may be short.
+        streams = 0.0 if places.has_ample else estimates.demand.total(now).streams
+        return estimates.place_use.wait(route.urgency, places, streams, now)
 
     def stage_needs(self, spec, now):
         """Return the :class:`StageNeeds` of a pool, from the demand of all VMs.
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -113,6 +113,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.room_refusals = prometheus_client.Counter(
+            "mulberrydock_room_refusals_total",
+            "Requests refused at once as their pool has no room for them.",
+            ["service", "route"],
+            registry=self.registry,
+        )
         self.forwards = prometheus_client.Counter(
             "mulberrydock_forwards_total",
             "Requests forwarded to a peer, as this VM has no links to the instances.",
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -13,6 +13,7 @@
 from .prefill_cost import IN_PLACE_SPEED_RATIO
 from .rendezvous import rank
 from .request import PRIORITY_MAX
+from .room.places import Places
 
 #: Seconds that a handoff adds to the prefill and the KV cache transfer: two more
 #: hops and the set-up of the transfer.
@@ -119,7 +120,7 @@
     ``prefill_seconds`` the part of it that prefilling the prompt takes, ``queued_work``
     the work that is prefilled before it, in the unit of ``tokens``. ``urgency`` is the
     priority at the engine that prefills. ``decode_slots_full`` is True when the slots
-    of all decode engines are in use.
+    of all decode engines are in use, ``places`` counts them.
     """
 
     target: object
@@ -131,6 +132,7 @@
     queued_work: float = 0.0
     urgency: int = 0
     decode_slots_full: bool = False
+    places: Places = Places()
 
 
 @attrs.define(frozen=True)
@@ -350,7 +352,9 @@
             rows, key=lambda row: (*row[:2], rank(hash_fraction, row[2].target.id))
         )
         return attrs.evolve(
-            plan, decode_slots_full=not any(map(pool.has_free_slot, pool.decoders))
+            plan,
+            decode_slots_full=not any(map(pool.has_free_slot, pool.decoders)),
+            places=Places.from_pool(pool),
         )
 
     def _cheaper(self, prompt, route, pool, hash_fraction):
--- a/src/mulberrydock/refusal.py
+++ b/src/mulberrydock/refusal.py
@@ -22,6 +22,9 @@
 #: Share of the remaining time after which a client still retries: a third, less a
 #: little for the time that the request has already been under way.
 RETRY_SHARE = 0.3
+#: Share by which the wait of one refused client may exceed that of another, so that
+#: those refused in one moment don't return in one.
+RETRY_SPREAD = 0.5
 
 
 @attrs.define(frozen=True)
@@ -63,19 +66,21 @@
     return Refusal(f"expected to wait {plan.wait:.1f} s", seconds)
 
 
-def retry_after(found_instance, pause, left):
+def retry_after(found_instance, pause, left, lot=0.0):
     """Return the seconds after which a refused client should retry.
 
-    Without an instance to ask, it is no more than a share of the time until the
-    deadline.
+    It is no more than a share of the time until the deadline.
 
     :param found_instance: whether there was any instance to ask.
     :param pause: seconds until an instance accepts calls of this VM again, 0 if one
         does.
     :param left: seconds until the request's deadline.
+    :param lot: number in [0, 1) that differs from request to request.
     """
     if pause:
-        return min(max(RETRY_AFTER_SECONDS, pause), max(0.0, left) * RETRY_SHARE)
-    if found_instance:
-        return RETRY_AFTER_SECONDS
-    return min(NO_INSTANCE_RETRY_SECONDS, max(0.0, left) * RETRY_SHARE)
+        seconds = max(RETRY_AFTER_SECONDS, pause)
+    elif found_instance:
+        seconds = RETRY_AFTER_SECONDS
+    else:
+        seconds = NO_INSTANCE_RETRY_SECONDS
+    return min(seconds * (1 + RETRY_SPREAD * lot), max(0.0, left) * RETRY_SHARE)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from . import final_response, refusal
+from . import final_response
 from .call_counter import CallCounter
 from .connections import BufferedResponse, ends_with_connection
 from .crash_evidence import CRASH_BLAME_SECONDS
@@ -22,6 +22,7 @@
 from .request import Kind, SendOptions
 from .request_begin import RequestBegin
 from .request_quarantine import RequestQuarantine
+from .request_room import ask_for_room
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 from .stream_version import StreamVersion
@@ -142,23 +143,6 @@
         """Return the seconds until the request's deadline."""
         return self.deadline - now
 
-    def _refusal(self, plan, now):
-        """Return why a request can't be served in time, None to attempt it.
-
-        Only a request without an earlier attempt is refused.
-
-        :returns: a :class:`~mulberrydock.refusal.Refusal` or None.
-        """
-        if self.sends.made or self.prefills.made:
-            return None
-        most_urgent = self.fleet.routes.is_most_urgent(
-            self.route.priority, self.service
-        )
-        seconds_left = self.seconds_left(now)
-        return refusal.refuse(
-            plan, self.route.client_idle_timeout, most_urgent, seconds_left
-        )
-
     async def _attempts(self):
         while True:
             plan = self._next_plan(time.monotonic())
@@ -177,7 +161,7 @@
         """
         if isinstance(plan, ForwardPlan):
             return await ForwardAttempt(self, plan).run()
-        refused = self._refusal(plan, time.monotonic())
+        refused = ask_for_room(self, plan, time.monotonic())
         if refused is not None:
             return final_response.shed(self, refused)
         if self.route.kind is Kind.STREAMING:
@@ -364,6 +348,9 @@
             return
         estimates = self.fleet.estimates.pool(self.service)
         estimates.record_stream(now - self.stream.first_event_at)
+        estimates.place_use.record_stream(
+            self.route.urgency, now - self.stream.first_event_at
+        )
         metrics = self.relay.metrics
         metrics.token_seconds.labels(self.service).set(estimates.cost_model.cost.token)
         if plan.wait > 0:
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -85,3 +85,17 @@
     fleet = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
     assert fleet.routes.accept(RoutingConfig(1, ROUTES, {}, None))
     assert fleet.routes.is_most_urgent(priority, service) is expected
+
+
+# Guards against clients that were refused in one moment and all return in one.
+@pytest.mark.parametrize(
+    ("found", "left", "lot", "seconds"),
+    [
+        (True, 8.0, 0.5, 0.625),
+        (False, 30.0, 0.5, 3.75),
+        (False, 8.0, 0.5, 2.4),
+        (True, 0.9, 0.5, 0.27),
+    ],
+)
+def test_refused_clients_return_spread_within_their_time(found, left, lot, seconds):
+    assert refusal.retry_after(found, 0.0, left, lot) == pytest.approx(seconds)
