--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -113,15 +113,12 @@
             ["service"],
             registry=self.registry,
         )
-<<<<<<< HEAD
         self.far_sends = prometheus_client.Counter(
             "mulberrydock_far_sends_total",
             "Sends to instances of another region.",
             ["service"],
             registry=self.registry,
         )
-=======
->>>>>>> part-room
         self.room_refusals = prometheus_client.Counter(
             "mulberrydock_room_refusals_total",
             "Requests refused at once as their pool has no room for them.",
