--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -10,13 +10,15 @@
 from loguru import logger
 
 from .placement import request_hash_fraction
+from .refusal import refuse
 from .room.admission import Ask, decide
 
 
 def ask_for_room(lifecycle, plan, now):
     """Return why a request is refused before its first send, None to attempt it.
 
-    Only a request without an earlier attempt is refused.
+    Only a request without an earlier attempt is refused. Where no team has a priority,
+    nobody competes for a queue beyond the places, and it would only make all late.
 
     :param plan: the :class:`~mulberrydock.placement.Plan` of the attempt.
     :returns: a :class:`~mulberrydock.refusal.Refusal` or None.
@@ -36,7 +38,10 @@
     )
     place_wait = fleet.place_wait(service, route, plan.places, now)
     most_urgent = fleet.routes.is_most_urgent(route.priority, service)
-    refused = decide(ask, plan, place_wait, most_urgent)
+    if fleet.routes.scale.orders_teams:
+        refused = decide(ask, plan, place_wait, most_urgent)
+    else:
+        refused = refuse(plan, route.client_idle_timeout, most_urgent, ask.left)
     if refused is not None:
         lifecycle.relay.metrics.room_refusals.labels(service, route.name).inc()
         logger.info(
--- a/src/mulberrydock/room/urgency.py
+++ b/src/mulberrydock/room/urgency.py
@@ -50,6 +50,11 @@
         scale = min(1.0, LEVELS / max(1, len(ordered)))
         return cls({pair: int(n * scale) for n, pair in enumerate(ordered)})
 
+    @property
+    def orders_teams(self):
+        """Whether teams with priorities compete for the engines."""
+        return bool(self.levels)
+
     def urgency(self, priority, route_priority):
         """Return the urgency of a request.
 
