Regions: whether there are several is found once, not for each engine of a request

Cause: a read of the whole change. Distances built a set of all regions at each look at a data centre: for each engine that a request weighs, two or three times, also where there is one region only.

Change: the regions of a VM never change, so it is an attribute now; plain services use the placement's empty load. Decisions are the same.

--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -227,7 +227,7 @@
         return min(
             instances,
             key=lambda i: (
-                loads.get(i.id, Load()).running / max(1, i.record.slots)
+                loads.get(i.id, NO_LOAD).running / max(1, i.record.slots)
                 + self._hop_seconds(i),
                 rank(self.data_centre, i.id),
             ),
@@ -239,7 +239,7 @@
             i
             for i in instances
             if self.distances.is_near(i.record.data_centre)
-            and loads.get(i.id, Load()).running < max(1, i.record.slots)
+            and loads.get(i.id, NO_LOAD).running < max(1, i.record.slots)
         ]
 
     def _options(
--- a/src/mulberrydock/regions/distances.py
+++ b/src/mulberrydock/regions/distances.py
@@ -28,6 +28,8 @@
     """Distances between this VM's data centre and the others.
 
     :param data_centre: the data centre of this VM.
+    ``several_regions`` says whether the data centres lie in more than one region.
+
     :param regions: the region of each data centre. One that isn't named counts as one
         of another region, unless all lie in one.
     """
@@ -35,13 +37,10 @@
     def __init__(self, data_centre, regions=None):
         self.data_centre = data_centre
         self.regions = regions or {}
+        # Asked for each engine that a request weighs.
+        self.several_regions = len(set(self.regions.values())) > 1
         self.samples = {}
 
-    @property
-    def several_regions(self):
-        """Whether the data centres lie in more than one region."""
-        return len(set(self.regions.values())) > 1
-
     def same_region(self, first, second):
         """Return whether two data centres lie in one region, as far as is known."""
         if first == second or not self.several_regions:
