--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -30,6 +30,7 @@
 PREFILL_TOKENS_PER_SECOND = 92_100
 KV_TOKEN_BYTES = 35_136
 LINK_MBPS = 1_100_000
+KV_TOKENS = 540_686
 HEARTBEAT_SECONDS = 1.2
 #: A transfer between zones takes twice as long.
 ZONE_FACTOR = 2
@@ -170,6 +171,11 @@
         if self.state == "draining":
             request.close()
 
+    def _is_too_large(self, request):
+        """A request that is larger than the memory is rejected as if it were full."""
+        counts = request.headers.of(TOKENS)
+        return bool(counts) and int(counts.split(",")[0]) > KV_TOKENS
+
     async def handle(self, request):
         extra = self.extra(request)
         if extra:
@@ -186,6 +192,9 @@
         elif request.path.startswith("/kv-handle/"):
             self.pool.memories.pop(request.path.rsplit("/", 1)[1], None)
             self.answer(request, 200)
+        elif self._is_too_large(request):
+            self.pool.log(f"{self.name} rejects {request.headers.of(ID)}: too large")
+            self.answer(request, 503, {NOT_RUN: "1"})
         elif request.headers.of(STAGE) == "prefill":
             await self._prefill(request)
         else:
@@ -204,7 +213,7 @@
             "queued": 0,
             "running": len(rows),
             "kv_used": sum(row[1] for row in rows),
-            "kv_total": 540_686,
+            "kv_total": KV_TOKENS,
             "kv_handles": 0,
             "state": self.state,
             "runs": rows,
@@ -310,9 +319,7 @@
     async def _stream(self, request, run):
         fields = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         signature = {SIGNATURE: f"{self.name}.{run.id}"}
-        raw = http1.response_head(
-            200, self.headers(request, signature | fields)
-        )
+        raw = http1.response_head(200, self.headers(request, signature | fields))
         request.write(raw)
         limit = time.monotonic() + int(request.headers.of(LIMIT, "60000")) / 1000
         pause = self.event_seconds(request)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -103,6 +103,13 @@
 
 def config(version, routes):
     services = [
+        {
+            "name": "pass-registry",
+            "health_path": "/health",
+            "max_connections": 110,
+            "protocol": "h1",
+            "tls": False,
+        },
         {
             "name": "renewal-llm",
             "health_path": "/health",
@@ -110,7 +117,7 @@
             "protocol": "h1",
             "tls": False,
             "engine": ENGINE_POOL,
-        }
+        },
     ]
     limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304}
     limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15000}
@@ -132,7 +139,11 @@
 
 
 class Fleet:
-    """The store and ``count`` daemons; use it as an asynchronous context."""
+    """The store and ``count`` daemons; use it as an asynchronous context.
+
+    The daemons' logs are in a temporary folder, which is copied to the one that the
+    variable KEEP_LOGS names, if it is set.
+    """
 
     def __init__(self, record, count=3):
         self.record = record
@@ -159,13 +170,19 @@
         for engine in self.engines:
             engine.stop()
         self.store.stop()
-        (os.environ.get("KEEP_LOGS") and shutil.copytree(self.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)); shutil.rmtree(self.folder, ignore_errors=True)
+        kept = os.environ.get("KEEP_LOGS")
+        if kept:
+            shutil.copytree(self.folder, kept, dirs_exist_ok=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def name(self, number):
+        return f"front-{ZONES[(number - 1) % 3]}-{number}"
 
     def start_daemons(self):
         ports = {key: free_port() for key in ("front", "ready", "directory")}
         ports |= {"metrics": free_port(), "peer": free_port()}
         for number in range(1, self.count + 1):
-            name = f"front-{ZONES[(number - 1) % 3]}-{number}"
+            name = self.name(number)
             values = {"name": name, "zone": ZONES[(number - 1) % 3]}
             values |= {"ip": f"127.0.1.{number}", "first_start": "true"}
             self.settings[name] = values | ports
@@ -189,6 +206,11 @@
             )
         self.record.line(f"{name} starts: {' '.join(command)}")
 
+    def restart(self, name):
+        """Start a daemon again, as the platform does with one that has ended."""
+        self.settings[name]["first_start"] = "false"
+        self._start(name)
+
     def log(self, name):
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
@@ -196,7 +218,8 @@
         return f"{self.settings[name]['ip']}:{self.settings[name]['front']}"
 
     async def get(self, name, page, target):
-        client = http1.Client(f"{self.settings[name]['ip']}:{self.settings[name][page]}")
+        row = self.settings[name]
+        client = http1.Client(f"{row['ip']}:{row[page]}")
         try:
             await client.connect()
             client.send("GET", target, {"Host": HOST})
@@ -258,6 +281,8 @@
     if not (ROOT / "target/deps/tornado").is_dir():
         print("target/deps is missing: run the build line of deploy/system.toml")
         sys.exit(2)
+    # Ends the daemons also when the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record = Record(pathlib.Path(folder) / "record.txt")
     record.line(f"trouble: {'yes' if trouble else 'no'}")
     try:
