Review: case 2 is now streams of two software versions (an entry)

Cause: a VM that follows the store through other VMs' messages reads the entry of an engine that started again under its id about 2 s late, and takes it for the former process.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -47,6 +47,7 @@
     source: str
     began: float
     request: object
+    version: str
     made: int = 0
     ended: str = ""
     ended_at: float = 0.0
@@ -98,7 +99,11 @@
         self.slots = 64
         self.orders = 0
         self.fence = 0
+        self.version = "v1"
+        #: Unix millisecond of the engine's start; None if it doesn't say so.
+        self.born = None
         self.beats = 0
+        self.entry = None
         self.runs = []
         self.link = asyncio.Lock()
         self.reading = asyncio.Lock()
@@ -120,22 +125,38 @@
         self.server.stop()
 
     def register(self):
+        """Send a heartbeat; the entry changes when more than ``sequence`` changes."""
         self.beats += 1
-        return self.store.write(
-            f"servers/{self.name}",
-            {
-                "service": self.service,
-                "address": self.address,
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slots,
-                "state": self.state,
-                "cold_remaining_ms": 0,
-                "stage": self.stage,
-                "models": [{"name": "m", "version": 1, "adapters": []}],
-                "sequence": self.beats,
-            },
-        )
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": self.version,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "stage": self.stage,
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+        } | self._start_field()
+        if entry != self.entry:
+            self.entry = entry
+            key = f"servers/{self.name}"
+            self.store.write(key, entry | {"sequence": self.beats})
+
+    def _start_field(self):
+        return {} if self.born is None else {"born": self.born}
+
+    async def crash(self, down_seconds, version):
+        """Crash, and start again under the same id with another software version."""
+        self.pool.log(f"{self.name} crashes")
+        self.stop()
+        await asyncio.sleep(down_seconds)
+        self.orders = self.fence = self.beats = 0
+        self.runs = []
+        self.version, self.born = version, int(time.time() * 1000)
+        self.server = http1.Server(self.address, self.handle)
+        await self.start()
+        self.pool.log(f"{self.name} starts again as {version}")
 
     async def _beat(self):
         while True:
@@ -218,6 +239,7 @@
             "state": self.state,
             "runs": rows,
         }
+        document |= self._start_field()
         if self.leaves_at is not None:
             left = self.leaves_at - time.monotonic()
             document["leaves_ms"] = max(0, int(left * 1000))
@@ -299,6 +321,7 @@
             request.headers.of(SOURCE),
             time.monotonic(),
             request,
+            self.version,
         )
         run.made = first - 1
         self.runs.append(run)
@@ -324,7 +347,7 @@
         limit = time.monotonic() + int(request.headers.of(LIMIT, "60000")) / 1000
         pause = self.event_seconds(request)
         for number in range(run.first, run.total + 1):
-            event = f"id: {number}\ndata: {run.text} word {number}\n\n".encode()
+            event = self._event(run, number)
             raw += http1.chunk(event)
             request.write(http1.chunk(event))
             run.made = number
@@ -341,6 +364,10 @@
         if self.state == "draining":
             request.close()
 
+    def _event(self, run, number):
+        text = f"{run.text} word {number} by {run.version}"
+        return f"id: {number}\ndata: {text}\n\n".encode()
+
     async def _move(self, request, body):
         """Copy a run's memory; transfers of one engine run one after the other."""
         run = next((r for r in self.running() if r.id == body["id"]), None)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -237,7 +237,7 @@
         names = list(self.daemons)
         while time.monotonic() < ends:
             if all([await self.is_ready(name) for name in names]):
-                seen = [f'"instance":"{e.name}"' for e in self.engines]
+                seen = [f'"instance":"{e.name}' for e in self.engines]
                 if all(text in self.log(n) for n in names for text in seen):
                     return
             for name, process in self.daemons.items():
