Streams go on only at the incarnation that is known

Cause: a VM took the process behind an engine's address for the one of the record that it had read last, and nothing in the answer to a request tells them apart. A changed record of a known engine might also wait for two seconds at VMs that follow the store through others.

Change: before a stream goes on at an engine that states its start, the engine's report has to confirm it; a new request asks it first if it is near, else beside the request, and a stream whose engine isn't confirmed goes on nowhere. A connection ends with the process that accepted it, so a report confirms all connections opened before. A record of another process under a known id is urgent for all VMs.

Why it works: the start in the report comes from the process that the connection leads to, and a connection can't outlive that process, so no record, however late, takes part in the decision.

--- a/src/mulberrydock/connect_reason.py
+++ b/src/mulberrydock/connect_reason.py
@@ -20,5 +20,7 @@
     BROKEN = "broken"
     #: More idle ones than are kept.
     SURPLUS = "surplus"
+    #: To ask the peer which incarnation it is.
+    CHECK = "check"
     #: To learn whether the peer listens.
     PROBE = "probe"
--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -18,10 +18,11 @@
 import tornado.httputil
 import tornado.iostream
 import tornado.tcpclient
+from loguru import logger
 
 from ._http import split_address
 from .connect_reason import ConnectReason
-from .exceptions import ConnectionCut, ResultCode, UpstreamError
+from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 
 #: Seconds for a new connection: an address two data centres away answers in 2 ms, a VM
 #: without power never does.
@@ -41,6 +42,12 @@
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
 #: Maximum number of idle connections to one address.
 MAX_IDLE_CONNECTIONS = 8
+#: Seconds for the answer to a check: an instance answers it without a slot.
+CHECK_TIMEOUT_SECONDS = 0.3
+#: Seconds that a connection takes to open, up to which a request waits for the check: a
+#: round trip that no client notices. From farther peers the answer comes meanwhile, on
+#: another connection.
+CHECK_FIRST_SECONDS = 0.01
 #: Responses to other requests that one exchange skips before it fails.
 MAX_STALE_RESPONSES = 2
 #: Maximum size of a response body; the platform's largest item is 1 MiB, in base64.
@@ -103,6 +110,36 @@
         return b"".join(self.chunks)
 
 
+class ConnectionCheck(abc.ABC):
+    """Asks the peer who it is, as another process may have its address by now.
+
+    ``is_required`` says whether a request may only be sent once that is confirmed; if
+    not, the peer is asked meanwhile.
+    """
+
+    is_required: bool
+
+    @property
+    @abc.abstractmethod
+    def call(self):
+        """The :class:`~mulberrydock.request.UpstreamCall` that asks."""
+
+    @abc.abstractmethod
+    def accept_response(self, status, headers):
+        """Return whether a response is the one to :attr:`call`."""
+
+    @abc.abstractmethod
+    def confirms(self, response, now):
+        """Return whether a :class:`BufferedResponse` confirms who answers.
+
+        :param now: monotonic seconds.
+        """
+
+    @abc.abstractmethod
+    def start(self, confirmation):
+        """Run a coroutine, which returns whether it is confirmed, in the background."""
+
+
 class _Stream(tornado.iostream.IOStream):
     def has_unread(self):
         """Return whether unrequested bytes wait, or the peer closed the connection."""
@@ -173,9 +210,14 @@
 
 @attrs.define(eq=False)
 class Connection:
-    """An open connection and until when it may be reused (monotonic seconds)."""
+    """An open connection, since when, and until when it may be reused.
+
+    Times are monotonic seconds; it took ``connect_seconds`` to open.
+    """
 
     stream: _Stream
+    opened_at: float
+    connect_seconds: float
     reusable_until: float = 0.0
 
 
@@ -187,6 +229,9 @@
     with the :class:`~mulberrydock.connect_reason.ConnectReason`.
 
     :param limit: maximum number of open connections.
+
+    ``confirmed_at`` is when a call was last sent whose response confirmed that the peer
+    is the incarnation of this pool, ``asking`` the task of such a call in progress.
     """
 
     def __init__(self, address, limit=1000):
@@ -199,6 +244,8 @@
         self.open = 0
         self.waiting_since = {}
         self.heard_at = -math.inf
+        self.confirmed_at = -math.inf
+        self.asking = None
 
     @property
     def exhausted(self):
@@ -258,8 +305,9 @@
                     f"can't connect to {self.address}: {error!r}", ResultCode.NOT_RUN
                 ) from error
             raise
-        self.on_connect(True, time.monotonic() - started)
-        return Connection(stream)
+        opened_at = time.monotonic()
+        self.on_connect(True, opened_at - started)
+        return Connection(stream, opened_at, opened_at - started)
 
     async def acquire(self, now):
         """Return an idle connection, or a new one.
@@ -315,6 +363,7 @@
         accept_response=None,
         keep_alive=None,
         check_send=None,
+        check=None,
     ):
         """Send one request and feed its response to ``listener``.
 
@@ -325,10 +374,11 @@
             nothing.
         :param check_send: called when the connection is ready; raises an error when
             the request must not be sent any more.
+        :param check: the :class:`ConnectionCheck` of the peer, None for none.
         :raises UpstreamError: NOT_RUN when nothing was sent, UPSTREAM_FAILED when the
             response is incomplete.
         """
-        connection = await self.acquire(time.monotonic())
+        connection = await self._acquire_checked(check, keep_alive)
         reusable = False
         self.waiting_since[connection] = time.monotonic()
         try:
@@ -348,6 +398,98 @@
                 self.last_end = ConnectReason.BROKEN
                 self._discard(connection)
 
+    async def _acquire_checked(self, check, keep_alive):
+        """Return a connection for a request, confirmed if ``check`` requires it.
+
+        :raises UpstreamError: NOT_RUN when there is none.
+        """
+        connection = await self.acquire(time.monotonic())
+        if check is None or connection.opened_at <= self.confirmed_at:
+            return connection
+        if connection.connect_seconds <= CHECK_FIRST_SECONDS:
+            # Idle, the connection serves the check, so that no other one is needed.
+            self.release(connection, time.monotonic(), CHECK_TIMEOUT_SECONDS)
+            await self._confirm(connection.opened_at, check, keep_alive)
+            connection = await self.acquire(time.monotonic())
+            if connection.opened_at <= self.confirmed_at:
+                return connection
+        confirmation = self._confirm(connection.opened_at, check, keep_alive)
+        if not check.is_required:
+            check.start(confirmation)
+            return connection
+        usable = False
+        try:
+            usable = await confirmation and not connection.stream.has_unread()
+        finally:
+            if not usable:
+                self._discard(connection)
+        if not usable:
+            raise CallWithheld(f"{self.address} may be another process by now")
+        return connection
+
+    async def _confirm(self, opened_at, check, keep_alive):
+        """Return whether a connection leads to the process that is known here.
+
+        A connection ends with the process that accepted it. So one that was opened
+        before a process answered leads to that process, whichever connection it
+        answered on.
+
+        :param opened_at: when the connection was opened, monotonic seconds.
+        """
+        while opened_at > self.confirmed_at:
+            if self.asking is None:
+                self.asking = asyncio.ensure_future(self._ask(check, keep_alive))
+                self.asking.add_done_callback(self._end_asking)
+            if not await asyncio.shield(self.asking):
+                return False
+        return True
+
+    def _end_asking(self, task):
+        self.asking = None
+
+    async def _ask(self, check, keep_alive):
+        """Ask the peer who it is; return whether that is confirmed.
+
+        The first connection may be an idle one that the peer has dropped.
+        """
+        for idle in (True, False):
+            try:
+                connection = self._reuse(time.monotonic()) if idle else None
+                connection = connection or await self._connect(ConnectReason.CHECK)
+                return await self._ask_on(connection, check, keep_alive)
+            except (UpstreamError, asyncio.TimeoutError) as error:
+                logger.warning(
+                    "connection check failed", address=self.address, error=repr(error)
+                )
+        return False
+
+    async def _ask_on(self, connection, check, keep_alive):
+        call, response = check.call, BufferedResponse()
+        complete, sent_at = False, time.monotonic()
+        self.waiting_since[connection] = sent_at
+        try:
+            run = self._run(
+                connection,
+                call.method,
+                call.target,
+                call.headers,
+                call.body,
+                response,
+                check.accept_response,
+            )
+            headers, complete = await asyncio.wait_for(run, CHECK_TIMEOUT_SECONDS)
+        finally:
+            del self.waiting_since[connection]
+            if not complete:
+                self.last_end = ConnectReason.BROKEN
+                self._discard(connection)
+        if complete:
+            self._return_to_pool(connection, headers, keep_alive)
+        confirmed = check.confirms(response, time.monotonic())
+        if confirmed:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+        return confirmed
+
     def _return_to_pool(self, connection, headers, keep_alive):
         seconds = keep_alive(headers) if keep_alive else None
         seconds = IDLE_TIMEOUT_SECONDS if seconds is None else seconds
--- /dev/null
+++ b/src/mulberrydock/incarnation_check.py
@@ -0,0 +1,123 @@
+"""Confirms that an instance is the incarnation that this VM knows.
+
+An instance may restart under its id and address, with another software version. Until
+this VM has read the new record, it takes the instance for the former incarnation, and
+nothing in a response to a request tells them apart. The instance's report does: it
+states when the instance started.
+"""
+
+import asyncio
+import enum
+
+import attrs
+from loguru import logger
+
+from .connections import ConnectionCheck
+from .exceptions import UpstreamError
+
+
+class CheckOutcome(enum.Enum):
+    """What the response to a check shows of the instance."""
+
+    CONFIRMED = "confirmed"
+    RESTARTED = "restarted"
+    #: Of an earlier start than its record.
+    OLDER = "older"
+    #: Another instance has the address.
+    MISDIRECTED = "misdirected"
+    #: It states no start.
+    UNKNOWN = "unknown"
+
+
+@attrs.define
+class IncarnationCheck(ConnectionCheck):
+    """The check of ``instance`` for one send of ``request``.
+
+    :param relay: the :class:`~mulberrydock.relay.Relay` that sends.
+    :param is_required: whether the request may only go to the known incarnation.
+
+    ``task`` asks the instance while the request is served, None if it needn't be asked.
+    """
+
+    relay: object
+    instance: object
+    request: object
+    is_required: bool
+    task: object = None
+
+    @classmethod
+    def from_send(cls, relay, instance, request, is_required=False):
+        """Build the check of one send.
+
+        :returns: None for an instance that states no start: it never restarts under
+            its id, which each send names.
+        """
+        if instance.record.started_at_ms is None:
+            return None
+        return cls(relay, instance, request, is_required)
+
+    @property
+    def call(self):
+        return self.relay.wire.report_call(self.instance.record)
+
+    def accept_response(self, status, headers):
+        return self.relay.accept_report(self.instance, self.call, status, headers)
+
+    def start(self, confirmation):
+        self.task = self.relay.run_in_background(confirmation)
+
+    async def result(self, timeout):
+        """Return whether the incarnation is confirmed, False if that takes too long.
+
+        :param timeout: seconds.
+        """
+        if self.task is None:
+            return True
+        await asyncio.wait([self.task], timeout=timeout)
+        return self.task.done() and self.task.result()
+
+    def confirms(self, response, now):
+        outcome, started_at_ms = self._read(response)
+        logger.info(
+            "incarnation checked",
+            request=self.request.id,
+            instance=self.instance.id,
+            status=response.status,
+            started_at_ms=started_at_ms,
+            outcome=outcome.value,
+        )
+        self.relay.metrics.incarnation_checks.labels(outcome.value).inc()
+        fleet = self.relay.fleet
+        if outcome is CheckOutcome.RESTARTED:
+            fleet.instances.mark_restarted(self.instance, started_at_ms)
+        elif outcome is CheckOutcome.MISDIRECTED:
+            metadata = self.relay.wire.read_metadata(response.headers)
+            fleet.record_misdirected(self.instance, metadata.instance, now)
+        elif outcome is CheckOutcome.OLDER:
+            fleet.suspicion.record_refusal(self.instance.id, now)
+        return outcome is CheckOutcome.CONFIRMED
+
+    def _read(self, response):
+        """Return the :class:`CheckOutcome` and the start that the instance states."""
+        if response.status == 421:
+            return CheckOutcome.MISDIRECTED, None
+        if response.status != 200:
+            return CheckOutcome.UNKNOWN, None
+        try:
+            started_at_ms = self.relay.wire.read_report(response.body).started_at_ms
+        except UpstreamError as error:
+            logger.warning(
+                "report refused", instance=self.instance.id, error=str(error)
+            )
+            return CheckOutcome.UNKNOWN, None
+        return self._compare(started_at_ms), started_at_ms
+
+    def _compare(self, started_at_ms):
+        known = self.instance.record.started_at_ms
+        if started_at_ms is None:
+            return CheckOutcome.UNKNOWN
+        if started_at_ms == known:
+            return CheckOutcome.CONFIRMED
+        if started_at_ms > known:
+            return CheckOutcome.RESTARTED
+        return CheckOutcome.OLDER
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -68,6 +68,14 @@
             self.id if self.started_at_ms is None else f"{self.id}@{self.started_at_ms}"
         )
 
+    def is_same_process(self, other):
+        """Return whether another record of the same id is about the same process."""
+        return (self.incarnation, self.address, self.version) == (
+            other.incarnation,
+            other.address,
+            other.version,
+        )
+
     @property
     def stream_version(self):
         """The version at which a stream that began at the instance goes on.
@@ -245,11 +253,7 @@
         known = self.instances.get(record.id)
         if known is None or _is_older(record, known.record):
             return known
-        same_process = (known.address, known.record.version) == (
-            record.address,
-            record.version,
-        )
-        if known.id == record.incarnation and same_process:
+        if known.record.is_same_process(record):
             return known
         if known.id != record.incarnation:
             self.terminated_ids.add(known.id)
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -166,6 +166,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self.incarnation_checks = prometheus_client.Counter(
+            "mulberrydock_incarnation_checks_total",
+            "Checks whether an instance has restarted, by the outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.links_lost = prometheus_client.Gauge(
             "mulberrydock_links_lost",
             "Whether this VM can't connect to any instance of a stage of the service.",
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -6,7 +6,7 @@
 import attrs
 from loguru import logger
 
-from .connections import BufferedResponse
+from .connections import CHECK_TIMEOUT_SECONDS, BufferedResponse
 from .demand import Demand
 from .estimates import PrefillSample
 from .exceptions import (
@@ -16,6 +16,7 @@
     ResultCode,
     UpstreamError,
 )
+from .incarnation_check import IncarnationCheck
 from .request import SendOptions
 
 #: Seconds, beyond the estimated wait, for the response to a prefill call. A prompt that
@@ -91,11 +92,17 @@
         )
         response = BufferedResponse()
         timeout = PREFILL_TIMEOUT_MARGIN_SECONDS + WAIT_TIMEOUT_FACTOR * self.plan.wait
-        exchange = self.relay.exchange(self.engine, self.request, options, response)
+        check = IncarnationCheck.from_send(self.relay, self.engine, self.request)
+        exchange = self.relay.exchange(
+            self.engine, self.request, options, response, check
+        )
         try:
             await asyncio.wait_for(exchange, timeout)
         except asyncio.TimeoutError as error:
             raise UpstreamError(f"no response within {timeout:.1f} s") from error
+        if check is not None:
+            # One that has restarted is terminated for this VM from then on.
+            await check.result(CHECK_TIMEOUT_SECONDS)
         handle = self._read_handle(response)
         if self.engine.terminated:
             # The engine terminated, or restarted under its id: its next incarnation may
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -195,8 +195,12 @@
         if request.team:
             self.on_begin(request.team, time.monotonic() - begun_at)
 
-    def exchange(self, instance, request, options, listener):
-        """Return the coroutine that sends ``request`` to ``instance`` once."""
+    def exchange(self, instance, request, options, listener, check=None):
+        """Return the coroutine that sends ``request`` to ``instance`` once.
+
+        :param check: its :class:`~mulberrydock.incarnation_check.IncarnationCheck`,
+            None for none.
+        """
         sent_at = time.monotonic()
         self.fleet.limits.take(instance.id, sent_at)
         check_send = self.fleet.check_send
@@ -214,6 +218,7 @@
             ),
             keep_alive=self._keep_alive,
             check_send=lambda: check_send(instance, time.monotonic()),
+            check=check,
         )
 
     def _accept_response(self, instance, request, sent_at, status, headers):
@@ -232,6 +237,14 @@
         self._observe(instance, f"{call.method} {call.target}", status, headers)
         return True
 
+    def accept_report(self, instance, call, status, headers):
+        """Record what the response to a report call states.
+
+        :returns: whether it is the report's: one that names a request came late.
+        """
+        name = f"{call.method} {call.target}"
+        return not self._observe(instance, name, status, headers).request_id
+
     def _observe(self, instance, request_id, status, headers):
         """Record what any response states about the instance that gave it.
 
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -9,6 +9,11 @@
 from .connections import ResponseListener, ends_with_connection
 from .exceptions import ConnectionCut, ResultCode, UpstreamError
 
+#: Seconds for which the first event of a stream waits for the check of its engine. The
+#: check takes one or two round trips and an engine longer for the event, so that only
+#: checks that fail take this long.
+CHECK_WAIT_SECONDS = 0.1
+
 
 @attrs.define(frozen=True)
 class ProgressTimeouts:
@@ -85,8 +90,14 @@
 
     :param stream: the client's :class:`ClientStream`.
     :param on_first_event: called without arguments when the first event arrives.
+
+    An owner may set ``incarnation_check``, the
+    :class:`~mulberrydock.incarnation_check.IncarnationCheck` of the engine, on whose
+    result the first event waits, and ``on_unknown``, called if it isn't confirmed.
     """
 
+    incarnation_check = None
+
     def __init__(self, wire, stream, on_first_event=lambda: None):
         self.wire = wire
         self.stream = stream
@@ -123,6 +134,20 @@
         if not self.is_signed_stream:
             self.chunks.append(chunk)
             return None
+        if self.first_progress_at is None and self.incarnation_check is not None:
+            return self._relay_checked(chunk)
+        return self._relay(chunk)
+
+    async def _relay_checked(self, chunk):
+        """Relay the first bytes once it is known which incarnation sent them."""
+        if not await self.incarnation_check.result(CHECK_WAIT_SECONDS):
+            self.on_unknown()
+        written = self._relay(chunk)
+        if written is not None:
+            await written
+
+    def _relay(self, chunk):
+        """Pass on the events that ``chunk`` completes."""
         try:
             events = self.stream.splitter.feed(chunk)
         except UpstreamError as error:
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -18,6 +18,7 @@
 from .forward_attempt import ForwardAttempt
 from .forward_messages import PriorCalls
 from .forwarding import ForwardPlan
+from .incarnation_check import IncarnationCheck
 from .moves import StreamMove, StreamMoved
 from .prefill import WAIT_TIMEOUT_FACTOR, PrefillCall
 from .request import Kind, SendOptions
@@ -443,7 +444,11 @@
             data_centre=target.record.data_centre,
         )
         self.relay.count_send(target.record)
-        exchange = self.relay.exchange(target, self.request, options, listener)
+        check = self._incarnation_check(target, handle)
+        if check is not None and not check.is_required:
+            listener.incarnation_check = check
+            listener.on_unknown = self.version.record_unknown
+        exchange = self.relay.exchange(target, self.request, options, listener, check)
         exchange = self.move.watch(target, listener, exchange)
         try:
             await run_exchange(exchange, listener, timeouts)
@@ -458,6 +463,21 @@
             in_flight_send.end()
         return True
 
+    def _incarnation_check(self, instance, handle):
+        """Return the :class:`IncarnationCheck` of a send, None if it needs none.
+
+        An engine that gets back what it has stopped needs none: one that has restarted
+        lacks the memory and refuses.
+        """
+        is_return = handle is not None and handle.address == instance.address
+        if self.route.kind is not Kind.STREAMING or is_return:
+            return None
+        # A stream that has begun may go on at its version only.
+        is_required = bool(self.version.fixed)
+        return IncarnationCheck.from_send(
+            self.relay, instance, self.request, is_required
+        )
+
     async def _check_end(self, instance, headers):
         """Check that a response whose end nothing marks wasn't cut off by a crash.
 
--- a/src/mulberrydock/store_changes.py
+++ b/src/mulberrydock/store_changes.py
@@ -36,6 +36,9 @@
     except SettingsError:
         return Urgency.NOW
     known = instances.get(record.id)
-    if record.draining or (known is not None and known.expired_at is not None):
-        return Urgency.NOW
-    return Urgency.NOW if known is None and serving else Urgency.SOON
+    if known is None:
+        return Urgency.NOW if record.draining or serving else Urgency.SOON
+    # What a VM knows of the former process isn't true of one that has restarted.
+    restarted = not known.record.is_same_process(record)
+    urgent = record.draining or restarted or known.expired_at is not None
+    return Urgency.NOW if urgent else Urgency.SOON
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -65,6 +65,10 @@
         self.relay.metrics.streams_taken_up.labels(self.service, known).inc()
         return final
 
+    def record_unknown(self):
+        """Record that the instance that was sent to last may have restarted since."""
+        self.attempted = UNKNOWN_VERSION
+
     def record_first_event(self, sink, now):
         """Fix the version as the first event is about to be passed on to the client.
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -195,7 +195,12 @@
         """Wait until a daemon is ready and logged ``instances``, by default all."""
         wait_until(lambda: self.is_ready(name))
         for instance in instances or self.engines:
-            wait_until(lambda: f'"instance":"{instance}"' in self.log(name))
+            wait_until(lambda: self._knows(name, instance))
+
+    def _knows(self, name, instance):
+        """Return whether a daemon has logged an incarnation of ``instance``."""
+        log = self.log(name)
+        return any(f'"instance":"{instance}{end}' in log for end in '"@')
 
     def log(self, name="entry-1"):
         """Return the daemon's log so far."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,7 +8,8 @@
 instances misbehave, drain, announce their leave before the store shows it, ask for
 pauses and are replaced, by one of any software version; one request crashes whatever
 runs it and is sent repeatedly, and so do two parts of prompts, in requests of which no
-two are alike. Clients reuse open connections until these are closed,
+two are alike; a crashed instance restarts under its id at any software version, and the
+store shows it late. Clients reuse open connections until these are closed,
 and take streams up that were cut or that they left. The faults
 follow the seed, but the timing of what they hit differs a little from run to run: a
 seed that failed once is to be run several times.
@@ -78,6 +79,8 @@
 #: Software versions of the engines, and seconds between two events of their streams.
 VERSIONS = ("v1", "v1.1", "v2")
 EVENT_INTERVAL_SECONDS = 0.05
+#: Range of the random time from a crashed engine's restart until its record shows it.
+RECORD_DELAY_SECONDS = (0.0, 3.0)
 #: Share of the streams that their clients leave after the first event, and how often a
 #: client takes a stream up.
 LEFT_SHARE = 0.1
@@ -160,6 +163,7 @@
     seed: int
     daemons: int
     random: random.Random
+    crash_random: random.Random
     outcomes: list = attrs.field(factory=list)
     proxies: list = attrs.field(factory=list)
     fault_timers: list = attrs.field(factory=list)
@@ -172,7 +176,9 @@
     @classmethod
     def from_seed(cls, directory, seed, daemons):
         """Start the fleet, with a proxy before each stand-in, and the daemons."""
-        soak = cls(LinkFleet(directory), seed, daemons, random.Random(seed))
+        # Crashes are drawn on the stand-ins' thread.
+        rngs = random.Random(seed), random.Random(f"{seed}/restarts")
+        soak = cls(LinkFleet(directory), seed, daemons, *rngs)
         soak.fleet.add_proxy = soak._add_proxy
         soak.fleet.write("op/config", config(soak.version))
         for stage in ("prefill", "prefill", "decode", "decode", "decode"):
@@ -216,6 +222,7 @@
         return engine
 
     def _handle_crash(self, engine, proxy):
+        engine.version = self.crash_random.choice(VERSIONS)
         proxy.set_mode("partition")
         for link in self.fleet.links_of(targets={engine.id}):
             link.set_target_down(True)
@@ -227,6 +234,10 @@
         proxy.set_mode("pass")
         for link in self.fleet.links_of(targets={engine.id}):
             link.set_target_down(False)
+        delay = self.crash_random.uniform(*RECORD_DELAY_SECONDS)
+        self.fleet.loop.call_later(delay, self._write_restart, engine)
+
+    def _write_restart(self, engine):
         key = f"servers/{engine.id}"
         if key in self.fleet.store.items and engine not in self.replaced:
             self.fleet.store.write(key, engine.store_document())
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -162,7 +162,7 @@
             record = InstanceRecord(stage.value, "llm", "h:1", "dc1", 64, False, stage)
             self.fleet.instances.put(record, 0.0)
 
-    async def exchange(self, instance, request, options, listener):
+    async def exchange(self, instance, request, options, listener, check):
         self.calls += 1
         listener.on_headers(self.status, HTTPHeaders())
 
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -9,9 +9,10 @@
 
 from mulberrydock import defaults, peer_messages, records
 from mulberrydock import watch as watch_module
-from mulberrydock.instances import InstanceRecord, InstanceRegistry, Stage
+from mulberrydock.instances import InstanceRegistry
 from mulberrydock.peer_loads import PeerReport
 from mulberrydock.peer_messages import PeerUpdate
+from mulberrydock.platform import read_instance
 from mulberrydock.rendezvous import DUTY_ORDER, rank
 from mulberrydock.standin.platform_engine import PlatformEngine
 from mulberrydock.store import Event, WatchBatch
@@ -263,9 +264,11 @@
     return records.encode(records.EntryRecord.new_message(name="entry-1"))
 
 
-def engine_record(state="ready"):
+def engine_record(state="ready", address="127.0.0.1:7", born=5, version="v1"):
     """Return the text of an instance's record."""
-    engine = PlatformEngine("e1", "127.0.0.1:7", "llm", "decode")
+    engine = PlatformEngine(
+        "e1", address, "llm", "decode", started_at_ms=born, version=version
+    )
     return json.dumps(engine.store_document(state))
 
 
@@ -273,11 +276,8 @@
     """Return an instance registry that knows ``e1`` or not, or that it leaves."""
     instances = InstanceRegistry()
     if known:
-        draining = known == "leaving"
-        record = InstanceRecord(
-            "e1", "llm", "127.0.0.1:7", "dc1", 64, draining, Stage.DECODE, 5
-        )
-        instances.put(record, NOW)
+        text = engine_record("draining" if known == "leaving" else "ready")
+        instances.put(read_instance("servers/e1", text), NOW)
         if expired:
             instances.instances["e1"].expired_at = NOW
     return instances.instances
@@ -295,6 +295,9 @@
         ("servers/e1", engine_record(), False, False, False, Urgency.SOON),
         ("servers/e1", engine_record(), True, False, True, Urgency.SOON),
         ("servers/e1", engine_record(), True, True, True, Urgency.NOW),
+        ("servers/e1", engine_record(born=6), True, False, True, Urgency.NOW),
+        ("servers/e1", engine_record(version="v2"), True, False, True, Urgency.NOW),
+        ("servers/e1", engine_record(address="127.0.0.1:8"), 1, 0, 1, Urgency.NOW),
         (defaults.LEADER_KEY, "x", False, False, True, Urgency.NOW),
         (defaults.ENTRY_PREFIX + "entry-1", entry_record(), 0, 0, 1, Urgency.SOON),
         (defaults.CRASH_PREFIX + "a/e1", "x", False, False, True, Urgency.SOON),
@@ -304,8 +307,9 @@
 def test_change_is_as_urgent_as_what_it_decides(
     key, value, known, expired, serving, urgency
 ):
-    """Guards against work for an engine that drains, a route that changed, or an engine
-    that a loaded fleet learns of late; changes of other fields may wait."""
+    """Guards against work for an engine that drains or is another process by now, a
+    route that changed, or an engine that a loaded fleet learns of late; changes of
+    other fields may wait."""
     assert change_urgency(key, value, registry(known, expired), serving) is urgency
 
 
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -35,9 +35,12 @@
 DEADLINE_MS = "9000"
 
 
-def started_fleet(directory, instances=INSTANCES):
-    """Return the context of a fleet of :data:`VMS` before ``instances``."""
-    options = {"event_interval_seconds": EVENT_INTERVAL_SECONDS}
+def started_fleet(directory, instances=INSTANCES, **options):
+    """Return the context of a fleet of :data:`VMS` before ``instances``.
+
+    :param options: further options of each instance.
+    """
+    options["event_interval_seconds"] = EVENT_INTERVAL_SECONDS
     rows = [
         (f"{stage}-{version}-{number}", "llm", stage, options | {"version": version})
         for number, (stage, version) in enumerate(instances)
@@ -64,6 +67,7 @@
     complete: bool = False
     status: int = 0
     connection: object = None
+    response: object = None
 
     def request(self, vm, until=None, **headers):
         """Send one request to ``vm`` and read the response up to event ``until``.
@@ -85,9 +89,17 @@
         fields = {name: value for name, value in fields.items() if value is not None}
         try:
             send(self.connection, RESUMABLE_PATH, self.ids[-1], **fields)
-            response = self.connection.getresponse()
-            self.status = response.status
-            self._read(response, until)
+            self.response = self.connection.getresponse()
+            self.status = self.response.status
+            self._read(self.response, until)
+        except (http.client.HTTPException, OSError):
+            self.connection.close()
+        return self
+
+    def read_on(self):
+        """Read the rest of the open response."""
+        try:
+            self._read(self.response, None)
         except (http.client.HTTPException, OSError):
             self.connection.close()
         return self
