Pauses hold for an instance, whichever incarnation asked for it

What callers saw: an engine that had refused a VM with Retry-After got three requests of that VM within the pause; two are allowed.

Cause: the engine had restarted and asked for the pause before the VM read its new record. The pause was kept under the former incarnation, and the record dropped that with all it had.

Evidence: refused at 35.056 s, `instance gone` (started again) at 35.865 s, three sends at 36.16 to 36.17 s, refused again, in the VM's log.

Why it works: a pause is keyed by the id, so neither a new record nor a restart that was found out ends it. It is short and ends by itself, so that one carried over wrongly costs little; leaves and limits aren't carried over, as each response states them again.

The test failed before in both cases (record read; restart found out).

--- a/src/mulberrydock/backoffs.py
+++ b/src/mulberrydock/backoffs.py
@@ -12,18 +12,24 @@
 MAX_PAUSE_SECONDS = 3600.0
 
 
+def _instance_id(incarnation):
+    """Return the id of the instance that an incarnation is one of."""
+    return incarnation.partition("@")[0]
+
+
 @attrs.define
 class Backoffs:
-    """The pauses of instances by incarnation.
+    """The pauses of instances.
 
     They don't depend on the instances' records, which may expire and be written again
-    within a pause. ``ends`` maps incarnations to the end of their pause in monotonic
-    seconds.
+    within a pause. Nor do they on the incarnation: one that has restarted may ask for a
+    pause before this VM has read its new record. ``ends`` maps the instances' ids to
+    the end of their pause in monotonic seconds.
     """
 
     ends: dict = attrs.field(factory=dict)
 
-    def record(self, instance_id, seconds, now):
+    def record(self, incarnation, seconds, now):
         """Record that an instance asked for a pause.
 
         A call that was in progress may end a moment later with a shorter one, which
@@ -31,22 +37,23 @@
 
         :param seconds: duration of the pause.
         """
+        instance_id = _instance_id(incarnation)
         end = now + min(seconds, MAX_PAUSE_SECONDS)
-        if not self.seconds_left(instance_id, now):
+        if not self.seconds_left(incarnation, now):
             self.ends = {i: at for i, at in self.ends.items() if at > now}
             logger.info(
-                "instance asks for a pause", instance=instance_id, seconds=seconds
+                "instance asks for a pause", instance=incarnation, seconds=seconds
             )
         self.ends[instance_id] = max(end, self.ends.get(instance_id, end))
 
-    def seconds_left(self, instance_id, now):
+    def seconds_left(self, incarnation, now):
         """Return the seconds until the end of an instance's pause, 0 without one."""
-        return max(0.0, self.ends.get(instance_id, now) - now)
+        return max(0.0, self.ends.get(_instance_id(incarnation), now) - now)
 
     def paused(self, now):
         """Return the ids of the instances that are in a pause."""
         return {instance_id for instance_id, end in self.ends.items() if end > now}
 
-    def permits(self, instance_id, now):
+    def permits(self, incarnation, now):
         """Return whether this VM may call an instance."""
-        return not self.seconds_left(instance_id, now)
+        return not self.seconds_left(incarnation, now)
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -176,7 +176,12 @@
         suspects = self.suspicion.suspects(now)
         if self.links.lost_since:
             suspects = {i for i in suspects if not self._is_link_lost(i)}
-        return suspects | self.backoffs.paused(now)
+        return suspects | {self._incarnation(i) for i in self.backoffs.paused(now)}
+
+    def _incarnation(self, instance_id):
+        """Return the known incarnation of an instance, or its id if there is none."""
+        instance = self.instances.instances.get(instance_id)
+        return instance.id if instance else instance_id
 
     def _is_link_lost(self, instance_id):
         instance = self.instances.get_incarnation(instance_id)
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+import attrs
 import pytest
 import tornado.httputil
 from hypothesis import given
@@ -71,6 +72,26 @@
     assert fleet.backoffs.permits(instance.id, end + 0.001)
 
 
+# Guards against calls in a pause that an instance asked for after its restart, before
+# the VM had read its new record or found the restart out.
+@pytest.mark.parametrize("found_out", [False, True])
+def test_pause_outlasts_the_record_of_the_former_incarnation(found_out):
+    fleet = FleetView("dc1", None, lambda: 1, lambda instance_id: None)
+    fleet.instances.put(RECORD, 0.0)
+    (former,) = fleet.instances.serving("llm")
+    refusal = ResponseMetadata("", "", False, True, None, False, retry_after=3.0)
+    fleet.record_response(former, 503, refusal, 1.0)
+    if found_out:
+        fleet.instances.mark_restarted(former, 6)
+    fleet.instances.put(attrs.evolve(RECORD, started_at_ms=6), 2.0)
+    (instance,) = fleet.instances.serving("llm")
+    assert instance is not former
+    with pytest.raises(CallWithheld):
+        fleet.check_send(instance, 3.9)
+    assert fleet.avoided(3.9) == {instance.id}
+    fleet.check_send(instance, 4.0)
+
+
 # Guards against an instance that is excluded for ever by one wrong value.
 def test_pause_is_bounded():
     backoffs = Backoffs()
