A response that names a request isn't that of a call

Cause: calls of the system's own accepted any response. A late second copy of the response to an earlier request was taken for that of /kv-move, and the move's own response for that of the next move on the connection, whose stream went on with the first one's handle.

Change: a response that names a request is skipped by each call. A copy of a call's own response names nothing, so a move takes a connection on which no such call was made.

Why it works: on that connection all earlier responses name their requests, so the first one that names none is the move's.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -212,13 +212,16 @@
 class Connection:
     """An open connection, since when, and until when it may be reused.
 
-    Times are monotonic seconds; it took ``connect_seconds`` to open.
+    Times are monotonic seconds; it took ``connect_seconds`` to open. ``has_calls`` is
+    True once a call without an id was made on it: a late copy of its response can't be
+    told from the response to another one.
     """
 
     stream: _Stream
     opened_at: float
     connect_seconds: float
     reusable_until: float = 0.0
+    has_calls: bool = False
 
 
 class ConnectionPool:
@@ -262,9 +265,15 @@
         self.open -= 1
         connection.stream.close()
 
-    def _reuse(self, now):
-        while self.idle:
-            connection = self.idle.pop()
+    def _reuse(self, now, is_certain=False):
+        """Return an idle connection, None if there is no usable one.
+
+        :param is_certain: whether one with calls may not be used.
+        """
+        for connection in reversed(self.idle[:]):
+            if is_certain and connection.has_calls:
+                continue
+            self.idle.remove(connection)
             usable = now < connection.reusable_until
             self.last_end = ConnectReason.CLOSED if usable else ConnectReason.EXPIRED
             if usable and not connection.stream.closed():
@@ -309,15 +318,18 @@
         self.on_connect(True, opened_at - started)
         return Connection(stream, opened_at, opened_at - started)
 
-    async def acquire(self, now):
+    async def acquire(self, now, is_certain=False):
         """Return an idle connection, or a new one.
 
+        :param is_certain: whether it must be one on which no call was made.
         :raises UpstreamError: NOT_RUN when no connection is available.
         """
         had_idle = bool(self.idle)
-        connection = self._reuse(now)
+        connection = self._reuse(now, is_certain)
         if connection is not None:
             return connection
+        if is_certain and self.open >= self.limit and self.idle:
+            self._discard(self.idle.pop(0))
         if self.open >= self.limit:
             raise UpstreamError(
                 f"{self.address}: {self.open} of {self.limit} connections in use",
@@ -364,6 +376,8 @@
         keep_alive=None,
         check_send=None,
         check=None,
+        has_id=True,
+        is_certain=False,
     ):
         """Send one request and feed its response to ``listener``.
 
@@ -375,10 +389,14 @@
         :param check_send: called when the connection is ready; raises an error when
             the request must not be sent any more.
         :param check: the :class:`ConnectionCheck` of the peer, None for none.
+        :param has_id: whether the request has an id that its response names.
+        :param is_certain: whether only a connection will do on which there was no
+            request without an id.
         :raises UpstreamError: NOT_RUN when nothing was sent, UPSTREAM_FAILED when the
             response is incomplete.
         """
-        connection = await self._acquire_checked(check, keep_alive)
+        connection = await self._acquire_checked(check, keep_alive, is_certain)
+        connection.has_calls = connection.has_calls or not has_id
         reusable = False
         self.waiting_since[connection] = time.monotonic()
         try:
@@ -398,12 +416,12 @@
                 self.last_end = ConnectReason.BROKEN
                 self._discard(connection)
 
-    async def _acquire_checked(self, check, keep_alive):
+    async def _acquire_checked(self, check, keep_alive, is_certain):
         """Return a connection for a request, confirmed if ``check`` requires it.
 
         :raises UpstreamError: NOT_RUN when there is none.
         """
-        connection = await self.acquire(time.monotonic())
+        connection = await self.acquire(time.monotonic(), is_certain)
         if check is None or connection.opened_at <= self.confirmed_at:
             return connection
         if connection.connect_seconds <= CHECK_FIRST_SECONDS:
@@ -466,6 +484,7 @@
     async def _ask_on(self, connection, check, keep_alive):
         call, response = check.call, BufferedResponse()
         complete, sent_at = False, time.monotonic()
+        connection.has_calls = True
         self.waiting_since[connection] = sent_at
         try:
             run = self._run(
--- a/src/mulberrydock/incarnation_check.py
+++ b/src/mulberrydock/incarnation_check.py
@@ -61,7 +61,9 @@
         return self.relay.wire.report_call(self.instance.record)
 
     def accept_response(self, status, headers):
-        return self.relay.accept_report(self.instance, self.call, status, headers)
+        return self.relay.accept_call_response(
+            self.instance, self.call, status, headers
+        )
 
     def start(self, confirmation):
         self.task = self.relay.run_in_background(confirmation)
--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -344,7 +344,7 @@
             source.record, stream.request.id, destination.record, last
         )
         stream.may_have_stopped = stream.may_have_stopped or last
-        response = await self.relay.call(source, call, seconds)
+        response = await self.relay.call(source, call, seconds, is_certain=True)
         stream.unanswered = response is None
         if response is None:
             return NO_ANSWER, None
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -232,18 +232,21 @@
             self.fleet.limits.observe(instance.id, None, sent_at, time.monotonic())
         return True
 
-    def _accept_call_response(self, instance, call, status, headers):
-        """Record what the response to a call of this system states; accept it."""
-        self._observe(instance, f"{call.method} {call.target}", status, headers)
-        return True
-
-    def accept_report(self, instance, call, status, headers):
-        """Record what the response to a report call states.
+    def accept_call_response(self, instance, call, status, headers):
+        """Record what the response to a call of this system states.
 
-        :returns: whether it is the report's: one that names a request came late.
+        :returns: whether it is the call's own: one that names a request came late.
         """
         name = f"{call.method} {call.target}"
-        return not self._observe(instance, name, status, headers).request_id
+        metadata = self._observe(instance, name, status, headers)
+        if metadata.request_id:
+            logger.warning(
+                "late response skipped",
+                instance=instance.id,
+                request=metadata.request_id,
+                call=name,
+            )
+        return not metadata.request_id
 
     def _observe(self, instance, request_id, status, headers):
         """Record what any response states about the instance that gave it.
@@ -342,10 +345,12 @@
     async def _release_handle(self, engine, handle):
         await self.call(engine, self.wire.release_call(handle), RELEASE_TIMEOUT_SECONDS)
 
-    async def call(self, instance, call, timeout):
+    async def call(self, instance, call, timeout, is_certain=False):
         """Make one :class:`~mulberrydock.request.UpstreamCall` to an instance.
 
         :param timeout: seconds for the whole call.
+        :param is_certain: whether the response must be the call's own beyond doubt, not
+            a late copy of an earlier call's, which nothing tells from it.
         :returns: the :class:`BufferedResponse`, None when none came.
         """
         response = BufferedResponse()
@@ -355,11 +360,13 @@
             call.headers,
             call.body,
             response,
-            accept_response=lambda status, headers: self._accept_call_response(
+            accept_response=lambda status, headers: self.accept_call_response(
                 instance, call, status, headers
             ),
             keep_alive=self._keep_alive,
             check_send=lambda: self.fleet.check_call(instance, time.monotonic()),
+            has_id=False,
+            is_certain=is_certain,
         )
         try:
             await asyncio.wait_for(exchange, timeout)
