A quantity that a request states ends no process

Cause: the work of the prompts in flight is told to the peers in fields of 32 bits. It grows with the square of the tokens; the message that couldn't be encoded ended the task that sends messages, and with it the process. A stop sends such a message first, so it failed as well.

Evidence: `task ended`, KjException() in the VMs' logs; encoding a load of 2**32 raises it in the test.

Change: a quantity too large for its field is sent as the largest that fits. A message that can't be encoded for another reason is left out, logged and counted. A count above 2**53 in a record or a report makes it invalid.

Why it works: no value that reaches an encoder can raise any more, and if one did, only its message is lost. No engine has 2**32 tokens of work, so no decision of a peer changes.

Requests that no engine can hold are still sent to one; that is open.

--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -172,6 +172,11 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.peer_messages_unsent = prometheus_client.Counter(
+            "mulberrydock_peer_messages_unsent_total",
+            "Messages to peers that held a value that can't be encoded.",
+            registry=self.registry,
+        )
         self.links_lost = prometheus_client.Gauge(
             "mulberrydock_links_lost",
             "Whether this VM can't connect to any instance of a stage of the service.",
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -12,6 +12,15 @@
 from .stream_origins import OriginMessageKind, StreamOrigin
 from .usage import UsageUpdate
 
+#: Largest value of a 32-bit field. What is larger is sent as this: no engine has as
+#: much work, or as long a prompt.
+MAX_UINT32 = 2**32 - 1
+
+
+def _uint32(value):
+    """Return a number as a field of 32 bits holds it."""
+    return int(min(max(value, 0), MAX_UINT32))
+
 
 @attrs.define(frozen=True)
 class LimitUpdate:
@@ -33,7 +42,7 @@
     @property
     def row(self):
         """The row of this limit in a datagram."""
-        age_ms = max(0, int(self.age * 1000))
+        age_ms = _uint32(self.age * 1000)
         return {"instance": self.instance, "rate": self.rate or 0.0, "ageMs": age_ms}
 
 
@@ -52,7 +61,7 @@
     @property
     def row(self):
         """The row of this report in a datagram."""
-        return attrs.asdict(self.crash) | {"ageMs": max(0, int(self.age * 1000))}
+        return attrs.asdict(self.crash) | {"ageMs": _uint32(self.age * 1000)}
 
 
 @attrs.define(frozen=True)
@@ -74,7 +83,7 @@
     @property
     def row(self):
         """Its row in a datagram."""
-        return {"work": self.work, "ageMs": int(self.age * 1000)}
+        return {"work": self.work, "ageMs": _uint32(self.age * 1000)}
 
 
 @attrs.define(frozen=True)
@@ -150,8 +159,8 @@
         {
             "instance": instance,
             "running": load.running,
-            "prefill": [int(tokens) for tokens in load.prefill],
-            "longest": int(load.longest),
+            "prefill": [_uint32(tokens) for tokens in load.prefill],
+            "longest": _uint32(load.longest),
         }
         for instance, load in loads.items()
     ]
@@ -162,14 +171,22 @@
         {
             "instance": instance,
             "keys": [key for key, _ in rows],
-            "tokens": [tokens for _, tokens in rows],
+            "tokens": [_uint32(tokens) for _, tokens in rows],
         }
         for instance, rows in prefills.items()
     ]
 
 
+def _sample_row(sample):
+    counts = {"tokens": _uint32(sample.tokens), "cached": _uint32(sample.cached)}
+    return attrs.asdict(sample) | counts
+
+
 def encode(update):
-    """Encode a :class:`PeerUpdate` as the bytes of a datagram."""
+    """Encode a :class:`PeerUpdate` as the bytes of a datagram.
+
+    :raises Exception: one of capnp's undocumented types, when a value doesn't fit.
+    """
     report = update.report
     message = records.PeerMessage.new_message(
         name=update.name,
@@ -182,7 +199,7 @@
         suspects=sorted(report.suspects),
         reads=_prefill_rows(update.prefills),
         pools=[_pool_row(pool) for pool in update.pools],
-        samples=[attrs.asdict(sample) for sample in update.samples],
+        samples=[_sample_row(sample) for sample in update.samples],
         crashes=[report.row for report in update.crashes],
         limits=[limit.row for limit in update.limits],
         leavingInstances=update.leaving_instances,
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -72,7 +72,7 @@
     :class:`~mulberrydock.origin_exchange.OriginExchange`, without which messages about
     streams are ignored, and ``freshness``, a
     :class:`~mulberrydock.store_freshness.StoreFreshness`, without which VMs say nothing
-    of the store.
+    of the store, and ``on_unsent``, called for each message that can't be encoded.
     """
 
     def __init__(
@@ -100,6 +100,7 @@
         self.instances = instances
         self.origins = None
         self.freshness = None
+        self.on_unsent = lambda: None
         # Larger after each restart, so that peers accept the new sequence.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
@@ -352,16 +353,30 @@
 
     def send(self):
         """Send one message to every direct peer."""
-        data = self.message(time.monotonic())
+        try:
+            data = self.message(time.monotonic())
+        except Exception as error:  # capnp raises undocumented types
+            self._record_unsent("message", error)
+            return
         self.send_to(self.groups.direct_peers().values(), data)
 
+    def _record_unsent(self, kind, error):
+        """Record a message with a value that doesn't fit; later ones may do."""
+        self.on_unsent()
+        logger.error("peer message not sent", kind=kind, error=repr(error))
+
     def send_sum(self, now):
         """Send the data centre's sum to the others if this VM is a reporter."""
         self.reporter_rank = self.groups.reporter_rank(now)
         if self.reporter_rank is None:
             self.local_prefills.clear()
             return
-        self.send_to(self.groups.remote_reporters(), self.sum_message(now))
+        try:
+            data = self.sum_message(now)
+        except Exception as error:  # capnp raises undocumented types
+            self._record_unsent("sum", error)
+            return
+        self.send_to(self.groups.remote_reporters(), data)
 
     def send_soon(self):
         """Send the next message early; further calls until then change nothing."""
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -21,6 +21,8 @@
 MIN_CLIENT_IDLE_TIMEOUT_SECONDS = 2.0
 #: Maximum length of a version: VMs tell each other the versions in datagrams.
 MAX_VERSION_CHARS = 200
+#: Maximum of a count: larger numbers can't be counted with as floating-point numbers.
+MAX_COUNT = 2**53
 #: ``state`` of an instance that accepts work, and of one that is draining after a
 #: planned notice.
 READY = "ready"
@@ -244,7 +246,7 @@
 
 def _count(value, name):
     # Not isinstance: bool is a subclass of int.
-    if type(value) is not int or value < 0:
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
         raise TypeError(f"{name}: expected a count, got {value!r:.40}")
     return value
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -193,6 +193,7 @@
             self.fleet.instances,
         )
         self.peers.freshness = self.freshness
+        self.peers.on_unsent = self.metrics.peer_messages_unsent.inc
         self.fleet.quarantine.on_report = self.peers.send_soon
         self.relay.origins = self.peers.origins = OriginExchange(
             groups=self.groups, send=self.peers.send_to
