A stream without a further event is ended

Cause: a response begins with its first event. The engine sent none and ended the stream; the front ended a response that it had never begun, which sends nothing, and logged OK.

Evidence: the test hangs at the same VM, at another one and through a peer.

Change: a complete stream without an event begins as it ends, with the engine's status and headers. To end a response that hasn't begun is an error, which is logged and closes the connection.

Why it works: each end of a relayed stream passes this one place, and any other is an error now.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -184,7 +184,7 @@
             if response.is_signed_stream:
                 lifecycle.served = True
                 lifecycle.began_at = response.first_progress_at
-                lifecycle.sink.finish()
+                lifecycle.stream.finish(response.status, response.headers)
                 return ResultCode.OK
             lifecycle.may_have_run = True
             self._refused(f"status {response.status} without an outcome")
--- a/src/mulberrydock/forward_front.py
+++ b/src/mulberrydock/forward_front.py
@@ -20,7 +20,6 @@
     def __init__(self, connection, closing):
         super().__init__(connection, closing)
         self.response = None
-        self.begun = False
         self.version = ""
 
     def state_version(self, version):
@@ -30,7 +29,6 @@
         self.response = status, headers, body
 
     def begin(self, status, headers):
-        self.begun = True
         stated = (forward_messages.VERSION_HEADER, self.version)
         super().begin(status, [*headers, stated])
 
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -6,6 +6,7 @@
 import tornado.httputil
 from loguru import logger
 
+from .exceptions import MulberrydockError, ResultCode
 from .ports import Sink
 
 #: Reason phrase of a status code without a standard one.
@@ -22,6 +23,7 @@
     def __init__(self, connection, closing):
         self.connection = connection
         self.closing = closing
+        self.begun = False
         self.done = False
 
     def _head(self, status, headers):
@@ -43,12 +45,17 @@
 
     def begin(self, status, headers):
         start, fields = self._head(status, headers)
+        self.begun = True
         self.connection.write_headers(start, fields)
 
     def write(self, chunk):
         return self.connection.write(chunk)
 
     def finish(self):
+        if not self.begun:
+            raise MulberrydockError(
+                "a response ended before it began", ResultCode.INTERNAL
+            )
         self.done = True
         self.connection.finish()
 
--- a/src/mulberrydock/ports.py
+++ b/src/mulberrydock/ports.py
@@ -107,7 +107,7 @@
 
     @abc.abstractmethod
     def finish(self):
-        """End a streamed response as complete."""
+        """End a streamed response, which has begun, as complete."""
 
     @abc.abstractmethod
     def abort(self):
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -206,3 +206,9 @@
             self.on_begin()
             self.sink.begin(status, self.wire.response_headers(headers))
         return self.sink.write(events)
+
+    def finish(self, status, headers):
+        """End the response as complete; one without an event begins only now."""
+        if not self.has_started:
+            self.sink.begin(status, self.wire.response_headers(headers))
+        self.sink.finish()
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -350,7 +350,7 @@
             self.fleet.estimates.record_prefill(plan.target.id, self.request.prompt)
             self._record_stream(plan, time.monotonic())
             self.served, self.began_at = True, listener.first_progress_at
-            self.sink.finish()
+            self.stream.finish(listener.status, listener.headers)
             return True
         return complete and self._deliver_buffered(plan, listener, listener.metadata)
 
