One exchange on a connection, for requests and for checks

Cause: the check of an incarnation had a copy of the exchange on a connection: the start of the wait, the run, and the return of the connection to the pool or its end. Change: both call ConnectionPool._exchange_on; behaviour is as before. Measured: the 181 tests of checks, calls, connections, moves, pauses and budgets pass.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -404,6 +404,31 @@
         """
         connection = await self._acquire_checked(check, keep_alive, is_certain)
         connection.has_calls = connection.has_calls or not has_id
+        await self._exchange_on(
+            connection,
+            method,
+            target,
+            headers,
+            body,
+            listener,
+            accept_response,
+            keep_alive,
+            check_send,
+        )
+
+    async def _exchange_on(
+        self,
+        connection,
+        method,
+        target,
+        headers,
+        body,
+        listener,
+        accept_response,
+        keep_alive,
+        check_send=None,
+    ):
+        """Make one exchange on ``connection``, then pool or close it."""
         reusable = False
         self.waiting_since[connection] = time.monotonic()
         try:
@@ -501,28 +526,19 @@
         return False
 
     async def _ask_on(self, connection, check, keep_alive):
-        call, response = check.call, BufferedResponse()
-        complete, sent_at = False, time.monotonic()
+        call, response, sent_at = check.call, BufferedResponse(), time.monotonic()
         connection.has_calls = True
-        self.waiting_since[connection] = sent_at
-        try:
-            run = self._run(
-                connection,
-                call.method,
-                call.target,
-                call.headers,
-                call.body,
-                response,
-                check.accept_response,
-            )
-            headers, complete = await asyncio.wait_for(run, CHECK_TIMEOUT_SECONDS)
-        finally:
-            del self.waiting_since[connection]
-            if not complete:
-                self.last_end = ConnectReason.BROKEN
-                self._discard(connection)
-        if complete:
-            self._return_to_pool(connection, headers, keep_alive)
+        exchange = self._exchange_on(
+            connection,
+            call.method,
+            call.target,
+            call.headers,
+            call.body,
+            response,
+            check.accept_response,
+            keep_alive,
+        )
+        await asyncio.wait_for(exchange, CHECK_TIMEOUT_SECONDS)
         confirmed = check.confirms(response, time.monotonic())
         if confirmed:
             self.confirmed_at = max(self.confirmed_at, sent_at)
