One reader of reports, one comparison of starts

Cause: three callers decoded the response to a report call in the same way, and the check of an incarnation compared an engine's start with its record's beside the leader's own comparison. Change: Relay.read_report and compare_starts serve all; behaviour is as before. The fake of test_stage_controller.py stands for the relay's reader now, its assertions are the same. Measured: the 132 tests of orders, checks, moves' decisions, local state and leaves pass.

--- a/src/mulberrydock/incarnation_check.py
+++ b/src/mulberrydock/incarnation_check.py
@@ -13,7 +13,6 @@
 from loguru import logger
 
 from .connections import ConnectionCheck
-from .exceptions import UpstreamError
 
 
 class CheckOutcome(enum.Enum):
@@ -29,6 +28,16 @@
     UNKNOWN = "unknown"
 
 
+def compare_starts(record, report):
+    """Return the :class:`CheckOutcome` of an instance's record and its report."""
+    known, stated = record.started_at_ms, report.started_at_ms
+    if known is None or stated is None:
+        return CheckOutcome.UNKNOWN
+    if stated == known:
+        return CheckOutcome.CONFIRMED
+    return CheckOutcome.RESTARTED if stated > known else CheckOutcome.OLDER
+
+
 @attrs.define
 class IncarnationCheck(ConnectionCheck):
     """The check of ``instance`` for one send of ``request``.
@@ -99,23 +108,7 @@
         """Return the :class:`CheckOutcome` and the start that the instance states."""
         if response.status == 421:
             return CheckOutcome.MISDIRECTED, None
-        if response.status != 200:
-            return CheckOutcome.UNKNOWN, None
-        try:
-            started_at_ms = self.relay.wire.read_report(response.body).started_at_ms
-        except UpstreamError as error:
-            logger.warning(
-                "report refused", instance=self.instance.id, error=str(error)
-            )
+        report = self.relay.read_report(self.instance, response)
+        if report is None:
             return CheckOutcome.UNKNOWN, None
-        return self._compare(started_at_ms), started_at_ms
-
-    def _compare(self, started_at_ms):
-        known = self.instance.record.started_at_ms
-        if started_at_ms is None:
-            return CheckOutcome.UNKNOWN
-        if started_at_ms == known:
-            return CheckOutcome.CONFIRMED
-        if started_at_ms > known:
-            return CheckOutcome.RESTARTED
-        return CheckOutcome.OLDER
+        return compare_starts(self.instance.record, report), report.started_at_ms
--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -6,7 +6,6 @@
 import attrs
 from loguru import logger
 
-from ..exceptions import UpstreamError
 from .decision import (
     Destination,
     LeavingEngine,
@@ -157,12 +156,8 @@
         leave.may_move = announced
         call = self.wire.report_call(instance.record)
         response = await self.relay.call(instance, call, REPORT_TIMEOUT_SECONDS)
-        if response is None or response.status != 200:
-            return False
-        try:
-            report = self.wire.read_report(response.body)
-        except UpstreamError as error:
-            logger.warning("report refused", instance=instance.id, error=str(error))
+        report = self.relay.read_report(instance, response)
+        if report is None:
             return False
         now, stated = time.monotonic(), report.leaves_seconds
         if stated is not None:
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -381,6 +381,20 @@
             return None
         return response
 
+    def read_report(self, instance, response):
+        """Return the :class:`~mulberrydock.engine_report.EngineReport` in a response.
+
+        :param response: the :class:`BufferedResponse` to a report call, None for none.
+        :returns: None when it holds no report.
+        """
+        if response is None or response.status != 200:
+            return None
+        try:
+            return self.wire.read_report(response.body)
+        except UpstreamError as error:
+            logger.warning("report refused", instance=instance.id, error=str(error))
+            return None
+
     def reject(self, request, sink, status, reason, retry_after=None):
         """Answer with an error of this process's own.
 
--- a/src/mulberrydock/stage_controller.py
+++ b/src/mulberrydock/stage_controller.py
@@ -13,7 +13,7 @@
 
 from . import stages
 from .clock import boot_seconds
-from .exceptions import UpstreamError
+from .incarnation_check import CheckOutcome, compare_starts
 from .stages import StagePlanner
 
 #: Seconds between two passes over the pools.
@@ -25,13 +25,6 @@
 STAGE_CHANGE_SECONDS = 3.5
 
 
-def _has_restarted(record, report):
-    """Return whether an engine reports a later start than its record does."""
-    if record.started_at_ms is None or report.started_at_ms is None:
-        return False
-    return report.started_at_ms > record.started_at_ms
-
-
 @attrs.define
 class StageController:
     """The planner of stage changes, which orders them while this VM is the leader.
@@ -112,15 +105,11 @@
         """Send one order; return for how many seconds it may be in progress."""
         instance = change.instance
         call = self.wire.report_call(instance.record)
-        report = await self.relay.call(instance, call, ORDER_TIMEOUT_SECONDS)
-        if report is None or report.status != 200:
-            return stages.REFUSED_SETTLE_SECONDS
-        try:
-            report = self.wire.read_report(report.body)
-        except UpstreamError as error:
-            logger.warning("report refused", instance=instance.id, error=str(error))
+        response = await self.relay.call(instance, call, ORDER_TIMEOUT_SECONDS)
+        report = self.relay.read_report(instance, response)
+        if report is None:
             return stages.REFUSED_SETTLE_SECONDS
-        if _has_restarted(instance.record, report):
+        if compare_starts(instance.record, report) is CheckOutcome.RESTARTED:
             # The decision was based on the state of the former incarnation.
             self.fleet.instances.mark_restarted(instance, report.started_at_ms)
             return stages.REFUSED_SETTLE_SECONDS
--- a/tests/test_stage_controller.py
+++ b/tests/test_stage_controller.py
@@ -38,7 +38,7 @@
     def report_call(self, record):
         return "report"
 
-    def read_report(self, body):
+    def read_report(self, instance, response):
         return EngineReport(Stage.DECODE, False, 0, leaving=self.leaving)
 
     def stage_order_call(self, record, stage, orders, holder, token):
