One way to send an encoded message to peers

Cause: messages and sums guarded their encoding by two copies of the same lines. Change: PeerLink._send_encoded serves both; behaviour is as before. Measured: the tests of quantities, peer loads, groups, records and stops pass.

--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -353,17 +353,18 @@
 
     def send(self):
         """Send one message to every direct peer."""
+        peers = self.groups.direct_peers().values()
+        self._send_encoded(peers, "message", self.message, time.monotonic())
+
+    def _send_encoded(self, peers, kind, encode, now):
+        """Send what ``encode`` returns; leave out a message that can't be encoded."""
         try:
-            data = self.message(time.monotonic())
+            data = encode(now)
         except Exception as error:  # capnp raises undocumented types
-            self._record_unsent("message", error)
+            self.on_unsent()
+            logger.error("peer message not sent", kind=kind, error=repr(error))
             return
-        self.send_to(self.groups.direct_peers().values(), data)
-
-    def _record_unsent(self, kind, error):
-        """Record a message with a value that doesn't fit; later ones may do."""
-        self.on_unsent()
-        logger.error("peer message not sent", kind=kind, error=repr(error))
+        self.send_to(peers, data)
 
     def send_sum(self, now):
         """Send the data centre's sum to the others if this VM is a reporter."""
@@ -371,12 +372,8 @@
         if self.reporter_rank is None:
             self.local_prefills.clear()
             return
-        try:
-            data = self.sum_message(now)
-        except Exception as error:  # capnp raises undocumented types
-            self._record_unsent("sum", error)
-            return
-        self.send_to(self.groups.remote_reporters(), data)
+        reporters = self.groups.remote_reporters()
+        self._send_encoded(reporters, "sum", self.sum_message, now)
 
     def send_soon(self):
         """Send the next message early; further calls until then change nothing."""
