A stream's listener takes its check whether that is required or not

Cause: the send left the check out of the listener where it had been awaited before; a check that asks nothing meanwhile has its result at once, so that needn't be told apart. The comment on the largest count was inexact. Change: one condition less, and the comment; behaviour is as before. Measured: the tests of restarted engines and ended streams pass.

--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -21,7 +21,8 @@
 MIN_CLIENT_IDLE_TIMEOUT_SECONDS = 2.0
 #: Maximum length of a version: VMs tell each other the versions in datagrams.
 MAX_VERSION_CHARS = 200
-#: Maximum of a count: larger numbers can't be counted with as floating-point numbers.
+#: Maximum of a count: larger numbers aren't exact as floating-point numbers, and some
+#: are none.
 MAX_COUNT = 2**53
 #: ``state`` of an instance that accepts work, and of one that is draining after a
 #: planned notice.
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -445,7 +445,7 @@
         )
         self.relay.count_send(target.record)
         check = self._incarnation_check(target, handle)
-        if check is not None and not check.is_required:
+        if check is not None:
             listener.incarnation_check = check
             listener.on_unknown = self.version.record_unknown
         exchange = self.relay.exchange(target, self.request, options, listener, check)
