The check's interface is a module; one scripted server for tests of responses

Change: connection_check.py holds the interface; UpstreamCall is passed as one value; tests/scripted_server.py holds the server, the relay before it and their run. Behaviour and assertions are as before.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -23,6 +23,7 @@
 from ._http import split_address
 from .connect_reason import ConnectReason
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
+from .request import UpstreamCall
 
 #: Seconds for a new connection: an address two data centres away answers in 2 ms, a VM
 #: without power never does.
@@ -110,43 +111,6 @@
         return b"".join(self.chunks)
 
 
-class ConnectionCheck(abc.ABC):
-    """Asks the peer who it is, as another process may have its address by now.
-
-    ``is_required`` says whether a request may only be sent once that is confirmed; if
-    not, the peer is asked meanwhile.
-    """
-
-    is_required: bool
-
-    @property
-    @abc.abstractmethod
-    def call(self):
-        """The :class:`~mulberrydock.request.UpstreamCall` that asks."""
-
-    @abc.abstractmethod
-    def accept_response(self, status, headers):
-        """Return whether a response is the one to :attr:`call`."""
-
-    @abc.abstractmethod
-    def confirms(self, response, now):
-        """Return whether a :class:`BufferedResponse` confirms who answers.
-
-        :param now: monotonic seconds.
-        """
-
-    @abc.abstractmethod
-    def start(self, confirmation):
-        """Run a coroutine, which returns whether it is confirmed, in the background."""
-
-    @abc.abstractmethod
-    async def result(self, timeout=None):
-        """Return what the coroutine does, False if that takes too long.
-
-        :param timeout: seconds, None to wait for its end.
-        """
-
-
 class _Stream(tornado.iostream.IOStream):
     def has_unread(self):
         """Return whether unrequested bytes wait, or the peer closed the connection."""
@@ -395,7 +359,8 @@
             nothing.
         :param check_send: called when the connection is ready; raises an error when
             the request must not be sent any more.
-        :param check: the :class:`ConnectionCheck` of the peer, None for none.
+        :param check: the :class:`~mulberrydock.connection_check.ConnectionCheck` of the
+            peer, None for none.
         :param has_id: whether the request has an id that its response names.
         :param is_certain: whether only a connection will do on which there was no
             request without an id.
@@ -404,29 +369,13 @@
         """
         connection = await self._acquire_checked(check, keep_alive, is_certain)
         connection.has_calls = connection.has_calls or not has_id
+        call = UpstreamCall(method, target, headers, body)
         await self._exchange_on(
-            connection,
-            method,
-            target,
-            headers,
-            body,
-            listener,
-            accept_response,
-            keep_alive,
-            check_send,
+            connection, call, listener, accept_response, keep_alive, check_send
         )
 
     async def _exchange_on(
-        self,
-        connection,
-        method,
-        target,
-        headers,
-        body,
-        listener,
-        accept_response,
-        keep_alive,
-        check_send=None,
+        self, connection, call, listener, accept_response, keep_alive, check_send=None
     ):
         """Make one exchange on ``connection``, then pool or close it."""
         reusable = False
@@ -435,7 +384,7 @@
             if check_send is not None:
                 check_send()
             response_headers, complete = await self._run(
-                connection, method, target, headers, body, listener, accept_response
+                connection, call, listener, accept_response
             )
             reusable = complete and self._return_to_pool(
                 connection, response_headers, keep_alive
@@ -529,14 +478,7 @@
         call, response, sent_at = check.call, BufferedResponse(), time.monotonic()
         connection.has_calls = True
         exchange = self._exchange_on(
-            connection,
-            call.method,
-            call.target,
-            call.headers,
-            call.body,
-            response,
-            check.accept_response,
-            keep_alive,
+            connection, call, response, check.accept_response, keep_alive
         )
         await asyncio.wait_for(exchange, CHECK_TIMEOUT_SECONDS)
         confirmed = check.confirms(response, time.monotonic())
@@ -552,17 +494,15 @@
         )
         return True
 
-    async def _run(
-        self, connection, method, target, headers, body, listener, accept_response
-    ):
+    async def _run(self, connection, call, listener, accept_response):
         stream = connection.stream
         accept_response = accept_response or (lambda status, headers: True)
         http = tornado.http1connection.HTTP1Connection(stream, True, CONNECTION_PARAMS)
-        start = tornado.httputil.RequestStartLine(method, target, "HTTP/1.1")
+        start = tornado.httputil.RequestStartLine(call.method, call.target, "HTTP/1.1")
         try:
-            http.write_headers(start, tornado.httputil.HTTPHeaders(headers))
-            if body:
-                http.write(body)
+            http.write_headers(start, tornado.httputil.HTTPHeaders(call.headers))
+            if call.body:
+                http.write(call.body)
             http.finish()
         except tornado.iostream.StreamClosedError as error:
             raise ConnectionCut(
--- a/src/mulberrydock/incarnation_check.py
+++ b/src/mulberrydock/incarnation_check.py
@@ -12,7 +12,7 @@
 import attrs
 from loguru import logger
 
-from .connections import ConnectionCheck
+from .connection_check import ConnectionCheck
 
 
 class CheckOutcome(enum.Enum):
--- a/tests/test_call_responses.py
+++ b/tests/test_call_responses.py
@@ -5,7 +5,7 @@
 
 import attrs
 import pytest
-from test_incarnation_check import Sender, response
+from scripted_server import ScriptedServer, request_id, response, run_before
 
 from mulberrydock.platform import PlatformWire, wire
 from mulberrydock.request import UpstreamCall
@@ -19,10 +19,10 @@
 
 
 @attrs.define
-class Engine:
+class Engine(ScriptedServer):
     """Answers the calls on all connections by ``answers``, in order.
 
-    Any other request is answered with its id. ``connections`` counts connections.
+    Any other request is answered with its id.
 
     :param repeats: whether a copy of a call's response comes before the next one on its
         connection.
@@ -30,45 +30,25 @@
 
     answers: list
     repeats: bool = False
-    connections: int = 0
-    server: object = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def _serve(self, reader, writer):
-        self.connections += 1
-        copy = b""
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                _, named, rest = head.partition(f"{wire.ATTEMPT_ID}: ")
-                if named:
-                    fields = {wire.ATTEMPT_ID: rest.split()[0]}
-                    writer.write(response("ok", **fields))
-                else:
-                    answer = self.answers.pop(0)
-                    writer.write(copy + answer)
-                    copy = answer if self.repeats else b""
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
 
+    def connect(self):
+        copies = []
 
-def run(answers, scenario, repeats=False):
-    """Run ``scenario(sender, engine)`` before an engine that states no start."""
+        def answer(head):
+            name = request_id(head)
+            if name:
+                return response("ok", **{wire.ATTEMPT_ID: name})
+            data = self.answers.pop(0)
+            sent = b"".join([*copies, data])
+            copies[:] = [data] if self.repeats else []
+            return sent
+
+        return answer
 
-    async def go():
-        engine = Engine(answers, repeats)
-        sender = Sender(await engine.start(), started_at_ms=None)
-        try:
-            await scenario(sender, engine)
-        finally:
-            sender.relay.forget(sender.instance.id)
-            engine.server.close()
 
-    asyncio.run(go())
+def run(answers, scenario, repeats=False):
+    """Run ``scenario(sender, engine)`` before an engine that states no start."""
+    run_before(Engine(answers, repeats), scenario, started_at_ms=None)
 
 
 async def move(sender, is_certain=True):
--- a/tests/test_incarnation_check.py
+++ b/tests/test_incarnation_check.py
@@ -2,34 +2,22 @@
 
 import asyncio
 import json
-import time
 
 import attrs
 import pytest
-from platform_fleet import HOST, config
-from test_budget import TIMING
+from scripted_server import (
+    STARTED_AT_MS,
+    ScriptedServer,
+    request_id,
+    response,
+    run_before,
+)
 
 from mulberrydock import connections
-from mulberrydock.connections import BufferedResponse
-from mulberrydock.exceptions import ResultCode, UpstreamError
-from mulberrydock.fleet_view import FleetView
-from mulberrydock.incarnation_check import IncarnationCheck
-from mulberrydock.instances import InstanceRecord, Stage
-from mulberrydock.metrics import ServeMetrics
-from mulberrydock.platform import PlatformWire, documents, wire
-from mulberrydock.relay import Relay
-from mulberrydock.request import Request, SendOptions
-
-STARTED_AT_MS = 1_800_000_000_000
-REPORT = {"stage": "decode", "busy": False, "sequence": 0}
-
+from mulberrydock.exceptions import ResultCode
+from mulberrydock.platform import wire
 
-def response(body, status="200 OK", **headers):
-    """Return a response as bytes; underscores in header names become hyphens."""
-    fields = {name.replace("_", "-"): value for name, value in headers.items()}
-    lines = [f"{name}: {value}" for name, value in fields.items()]
-    head = [f"HTTP/1.1 {status}", *lines, f"Content-Length: {len(body)}"]
-    return "\r\n".join([*head, "", body]).encode()
+REPORT = {"stage": "decode", "busy": False, "sequence": 0}
 
 
 def report(started_at_ms=STARTED_AT_MS, **headers):
@@ -38,8 +26,8 @@
 
 
 @attrs.define
-class Peer:
-    """A server that answers report calls by a script and serves all else.
+class Peer(ScriptedServer):
+    """Answers report calls by a script and serves all else.
 
     :param script: what answers the report call on each new connection in turn: bytes,
         None to close the connection, or "" to stay silent. The last one is repeated.
@@ -48,84 +36,25 @@
     """
 
     script: list
-    connections: int = 0
     reports: int = 0
     requests: list = attrs.field(factory=list)
-    server: object = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def _serve(self, reader, writer):
-        answer = self.script[min(self.connections, len(self.script) - 1)]
-        self.connections += 1
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                if not head.startswith("GET /report"):
-                    request_id = head.partition(f"{wire.ATTEMPT_ID}: ")[2].split()[0]
-                    self.requests.append(request_id)
-                    writer.write(response("ok", **{wire.ATTEMPT_ID: request_id}))
-                    continue
+
+    def connect(self):
+        scripted = self.script[min(self.connections, len(self.script) - 1)]
+
+        def answer(head):
+            if head.startswith("GET /report"):
                 self.reports += 1
-                if answer is None:
-                    break
-                writer.write(answer if answer else b"")
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
-
-
-class Sender:
-    """A relay that sends requests to a peer whose record it has read."""
-
-    def __init__(self, address, started_at_ms=STARTED_AT_MS):
-        self.view = FleetView("dc1", TIMING, lambda: 1, lambda instance_id: None)
-        text = json.dumps(config(3))
-        self.view.routes.accept(documents.read_config("op/config", text))
-        self.relay = Relay(self.view, PlatformWire(), ServeMetrics())
-        record = InstanceRecord(
-            "e1", "llm", address, "dc1", 4, False, Stage.DECODE, started_at_ms
-        )
-        self.view.instances.put(record, time.monotonic())
-        (self.instance,) = self.view.instances.serving("llm")
-
-    async def send(self, request_id, is_required=True):
-        """Send a request.
-
-        :returns: its :class:`ResultCode`, and whether the incarnation was confirmed.
-        """
-        now = time.monotonic()
-        request = Request(request_id, "GET", "/", HOST, [], b"", now, now + 5)
-        request.headers.append((wire.ATTEMPT_ID, request_id))
-        check = IncarnationCheck.from_send(
-            self.relay, self.instance, request, is_required
-        )
-        options, code = SendOptions("e1", 5000), ResultCode.OK
-        try:
-            await self.relay.exchange(
-                self.instance, request, options, BufferedResponse(), check
-            )
-        except UpstreamError as error:
-            code = error.code
-        return code, check is None or await check.result(1.0)
+                return b"" if scripted == "" else scripted
+            self.requests.append(request_id(head))
+            return response("ok", **{wire.ATTEMPT_ID: self.requests[-1]})
+
+        return answer
 
 
 def run(script, scenario, started_at_ms=STARTED_AT_MS):
     """Run ``scenario(sender, peer)`` before a peer with that script."""
-
-    async def go():
-        peer = Peer(script)
-        sender = Sender(await peer.start(), started_at_ms)
-        try:
-            return await scenario(sender, peer)
-        finally:
-            sender.relay.forget(sender.instance.id)
-            peer.server.close()
-
-    return asyncio.run(go())
+    run_before(Peer(script), scenario, started_at_ms)
 
 
 @pytest.fixture(params=["near", "far"], autouse=True)
