Review: only the crash brings the hang in its case

Cause: with requests at random moments the VM hung without the disruption, too. The change: one VM, requests evenly spaced, four engines.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import pathlib
-import random
 import signal
 import sys
 import time
@@ -18,13 +17,13 @@
 TOKEN_BYTES, LINK_MBPS, SLOTS, STRIDE = 163840, 2000000, 64, 11
 TIMEOUT = 5.0
 #: Seconds between two events of a stream, and events of a stream.
-INTERVAL, EVENTS = 0.15, 16
-#: Requests a second to each of two VMs: half of the site's, which has eight VMs.
+INTERVAL, EVENTS = 0.15, 27
+#: Requests a second to the VM, evenly spaced: half of the site's.
 RATE = 28.0
 #: Seconds in which the rate rises to that.
 RISE = 8.0
 #: Seconds from one crash to the next one, seconds that one lasts, and their number.
-CRASH_EVERY, CRASH_SECONDS, CRASHES = 4.5, 2.0, 13
+CRASH_EVERY, CRASH_SECONDS, CRASHES = 4.5, 2.0, 12
 #: Seconds in which requests are still sent once a VM is found silent, or at the end.
 TAIL = 4.0
 
@@ -33,7 +32,7 @@
     """Requests to one VM, and what became of them."""
 
     def __init__(self, lab, daemon, seed):
-        self.lab, self.daemon, self.random = lab, daemon, random.Random(seed)
+        self.lab, self.daemon = lab, daemon
         self.number, self.seed, self.without_channel = 0, seed, 0
         self.tasks, self.rows = [], []
         self.running = True
@@ -42,7 +41,7 @@
         started = time.monotonic()
         while self.running:
             share = min(1.0, 0.1 + (time.monotonic() - started) / RISE)
-            await asyncio.sleep(self.random.expovariate(RATE * share))
+            await asyncio.sleep(1 / (RATE * share))
             self.tasks.append(asyncio.ensure_future(self.send()))
 
     async def send(self):
@@ -131,7 +130,7 @@
         lab, "interp-models", SLOTS, TOKEN_BYTES, LINK_MBPS, STRIDE, INTERVAL
     )
     pool.states_birth = True
-    daemons = [lab.daemon("front-regina-a-1"), lab.daemon("front-regina-a-2")]
+    daemons = [lab.daemon("front-regina-a-1")]
     for daemon in daemons:
         await daemon.wait_ready()
     for number in range(4):
