--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,12 +16,18 @@
 #: Seconds between two events: less than the 0.3 s that the sheet allows.
 INTERVAL = 0.2
 STREAMS = 40
+#: Two of these, one in twenty, have no length and end with their channel.
+UNFRAMED = (12, 16)
 #: By how much kv_slow slows moves down.
 SLOW = 8
 #: Seconds for which a leaving engine serves on: drain_ms, and a little longer.
 DRAIN_SECONDS = 2.5
 
 
+def request_id_of(number):
+    return f"9c41d07be2a3{number:04x}"
+
+
 async def main(lab):
     engine = {
         "slots": SLOTS,
@@ -71,12 +77,13 @@
     pool = Pool(lab, "renewal-llm", SLOTS, TOKEN_BYTES, LINK_MBPS, STRIDE, INTERVAL)
     daemon = lab.daemon()
     await daemon.wait_ready()
-    leaving = await pool.add("i-llm-1", "ikeja-hall", framed=False)
+    leaving = await pool.add("i-llm-1", "ikeja-hall")
+    leaving.unframed_ids = {request_id_of(number) for number in UNFRAMED}
     await pool.add("i-llm-0", "ikeja-hall", stage="prefill")
     await daemon.wait_ready(['"instance":"i-llm-1"', '"instance":"i-llm-0"'])
     sends = {}
     for number in range(STREAMS):
-        request_id = f"9c41d07be2a3{number:04x}"
+        request_id = request_id_of(number)
         lab.record.write("sent", id=request_id)
         headers = kit.request_headers(
             request_id,
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -43,7 +43,10 @@
 
 
 class Engine(Server):
-    """One engine; ``link_factor`` is by how much its moves of memory are slowed down."""
+    """One engine; ``link_factor`` is by how much its moves of memory are slowed down.
+
+    Streams of the requests in ``unframed_ids`` have no length and end with their channel.
+    """
 
     def __init__(self, pool, name, zone, stage, framed):
         self.pool, self.name, self.zone = pool, name, zone
@@ -56,6 +59,7 @@
         self.moving = set()
         self.link = asyncio.Lock()
         self.link_factor = 1.0
+        self.unframed_ids = frozenset()
         self.has_room = True
 
     @property
@@ -251,10 +255,11 @@
                 del self.runs[request_id]
 
     async def stream(self, run, echo):
+        framed = self.framed and run.id not in self.unframed_ids
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in echo]
         lines += [f"{PREFIX}Response-Signature: {signature(run.id)}"]
-        lines += ["Transfer-Encoding: chunked" if self.framed else "Connection: close"]
+        lines += ["Transfer-Encoding: chunked" if framed else "Connection: close"]
         run.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         while run.made < run.total:
             await asyncio.sleep(self.pool.interval)
@@ -263,14 +268,14 @@
             run.made += 1
             run.tokens += self.pool.stride
             event = event_of(run.id, run.made)
-            if self.framed:
+            if framed:
                 event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             run.writer.write(event)
             await run.writer.drain()
-        if self.framed:
+        if framed:
             run.writer.write(b"0\r\n\r\n")
         self.record.write("run whole", id=run.id, at=self.name, made=run.made)
-        return self.framed
+        return framed
 
 
 class Memory:
