--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,10 +6,9 @@
 python3 - <<'PY'
 import pathlib
 
-for path in sorted(pathlib.Path("review").glob("standins-2/*.py")):
-    compile(path.read_text(), str(path), "exec")
-for number in (4, 5, 6):
-    for path in sorted(pathlib.Path(f"review/{number}").glob("*.py")):
+FOLDERS = ("standins-2", "standins-3", "4", "5", "6", "found/*")
+for folder in FOLDERS:
+    for path in sorted(pathlib.Path("review").glob(f"{folder}/*.py")):
         compile(path.read_text(), str(path), "exec")
 PY
 [ -d target/deps ] || { echo "run the build of deploy/system.toml first" >&2; exit 2; }
--- a/review/found/all-engines-crash/case.py
+++ b/review/found/all-engines-crash/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standins-2"))
+sys.path.insert(0, str(HERE.parents[1] / "standins-2"))
 
 import lab as kit  # noqa: E402
 import service  # noqa: E402
@@ -22,7 +22,7 @@
     for engine, zone in zip(ENGINES, ZONES):
         name = f"{engine}-{lives}"
         child = subprocess.Popen(
-            [sys.executable, str(HERE.parent / "standins-2" / "service.py"), name]
+            [sys.executable, str(HERE.parents[1] / "standins-2" / "service.py"), name]
             + [f"{lab.folder}/{name}.log"],
             stdout=subprocess.PIPE,
             text=True,
