--- a/review/found/leave-without-notice/case.py
+++ b/review/found/leave-without-notice/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standins-3"))
+sys.path.insert(0, str(HERE.parents[1] / "standins-3"))
 
 import lab as labs  # noqa: E402
 
