Connection checks: a check that has just ended no longer blocks the event loop

Callers saw: a VM answered nothing any more, for good.

Cause: ConnectionPool._confirm loops while its connection is younger than the last confirmation and waits for the check in progress. A check that had ended, but whose done callback hadn't run yet, still counted as in progress. Waiting for a task that is done doesn't yield to the event loop, so the callback never ran.

Change: a check that is done counts as ended, and its callback clears no later one. A second check begins after the connection was opened, so the loop ends after two rounds at most.

Evidence: tests/test_connection_check.py lets a check end in the iteration of the event loop in which younger connections ask.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -448,7 +448,8 @@
         :param opened_at: when the connection was opened, monotonic seconds.
         """
         while opened_at > self.confirmed_at:
-            if self.asking is None:
+            # Waiting for a task that is done wouldn't yield to the event loop.
+            if self.asking is None or self.asking.done():
                 self.asking = asyncio.ensure_future(self._ask(check, keep_alive))
                 self.asking.add_done_callback(self._end_asking)
             if not await asyncio.shield(self.asking):
@@ -456,7 +457,8 @@
         return True
 
     def _end_asking(self, task):
-        self.asking = None
+        if self.asking is task:
+            self.asking = None
 
     async def _ask(self, check, keep_alive):
         """Ask the peer who it is; return whether that is confirmed.
