Log each decision of the retry budget

Added before any change of logic, for the incident of retries beyond the budget: no line showed what a VM took for its bound, for how many VMs, and for which request a retry was charged. Decisions are as before.

--- a/src/mulberrydock/admission.py
+++ b/src/mulberrydock/admission.py
@@ -96,13 +96,17 @@
 
     def allow(self, now, count=1):
         """Return whether ``count`` retries may be sent at ``now``; count them if so."""
-        self._expire(now)
-        bound = self.floor + self.ratio * len(self.requests)
+        bound = self.bound(now)
         if len(self.retries) + count > bound:
             return False
         self.spend(now, count)
         return True
 
+    def bound(self, now):
+        """Return the number of retries allowed in the window that ends at ``now``."""
+        self._expire(now)
+        return self.floor + self.ratio * len(self.requests)
+
     def spend(self, now, count=1):
         """Count ``count`` sends beyond the first of their request, allowed or not."""
         self.retries.extend([now] * count)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -245,12 +245,28 @@
         calls += int(plan.prefill is not None and self.prefills.maybe_received > 0)
         reserved = min(calls, self.reserved_retries)
         calls -= reserved
-        if calls and not self.fleet.budget(self.service).allow(now, calls):
+        if calls and not self._ask_budget(calls, now):
             self.cause += "; retry budget spent"
             return False
         self.reserved_retries -= reserved
         return True
 
+    def _ask_budget(self, calls, now):
+        budget = self.fleet.budget(self.service)
+        granted = budget.allow(now, calls)
+        logger.info(
+            "retry granted" if granted else "retry refused",
+            request=self.request.id,
+            service=self.service,
+            calls=calls,
+            prefills=self.prefills.maybe_received,
+            sends=self.sends.maybe_received,
+            spent=len(budget.retries),
+            bound=round(budget.bound(now), 2),
+            vms=self.fleet.vm_count(),
+        )
+        return granted
+
     def _may_abandon(self):
         """Return whether a silent instance may be abandoned, as another one takes over.
 
