Retry budget: a request's calls are charged as their receivers count them

Cause: the first prefill call and the first send of a request were both free. But only a prefill call that the engine accepts doesn't count; one that is cut or never answered is the request's first arrival, and the send after it a retry. It was charged only if the call was answered with a refusal, and then without asking whether the budget allowed it.

Change: a request counts its arrivals, without the first prefill call that an engine has accepted, and reserves a retry before each call that may be one beyond the first. Nothing is charged any more without being granted. A retry whose call wasn't sent, or turned out to be free, serves the next call.

Tests: 5 of the new cases fail on the code before; the property that no call is made beyond the budget, whatever the calls end with, fails there for a first prefill that is refused or cut.

--- a/src/mulberrydock/admission.py
+++ b/src/mulberrydock/admission.py
@@ -99,7 +99,7 @@
         bound = self.bound(now)
         if len(self.retries) + count > bound:
             return False
-        self.spend(now, count)
+        self.retries.extend([now] * count)
         return True
 
     def bound(self, now):
@@ -107,10 +107,6 @@
         self._expire(now)
         return self.floor + self.ratio * len(self.requests)
 
-    def spend(self, now, count=1):
-        """Count ``count`` sends beyond the first of their request, allowed or not."""
-        self.retries.extend([now] * count)
-
     def _expire(self, now):
         for times in (self.requests, self.retries):
             while times and times[0] <= now - self.window_seconds:
--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -159,7 +159,7 @@
         """Record that the peer gave no whole response."""
         lifecycle = self.lifecycle
         if error.code == ResultCode.NOT_RUN:
-            lifecycle.reserved_retries += lifecycle.sends.record_not_sent()
+            lifecycle.record_not_sent(lifecycle.sends)
         else:
             lifecycle.may_have_run = True
         self._refused(str(error))
@@ -211,7 +211,7 @@
         lifecycle.sends.rejected += outcome.rejected
         lifecycle.prefills.maybe_received += outcome.prefills
         if not outcome.sends:
-            lifecycle.reserved_retries += int(lifecycle.sends.maybe_received > 0)
+            lifecycle.reserved_retries += int(lifecycle.arrivals > 0)
 
     def _refuse(self, response):
         """Pass a refusal on; it states that the request has not run."""
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -33,12 +33,15 @@
 
     :param relay: the :class:`~mulberrydock.relay.Relay` that sends the call.
     :param service: name of the pool's service.
+
+    ``accepted`` is True once the engine has prefilled the prompt.
     """
 
     relay: object
     request: object
     service: str
     plan: object
+    accepted: bool = attrs.field(default=False, init=False)
 
     @property
     def engine(self):
@@ -113,11 +116,9 @@
     def _read_handle(self, response):
         wire = self.relay.wire
         if response.status == 200:
+            self.accepted = True
             return wire.read_handle(self.engine.address, response.body)
         now = time.monotonic()
-        # Charged to the retry budget although it may be the request's first call, which
-        # is otherwise free.
-        self.fleet.budget(self.service).spend(now)
         reason = f"prefill status {response.status}"
         metadata = wire.read_metadata(response.headers)
         if response.status == 421:
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -237,12 +237,7 @@
 
         :returns: False when the budget doesn't allow them.
         """
-        # The first prefill call and the first send of a request are free. A call that
-        # found nobody listening doesn't count: when engines are lost, requests would
-        # spend the budget on finding another engine and be refused once they had found
-        # it.
-        calls = int(self.sends.maybe_received > 0)
-        calls += int(plan.prefill is not None and self.prefills.maybe_received > 0)
+        calls = self._count_retries(plan)
         reserved = min(calls, self.reserved_retries)
         calls -= reserved
         if calls and not self._ask_budget(calls, now):
@@ -251,6 +246,24 @@
         self.reserved_retries -= reserved
         return True
 
+    @property
+    def arrivals(self):
+        """The number of calls so far of which all but one count as retries.
+
+        A call that found nobody listening is none: when engines are lost, requests
+        would spend the budget on finding another engine and be refused once they had
+        found it.
+        """
+        return self.sends.arrivals + self.prefills.arrivals
+
+    def _count_retries(self, plan):
+        """Return how many calls of ``plan`` may count as retries."""
+        if plan.prefill is None:
+            return int(self.arrivals > 0)
+        # The first call is no retry. The prefill call is none either if it is the first
+        # one that an engine accepts, but until then nobody knows.
+        return 2 if self.arrivals else int(self.prefills.accepted > 0)
+
     def _ask_budget(self, calls, now):
         budget = self.fleet.budget(self.service)
         granted = budget.allow(now, calls)
@@ -267,6 +280,20 @@
         )
         return granted
 
+    def record_not_sent(self, counter):
+        """Record that the last call of a kind wasn't sent, and keep its retry.
+
+        :param counter: the :class:`CallCounter` of that kind.
+        """
+        counter.record_not_sent()
+        self.reserved_retries += int(self.arrivals > 0)
+
+    def _record_accepted_prefill(self):
+        """Record that an engine accepted the last prefill call, and keep its retry."""
+        self.prefills.accepted += 1
+        if self.prefills.accepted == 1:
+            self.reserved_retries += int(self.arrivals > 0)
+
     def _may_abandon(self):
         """Return whether a silent instance may be abandoned, as another one takes over.
 
@@ -277,7 +304,7 @@
         plan = self._next_plan(now)
         if plan is None:
             return False
-        self.reserved_retries = 2 if plan.prefill is not None else 1
+        self.reserved_retries += self._count_retries(plan)
         return True
 
     def _progress_timeouts(self, first, gap):
@@ -508,7 +535,7 @@
         """Record a failed send, and find out whether the instance crashed under it."""
         not_sent = error.code == ResultCode.NOT_RUN
         if not_sent:
-            self.reserved_retries += self.sends.record_not_sent()
+            self.record_not_sent(self.sends)
         else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
@@ -544,9 +571,12 @@
             return await call.run(self.seconds_left(time.monotonic()))
         except UpstreamError as error:
             if error.code == ResultCode.NOT_RUN:
-                self.reserved_retries += self.prefills.record_not_sent()
+                self.record_not_sent(self.prefills)
             self.cause = f"prefill at {plan.prefill.id}: {error}"
             return None
+        finally:
+            if call.accepted:
+                self._record_accepted_prefill()
 
     def respond(self, response):
         """Send an instance's whole response to the client."""
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,17 +4,24 @@
 import time
 import types
 
+import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders
 
 from mulberrydock._serve_model import Timing
 from mulberrydock.admission import RetryBudget
-from mulberrydock.exceptions import UpstreamError
+from mulberrydock.exceptions import ConnectionCut, ResultCode, UpstreamError
 from mulberrydock.fleet_view import RETRY_BUDGET_SHARE, FleetView
 from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.membership import Membership, Peer
+from mulberrydock.metrics import ServeMetrics
 from mulberrydock.placement import Plan
+from mulberrydock.platform import PlatformWire, wire
+from mulberrydock.ports import Sink
 from mulberrydock.prefill import PrefillCall
+from mulberrydock.relay import Relay
 from mulberrydock.request import (
     Kind,
     Prompt,
@@ -195,3 +202,139 @@
         asyncio.run(engines.prefill())
         now += 1 / PROMPTS_PER_SECOND
     assert engines.calls * VMS <= TIMING.retry_budget_floor / 2
+
+
+class DiscardingSink(Sink):
+    """The client of a request whose answer doesn't matter."""
+
+    def respond(self, status, headers, body):
+        """Ignored."""
+
+    def begin(self, status, headers):
+        """Ignored."""
+
+    def write(self, chunk):
+        """Ignored."""
+
+    def finish(self):
+        """Ignored."""
+
+    abort = finish
+
+
+@attrs.define
+class ScriptedEngines:
+    """Ends the calls of one request by a script, and counts them as engines do.
+
+    :param prefills: how the prefill calls end, in turn.
+    :param sends: how the sends end.
+
+    ``arrivals`` are the calls that count: not the first prefill that was accepted, and
+    none that wasn't sent.
+    """
+
+    prefills: list
+    sends: list
+    arrivals: int = 0
+    has_prefilled: bool = False
+
+    async def exchange(self, instance, request, options, listener, check=None):
+        script = self.prefills if options.prefill_only else self.sends
+        end = script.pop(0) if script else "served"
+        if end == "not sent":
+            raise UpstreamError("nobody listens", ResultCode.NOT_RUN)
+        if options.prefill_only and end == "served" and not self.has_prefilled:
+            self.has_prefilled = True
+        else:
+            self.arrivals += 1
+        if end == "cut":
+            raise ConnectionCut("reset")
+        if end == "silent":
+            raise UpstreamError("no response")
+        if end == "refused":
+            listener.on_headers(503, HTTPHeaders({wire.NOT_EXECUTED: "1"}))
+        elif options.prefill_only:
+            listener.on_headers(200, HTTPHeaders())
+            listener.on_data(b'{"kv_handle": "h", "tokens": 1}')
+        else:
+            listener.on_headers(200, HTTPHeaders({wire.SIGNATURE: "s"}))
+            listener.on_data(b"id: 1\ndata: x\n\n")
+
+
+def serve_scripted(engines, floor, prefill_engines=5):
+    """Serve a long prompt before ``engines``; return the VM's budget.
+
+    :param floor: number of retries that the budget allows.
+    :param prefill_engines: their number; once all have failed, prompts are prefilled
+        where they are decoded.
+    """
+    view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    services = {"llm": ServiceSpec("llm", 100, 1000)}
+    view.routes.accept(RoutingConfig(1, (), services, None))
+    for stage, count in (Stage.PREFILL, prefill_engines), (Stage.DECODE, 5):
+        for number in range(count):
+            name = f"{stage.value}-{number}"
+            address = f"h{number}:1"
+            record = InstanceRecord(name, "llm", address, "dc1", 64, False, stage)
+            view.instances.put(record, 0.0)
+    budget = view.retry_budgets["llm"] = RetryBudget(ratio=0, floor=floor)
+    view.budget = lambda service: budget
+    relay = Relay(view, PlatformWire(), ServeMetrics())
+    relay.exchange = engines.exchange
+
+    async def ignore(*args, **kwargs):
+        """Stands in for what finds out why a call failed."""
+
+    relay.check_link = relay.probe_after_cut = relay.call = ignore
+    now = time.monotonic()
+    prompt = Prompt(20_000, 20, (PromptPart("own", 20_000),))
+    request = Request("r", "POST", "/", "h", [], b"", now, now + 5.0, prompt)
+    lifecycle = RequestLifecycle(relay, request, ROUTE, "llm", DiscardingSink())
+    asyncio.run(lifecycle.run())
+    return budget
+
+
+# Guards against calls that engines count as retries and the VM doesn't: a first prefill
+# call that ended without an answer was free, like one that succeeded.
+@pytest.mark.parametrize(
+    "prefill_engines, prefills, sends, retries",
+    [
+        (5, [], [], 0),
+        (1, ["cut"], [], 1),
+        (1, ["silent"], [], 1),
+        (1, ["refused"], [], 1),
+        (1, ["not sent"], [], 0),
+        (1, ["cut"], ["cut"], 2),
+        (2, ["cut", "cut"], [], 2),
+        (5, ["cut"], [], 1),
+        # After a send that failed, the prompt is prefilled again.
+        (5, [], ["cut"], 2),
+        (5, ["cut", "cut"], ["cut"], 4),
+        (5, ["refused", "refused"], ["refused"], 4),
+        (5, [], ["not sent"], 1),
+    ],
+)
+def test_every_call_beyond_the_first_is_charged(
+    prefill_engines, prefills, sends, retries
+):
+    engines = ScriptedEngines(list(prefills), list(sends))
+    budget = serve_scripted(engines, 20, prefill_engines)
+    assert max(0, engines.arrivals - 1) == retries
+    assert len(budget.retries) >= retries
+
+
+ENDS = st.lists(st.sampled_from(["cut", "silent", "refused", "not sent", "served"]))
+
+
+# Guards against retries without a grant of the budget, whatever the calls end with.
+@settings(max_examples=100, deadline=None)
+@given(
+    prefills=ENDS,
+    sends=ENDS,
+    floor=st.integers(0, 3),
+    prefill_engines=st.integers(0, 5),
+)
+def test_no_call_is_made_beyond_the_budget(prefills, sends, floor, prefill_engines):
+    engines = ScriptedEngines(prefills, sends)
+    budget = serve_scripted(engines, floor, prefill_engines)
+    assert max(0, engines.arrivals - 1) <= len(budget.retries) <= floor
