Retry budget: a process that starts gets what its predecessor can't have spent

Cause: a VM counts its retries in memory. A process that starts has an empty window and its whole share of the floor, which its predecessor may have spent a second before.

Change: in its first window a process gets only what the shares of all VMs leave of the budget (0.25 beside 0.7), and the floor's by the time that has passed. So any number of restarts adds no more than that, also while the process doesn't know its peers yet.

Test: a hypothesis test kills a process that spends all it may at any times; no window holds more retries than the budget.

--- a/src/mulberrydock/admission.py
+++ b/src/mulberrydock/admission.py
@@ -77,15 +77,30 @@
     ``floor`` retries are always allowed, so that an entry with few requests can still
     move one away from a dead engine.
 
+    In its first window a process doesn't know what its predecessor has spent in the
+    same window. It then gets only ``start_share`` of the retries, and the floor's by
+    the time that has passed, so that several restarts in one window get no more.
+
     :param ratio: retries for each request in the window.
     :param window_seconds: length of the window.
     :param floor: retries in the window that are allowed without any request.
+    :param started_at: when the process started, -inf if it has no predecessor.
+    :param start_share: share of the bound in the first window after that.
     """
 
-    def __init__(self, ratio=0.2, window_seconds=10.0, floor=10):
+    def __init__(
+        self,
+        ratio=0.2,
+        window_seconds=10.0,
+        floor=10,
+        started_at=-math.inf,
+        start_share=1.0,
+    ):
         self.ratio = ratio
         self.window_seconds = window_seconds
         self.floor = floor
+        self.started_at = started_at
+        self.start_share = start_share
         self.requests = collections.deque()
         self.retries = collections.deque()
 
@@ -105,7 +120,11 @@
     def bound(self, now):
         """Return the number of retries allowed in the window that ends at ``now``."""
         self._expire(now)
-        return self.floor + self.ratio * len(self.requests)
+        by_requests = self.ratio * len(self.requests)
+        age = (now - self.started_at) / self.window_seconds
+        if age >= 1.0:
+            return self.floor + by_requests
+        return self.start_share * (self.floor * age + by_requests)
 
     def _expire(self, now):
         for times in (self.requests, self.retries):
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -1,5 +1,7 @@
 """The state of the fleet as one entry VM knows it, and decisions based on it."""
 
+import math
+
 import attrs
 
 from .admission import RetryBudget
@@ -35,6 +37,9 @@
 #: Share of the fleet-wide retry budget that the VMs spend together: their time
 #: windows and their counts of each other differ slightly.
 RETRY_BUDGET_SHARE = 0.7
+#: Share of the same for processes that have just started, beside that of their
+#: predecessors. Both together leave a margin for the differences named above.
+START_BUDGET_SHARE = 0.25
 #: Statuses whose ``Retry-After`` asks for a pause.
 PAUSE_STATUSES = (429, 503)
 
@@ -53,6 +58,7 @@
     :param regions: the region of each data centre, None if they lie in one.
 
     ``configuration_current`` is False while this VM couldn't hear of a new version.
+    ``started_at`` is when its process started, -inf if no other one ran before.
     """
 
     def __init__(
@@ -72,6 +78,7 @@
         self.timing = timing
         self.vm_count = vm_count
         self.retry_budgets = {}
+        self.started_at = -math.inf
         self.configuration_current = True
 
     def forget(self, instance_id):
@@ -119,6 +126,8 @@
             budget = RetryBudget(
                 ratio=self.timing.retry_budget_ratio * RETRY_BUDGET_SHARE,
                 window_seconds=self.timing.retry_budget_window_seconds,
+                started_at=self.started_at,
+                start_share=START_BUDGET_SHARE / RETRY_BUDGET_SHARE,
             )
             self.retry_budgets[service] = budget
         share = self.timing.retry_budget_floor * RETRY_BUDGET_SHARE / self.vm_count()
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -127,6 +127,7 @@
             ),
             settings.regions,
         )
+        self.fleet.started_at = time.monotonic()
         self.fleet.links.on_change = (
             lambda service, lost: self.metrics.links_lost.labels(service).set(int(lost))
         )
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -91,6 +91,36 @@
     assert sent * peers <= TIMING.retry_budget_floor * RETRY_BUDGET_SHARE
 
 
+# Guards against processes that start with the whole share that their predecessors have
+# just spent.
+@settings(max_examples=100, deadline=None)
+@given(
+    kills=st.lists(st.integers(1, 300), max_size=8, unique=True),
+    requests_per_step=st.integers(0, 3),
+)
+def test_restarts_in_one_window_give_no_retries_beyond_the_budget(
+    kills, requests_per_step
+):
+    step_seconds, spent, view = 0.1, [], None
+    for step in range(400):
+        now = step * step_seconds
+        if step == 0 or step in kills:
+            view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+            # The first one has run for longer than a window.
+            view.started_at = now if step else -TIMING.retry_budget_window_seconds
+        budget = view.budget("llm")
+        for _ in range(requests_per_step):
+            budget.record_request(now)
+        spent.append(0)
+        while budget.allow(now):
+            spent[-1] += 1
+    window = int(TIMING.retry_budget_window_seconds / step_seconds)
+    requests = requests_per_step * window
+    allowed = TIMING.retry_budget_floor + TIMING.retry_budget_ratio * requests
+    for first in range(window, len(spent) - window):
+        assert sum(spent[first : first + window]) <= allowed
+
+
 def test_vm_that_sees_no_peer_records_keeps_to_its_share_of_the_budget():
     """The store drops the records of all VMs at once.
 
