Versions of streams are in the store, for VMs that start after all were lost

Cause: which version began a stream was only in the memory of its VM and of three peers.

The leader writes the versions that each service has had of late, so that one with a single version needs no record of its streams. VMs read both as they start.

--- a/src/mulberrydock/defaults.py
+++ b/src/mulberrydock/defaults.py
@@ -15,6 +15,10 @@
 IDEMPOTENCY_PREFIX = "idempotency/"
 #: Prefix of the records of instances that crashed while running a request.
 CRASH_PREFIX = "crashes/"
+#: Prefix of the records of which version began each stream.
+ORIGIN_PREFIX = "origins/"
+#: Store key of the versions of each service whose streams may still go on.
+VERSIONS_KEY = "control/versions"
 #: Store key of the usage reports that the leader has decided.
 USAGE_KEY = "control/usage"
 
--- a/src/mulberrydock/origin_exchange.py
+++ b/src/mulberrydock/origin_exchange.py
@@ -59,6 +59,10 @@
         without peers.
     :param send: sends bytes to a list of peers.
 
+    An owner may set ``on_begin``, called with the service of each stream that this VM
+    began, its origin and the time; and ``on_write``, called with an origin that a peer
+    wants to have written to the store, and the time.
+
     ``questions`` maps the keys of streams to their :class:`Question`. ``ring`` is the
     :class:`~mulberrydock.hash_ring.HashRing` of this VM and its ``peers``, which were
     read at ``peers_read_at``.
@@ -71,13 +75,23 @@
     ring: HashRing = HashRing(())
     peers: dict = attrs.field(factory=dict)
     peers_read_at: float | None = None
+    on_begin: object = lambda service, origin, now: None
+    on_write: object = lambda origin, now: None
 
-    def _holders(self, key, now):
-        """Yield the names of the peers in the order in which they hold ``key``."""
+    def names(self, key, now):
+        """Yield the names of all VMs, this one included, in the order of ``key``."""
         read_at = self.peers_read_at
         if self.groups and (read_at is None or now - read_at >= PEERS_EXPIRY_SECONDS):
             self._read_peers(now)
-        return (name for name in self.ring.names(key) if name in self.peers)
+        return self.ring.names(key)
+
+    def is_own(self, name):
+        """Return whether ``name`` is this VM's."""
+        return name == self.groups.name
+
+    def _holders(self, key, now):
+        """Yield the names of the peers in the order in which they hold ``key``."""
+        return (name for name in self.names(key, now) if name in self.peers)
 
     def _read_peers(self, now):
         peers = self.groups.known_peers()
@@ -88,15 +102,20 @@
             self.ring = HashRing.from_data_centres(members)
         self.peers, self.peers_read_at = peers, now
 
-    def record(self, origin, now):
+    def record(self, origin, now, service=""):
         """Remember the origin of a stream and tell the peers that hold it.
 
         Called before the first event is passed on: this VM may fail right after that.
         """
         self.origins.record(origin, now)
+        self.on_begin(service, origin, now)
         names = itertools.islice(self._holders(origin.key, now), TOLD_PEERS)
         self._send(names, OriginMessageKind.TELL, origin)
 
+    def send_to_writer(self, name, origin):
+        """Send an origin to the peer that writes it to the store."""
+        self._send([name], OriginMessageKind.WRITE, origin)
+
     def _send(self, names, kind, origin):
         peers = [self.peers[name] for name in names if name in self.peers]
         if peers:
@@ -167,6 +186,8 @@
             answer = StreamOrigin(origin.key, version)
             reply(self._encode(OriginMessageKind.ANSWER, answer))
             return
+        if message.kind is OriginMessageKind.WRITE:
+            self.on_write(origin, now)
         if origin.version:
             self.origins.record(origin, now)
         question = self.questions.get(origin.key)
--- a/src/mulberrydock/records.py
+++ b/src/mulberrydock/records.py
@@ -21,6 +21,8 @@
 CrashRecord = messages.CrashRecord
 UsageDecisions = messages.UsageDecisions
 ForwardedRequest = messages.ForwardedRequest
+OriginRecord = messages.OriginRecord
+VersionsRecord = messages.VersionsRecord
 
 
 def encode(message):
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -130,11 +130,31 @@
 
 struct StreamOriginNews {
   # The software version that began a stream, as told, asked or answered.
-  kind @0 :UInt8;          # 0 told, 1 asked, 2 answered
+  kind @0 :UInt8;          # 0 told, 1 asked, 2 answered, 3 to be written to the store
   key @1 :Text;            # of the stream, derived from the request that began it
   version @2 :Text;        # empty if asked, or not known
 }
 
+struct OriginRecord {
+  # The software versions that began some streams; one of several records of a VM.
+  origins @0 :List(VersionStreams);
+}
+
+struct VersionStreams {
+  version @0 :Text;
+  keys @1 :Data;           # of the streams, without a separator
+}
+
+struct VersionsRecord {
+  # The software versions of each service whose streams may still go on.
+  services @0 :List(ServiceVersions);
+}
+
+struct ServiceVersions {
+  service @0 :Text;
+  versions @1 :List(Text);
+}
+
 struct PeerMessage {
   # Sent by each entry VM to its peers over UDP, several times a second. With dataCentre
   # set, it holds the sum over all VMs of that data centre, computed by the VM `name`.
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -30,6 +30,7 @@
 from .membership import Membership
 from .metrics import ServeMetrics
 from .origin_exchange import OriginExchange
+from .origin_records import OriginRecords
 from .pages import make_pages
 from .peer_groups import PeerGroups
 from .peers import PeerLink
@@ -43,6 +44,7 @@
 from .store_changes import change_urgency
 from .store_freshness import StoreFreshness
 from .usage import UsageLedger
+from .version_records import VersionRecords
 from .watch import PrefixWatch
 
 #: Pause between a response with changes and the next poll, as a share of the time
@@ -172,6 +174,12 @@
             lambda: self.lease.valid(boot_seconds()),
         )
         self.relay.claim_trial = self.quarantine.claim_trial
+        self.version_records = VersionRecords(
+            self.fleet.instances.versions,
+            store,
+            lambda: self.lease.valid(boot_seconds()),
+            settings.first_start,
+        )
         self.watch = self._watch()
         self.freshness.on_news = self.watch.wake
         self.handlers = {
@@ -199,6 +207,20 @@
         self.relay.origins = self.peers.origins = OriginExchange(
             groups=self.groups, send=self.peers.send_to
         )
+        self.origin_records = OriginRecords(
+            # Another process under the same name must not replace these records.
+            f"{settings.name}-{int(time.time() * 1000)}",
+            store,
+            self.relay.origins,
+            self.fleet.instances.versions,
+            lambda: self.lease.valid(boot_seconds()),
+        )
+        self.relay.origins.on_begin = self.origin_records.add
+        self.relay.origins.on_write = self.origin_records.write
+        self.handlers |= {
+            defaults.ORIGIN_PREFIX: self.origin_records.apply,
+            defaults.VERSIONS_KEY: self.version_records.apply,
+        }
         self.duties = Duties.from_daemon(self)
         self.handlers |= self.duties.handlers
 
@@ -308,12 +330,15 @@
         self.leader_exists = False
         self.membership.begin_reload()
         self.fleet.quarantine.begin_reload()
+        self.origin_records.begin_reload()
+        self.version_records.begin_reload()
 
     def _on_loaded(self):
         now = time.monotonic()
         self.quarantine.finish_reload(now)
         self.fleet.instances.finish_reload(now)
         self.membership.finish_reload()
+        self.version_records.finish_reload()
 
     def watch_pause(self):
         """Return the seconds between a response with changes and the next poll."""
@@ -377,6 +402,8 @@
             asyncio.ensure_future(self.membership.keep_alive()),
             asyncio.ensure_future(self.peers.run()),
             asyncio.ensure_future(self.quarantine.run()),
+            asyncio.ensure_future(self.version_records.run()),
+            asyncio.ensure_future(self.origin_records.run()),
             asyncio.ensure_future(self._sweep()),
             asyncio.ensure_future(self.relay.link_monitor.run()),
             asyncio.ensure_future(self.handover.run()),
--- a/src/mulberrydock/store_calls.py
+++ b/src/mulberrydock/store_calls.py
@@ -26,6 +26,8 @@
     defaults.ENTRY_PREFIX: "vm_record",
     defaults.LEADER_KEY: "leader",
     defaults.CRASH_PREFIX: "crashes",
+    defaults.ORIGIN_PREFIX: "stream_versions",
+    defaults.VERSIONS_KEY: "versions",
     defaults.USAGE_KEY: "usage",
 }
 #: Purpose of reads and writes of any other key.
--- a/src/mulberrydock/store_changes.py
+++ b/src/mulberrydock/store_changes.py
@@ -15,8 +15,8 @@
     :param instances: the known instances by id, before the change.
     :param serving: whether clients send requests already.
     """
-    if key == defaults.USAGE_KEY:
-        # Only its writer acts on it; observers keep a copy.
+    if key == defaults.USAGE_KEY or key.startswith(defaults.ORIGIN_PREFIX):
+        # Only its writer acts on it, or VMs that start and read everything.
         return Urgency.LATER
     if key.startswith((defaults.ENTRY_PREFIX, defaults.CRASH_PREFIX)):
         # Datagrams tell of leaving VMs and of crashes at once.
--- a/src/mulberrydock/stream_origins.py
+++ b/src/mulberrydock/stream_origins.py
@@ -34,6 +34,7 @@
     TELL = 0
     ASK = 1
     ANSWER = 2
+    WRITE = 3
 
 
 @attrs.define(frozen=True)
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -79,4 +79,5 @@
             # The sender may have gone on elsewhere: the event that it passes on counts.
             sink.state_version(self.fixed)
         else:
-            self.relay.origins.record(StreamOrigin(self._key, self.fixed), now)
+            origin = StreamOrigin(self._key, self.fixed)
+            self.relay.origins.record(origin, now, self.service)
--- a/src/mulberrydock/version_history.py
+++ b/src/mulberrydock/version_history.py
@@ -1,4 +1,4 @@
-"""Which software versions of each service this VM has seen of late.
+"""Which software versions of each service have been in use of late.
 
 While a service has had one version only for longer than any stream lasts, all its
 streams are of that version, also those of which this VM knows nothing else.
@@ -6,13 +6,18 @@
 
 import attrs
 
-from .stream_origins import RETENTION_SECONDS
+from .stream_origins import RETENTION_SECONDS, UNKNOWN_VERSION
 
 #: Seconds without an observation after which the history begins anew: this VM was
 #: frozen meanwhile and may have missed a version.
 MAX_GAP_SECONDS = 2.0
 
 
+def is_stated(version):
+    """Return whether a stream's version is one that its instance states."""
+    return not version.startswith(UNKNOWN_VERSION)
+
+
 @attrs.define
 class VersionHistory:
     """When each version of each service was last seen.
@@ -21,15 +26,20 @@
 
     ``seen_at`` maps (service, version) to when an instance of it was last registered;
     the history is complete since ``complete_since``, None before the first observation.
+    ``recorded`` maps services to the versions that the store holds of them, None until
+    they were read; ``is_recorded`` is False when versions may have been added since.
     """
 
     seen_at: dict = attrs.field(factory=dict)
     complete_since: float | None = None
     observed_at: float | None = None
+    recorded: dict | None = None
+    is_recorded: bool = False
 
     def restart(self, now):
         """Begin anew, as versions may have been missed up to ``now``."""
         self.complete_since = now
+        self.is_recorded = False
 
     def record(self, service, version, now):
         """Record that an instance of ``version`` is registered."""
@@ -47,11 +57,31 @@
             key: at for key, at in self.seen_at.items() if now - at <= RETENTION_SECONDS
         }
 
+    def is_complete(self, now):
+        """Return whether this VM has seen all versions whose streams may go on."""
+        if self.complete_since is None or now - self.observed_at > MAX_GAP_SECONDS:
+            return False
+        return now - self.complete_since >= RETENTION_SECONDS
+
+    def seen(self, service):
+        """Return the versions of a service that this VM has seen."""
+        return {version for name, version in self.seen_at if name == service}
+
+    def _known(self, service, now):
+        """Return the versions of a service that this VM has seen or read of."""
+        if self.is_complete(now):
+            return self.seen(service)
+        return self.seen(service) | set((self.recorded or {}).get(service, ()))
+
     def sole_version(self, service, now):
         """Return the only version that streams of ``service`` can be of, or empty."""
-        if self.complete_since is None or now - self.complete_since < RETENTION_SECONDS:
-            return ""
-        if now - self.observed_at > MAX_GAP_SECONDS:
+        versions = self._known(service, now)
+        if len(versions) != 1:
             return ""
-        versions = [version for name, version in self.seen_at if name == service]
-        return versions[0] if len(versions) == 1 else ""
+        read = self.is_recorded and service in self.recorded
+        return versions.pop() if read or self.is_complete(now) else ""
+
+    def has_several(self, service, now):
+        """Return whether streams of a service may be of different stated versions."""
+        versions = self._known(service, now)
+        return len(versions) > 1 and any(is_stated(version) for version in versions)
