Streams that a client takes up go before those that begin

Cause: a stream that is taken up competed for room like one that has not begun; the ones taken up have long prompts, which are the least urgent.

Change: a stream of a known version that its client has events of is as urgent as the most urgent request. A request that only names an event gains nothing.

--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -170,6 +170,8 @@
     :param cost: the pool's :class:`~mulberrydock.prefill_cost.PrefillCost`.
     """
     priority = route.urgency
+    if route.is_taken_up:
+        return priority
     size = sum(
         prefill_seconds > step * route.latency_objective for step in URGENCY_STEPS
     )
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -47,7 +47,8 @@
     clients give a stream up; ``priority`` is 0 for the most urgent; ``max_attempts``
     bounds the instances that one request may be sent to. A ``public`` route requires no
     API key. ``ranked_urgency`` is the place of ``priority`` among those of all teams
-    and routes, None where it is the priority itself.
+    and routes, None where it is the priority itself. ``is_taken_up`` is True for a
+    request that goes on with a stream of which its client has a part.
     """
 
     name: str
@@ -64,10 +65,14 @@
     client_idle_timeout: float = math.inf
     public: bool = False
     ranked_urgency: int | None = None
+    is_taken_up: bool = False
 
     @property
     def urgency(self):
         """The priority of its requests at an engine, 0 for the most urgent."""
+        if self.is_taken_up:
+            # Without the rest, what its client has is lost, and the work for it.
+            return 0
         if self.ranked_urgency is None:
             return min(PRIORITY_MAX, self.priority)
         return self.ranked_urgency
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -37,7 +37,9 @@
         fleet.routes.shortest_objective(service),
     )
     place_wait = fleet.place_wait(service, route, plan.places, now)
-    most_urgent = fleet.routes.is_most_urgent(route.priority, service)
+    most_urgent = route.is_taken_up or fleet.routes.is_most_urgent(
+        route.priority, service
+    )
     if fleet.routes.scale.orders_teams:
         refused = decide(ask, plan, place_wait, most_urgent)
     else:
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -124,6 +124,7 @@
                     final = await self.version.find()
                     if not self.version.fixed:
                         return final_response.refuse_unknown_version(self, final)
+                self.route = self.version.ranked_route()
                 if not self.is_forwarded:
                     await self.quarantine.claim_trial(time.monotonic())
                 return await self._attempts()
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -40,6 +40,15 @@
         resumes = self.request.resumes if self.is_taken_up else ""
         return origin_key(self.service, resumes or self.request.id)
 
+    def ranked_route(self):
+        """Return the route as it holds for a stream that may have been taken up.
+
+        One of a known version goes before those that have not begun.
+        """
+        if not self.is_taken_up or not self.fixed:
+            return self.route
+        return attrs.evolve(self.route, is_taken_up=True)
+
     async def find(self):
         """Fix the version of a stream that the client has taken up, if it is known.
 
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 from expression import Error, Ok
+from test_placement import ROUTE
 from test_stream_origins import SIZES, Network
 
 from mulberrydock import origin_records
@@ -18,7 +19,9 @@
     WRITES_PER_SECOND,
     OriginRecords,
 )
+from mulberrydock.request import Request
 from mulberrydock.stream_origins import RETENTION_SECONDS, StreamOrigin, origin_key
+from mulberrydock.stream_version import StreamVersion
 from mulberrydock.version_history import MAX_GAP_SECONDS, VersionHistory
 from mulberrydock.version_records import VersionRecords
 
@@ -252,3 +255,18 @@
     records.finish_reload()
     happens(versions, records)
     assert versions.sole_version("llm", 1.0) == sole
+
+
+# Guards against a request that goes before others because it names an event, although
+# nobody knows a stream that it goes on with.
+@pytest.mark.parametrize(
+    "last_event_id, version, is_first",
+    [(0, "", False), (0, "v1", False), (7, "", False), (7, "v1", True)],
+)
+def test_only_known_streams_that_are_taken_up_go_first(
+    last_event_id, version, is_first
+):
+    request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
+    request.last_event_id = last_event_id
+    stream_version = StreamVersion(None, request, ROUTE, "llm", False, version)
+    assert stream_version.ranked_route().is_taken_up is is_first
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -218,6 +218,17 @@
     assert prefill_urgency(prefill_seconds, route, 0.0, Load(), COST) == urgency
 
 
+# Guards against streams that nobody goes on with while new ones begin: their clients
+# give them up, and with them what they have.
+@pytest.mark.parametrize("prefill_seconds", [0.02, 0.61, 9])
+def test_prompt_of_a_stream_that_is_taken_up_is_most_urgent(prefill_seconds):
+    route = attrs.evolve(
+        ROUTE, latency_objective=0.6, priority=2, ranked_urgency=4, is_taken_up=True
+    )
+    assert route.urgency == 0
+    assert prefill_urgency(prefill_seconds, route, 0.9, Load(), COST) == 0
+
+
 # Guards against long prompts that wait behind all others until their clients time out;
 # short prompts, and those that can still wait, keep their priority.
 @pytest.mark.parametrize(
