A silent instance is kept until another one has taken over

Cause: after 0.7 s without an event (0.45 s for a plain request) the VM closed the connection to the instance and sent the request to another one; if that refused, failed or didn't answer, no attempt was left and the stream was cut.

Change: the second send is made while the first goes on. Whichever makes progress first goes on alone; if the second refuses or fails, the first is waited for.

Test: test_silent_instances.py, real daemon; 8 of 12 cases fail on the code before (streams and plain requests, with a second instance that refuses, cuts, fails or hangs). The 4 with long prompts passed before and guard the other order.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -89,6 +89,17 @@
         :raises UpstreamError: when it is wrong.
         """
 
+    def hold(self):
+        """Pass nothing on until :meth:`release`, as another instance may take over.
+
+        :returns: a future that is done once there is something to pass on. A buffered
+            response passes nothing on before its end.
+        """
+        return asyncio.get_running_loop().create_future()
+
+    def release(self):
+        """Go on after :meth:`hold`."""
+
 
 @attrs.define
 class BufferedResponse(ResponseListener):
--- a/src/mulberrydock/forwarding.py
+++ b/src/mulberrydock/forwarding.py
@@ -33,6 +33,11 @@
     peer: object
     prefill: object = None
 
+    @property
+    def destination(self):
+        """The name of the peer, for the log."""
+        return self.name
+
 
 @attrs.define(eq=False)
 class Forwarding:
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -132,6 +132,11 @@
     decode_slots_full: bool = False
     places: Places = Places()
 
+    @property
+    def destination(self):
+        """The incarnation that runs the request, for the log."""
+        return self.target.id
+
 
 @attrs.define(frozen=True)
 class Option:
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -23,12 +23,16 @@
     between two events; a buffered response reports no events, so for it the former is
     the time to its end. ``may_abandon`` is called on a timeout and returns whether
     another instance takes the request over: silence alone is no reason to end a
-    response that may still come.
+    response that may still come. ``take_over`` is asked first if it is set, with the
+    listener and the task of the exchange: it lets another instance take over while
+    this one may still go on, and returns False if the instance is to be abandoned
+    instead.
     """
 
     first_event_seconds: float
     event_gap_seconds: float
     may_abandon: t.Callable
+    take_over: t.Callable | None = None
 
     def expires_at(self, started, last_progress_at):
         """Return when the present silence becomes a timeout, monotonic seconds."""
@@ -52,7 +56,7 @@
                 [task], timeout=_wait_seconds(timeouts, started, listener)
             )
             if not task.done() and timeouts is not None:
-                timeouts = _check_progress(timeouts, started, listener)
+                timeouts = await _check_progress(timeouts, started, listener, task)
         task.result()
         listener.check()
     finally:
@@ -69,13 +73,15 @@
     return max(0.0, expires_at - time.monotonic())
 
 
-def _check_progress(timeouts, started, listener):
-    """Abandon the instance after a timeout if another one can take over.
+async def _check_progress(timeouts, started, listener, task):
+    """Let another instance take over after a timeout if there is one.
 
     :returns: the timeouts from now on, None when there is no other instance.
     """
     if time.monotonic() < timeouts.expires_at(started, listener.last_progress_at):
         return timeouts
+    if timeouts.take_over is not None and await timeouts.take_over(listener, task):
+        return None
     if timeouts.may_abandon():
         raise UpstreamError(
             f"no progress within {timeouts.first_event_seconds:.2f} s to the first "
@@ -97,6 +103,8 @@
     """
 
     incarnation_check = None
+    released = None
+    woke = None
 
     def __init__(self, wire, stream, on_first_event=lambda: None):
         self.wire = wire
@@ -130,7 +138,26 @@
         """The body of a response that isn't a stream."""
         return b"".join(self.chunks)
 
+    def hold(self):
+        loop = asyncio.get_running_loop()
+        self.released, self.woke = loop.create_future(), loop.create_future()
+        return self.woke
+
+    def release(self):
+        released, self.released = self.released, None
+        released.set_result(None)
+
+    async def _relay_released(self, chunk):
+        if not self.woke.done():
+            self.woke.set_result(None)
+        await self.released
+        written = self.on_data(chunk)
+        if written is not None:
+            await written
+
     def on_data(self, chunk):
+        if self.released is not None:
+            return self._relay_released(chunk)
         if not self.is_signed_stream:
             self.chunks.append(chunk)
             return None
@@ -161,6 +188,7 @@
         self.last_progress_at = time.monotonic()
         if self.first_progress_at is None:
             self.first_progress_at = self.last_progress_at
+            self.stream.on_progress()
             self.on_first_event()
         return self.stream.write(self.status, self.headers, events)
 
@@ -185,7 +213,8 @@
 
     The headers are those of the first engine that sent an event. ``on_begin`` is called
     without arguments at the first event; ``first_event_at`` is when that was passed on,
-    monotonic seconds.
+    monotonic seconds. ``on_progress`` is called without arguments before the first
+    event of each run is passed on.
     """
 
     wire: object
@@ -193,6 +222,7 @@
     splitter: object
     on_begin: t.Callable = lambda: None
     first_event_at: float | None = None
+    on_progress: t.Callable = lambda: None
 
     @property
     def has_started(self):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import functools
 import time
 
+import attrs
 from loguru import logger
 
 from . import final_response
@@ -28,6 +30,7 @@
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 from .stream_version import StreamVersion
+from .takeover import TakenOver, Takeover
 
 #: Seconds, beyond the estimated wait, that an engine has for its first event. Clients
 #: give a stream up after 2.4 s without an event, so a second engine must have answered
@@ -59,6 +62,7 @@
     better, ``cause`` says why the last attempt failed. ``begin`` is its
     :class:`RequestBegin`, ``quarantine`` its :class:`RequestQuarantine`, ``version``
     its :class:`StreamVersion`, ``move`` its :class:`~mulberrydock.moves.StreamMove`.
+    ``takeover`` is the :class:`~mulberrydock.takeover.Takeover` in progress, if any.
     ``served`` is True once an instance has answered with success, ``began_at`` when it
     began to write its answer, None if unknown.
     ``is_stopped`` is True once the stop of this VM ends it before its deadline.
@@ -102,6 +106,8 @@
         self.begin = RequestBegin(relay, request, self.prior.begun)
         self.quarantine = RequestQuarantine(relay, request)
         self.move = StreamMove(self)
+        self.takeover = None
+        self.stream.on_progress = self._end_takeover
         self.served = False
         self.is_stopped = False
         self.began_at = None
@@ -157,13 +163,16 @@
             plan = self._next_plan(time.monotonic())
             if plan is None:
                 return final_response.give_up(self, time.monotonic())
-            code = await self._attempt(plan)
+            try:
+                code = await self.attempt(plan)
+            except TakenOver as taken:
+                code = taken.code
             if code is not None:
                 return code
             if self.may_have_run and not self.route.retryable:
                 return final_response.give_up(self, time.monotonic())
 
-    async def _attempt(self, plan):
+    async def attempt(self, plan):
         """Make one attempt.
 
         :returns: the :class:`ResultCode` if the client was answered, else None.
@@ -308,6 +317,24 @@
         self.reserved_retries += self._count_retries(plan)
         return True
 
+    async def _take_over(self, instance, listener, task):
+        """Let another instance take a silent one's request over, if there is one.
+
+        :returns: False for a stream without an event, whose instance is abandoned: its
+            prompt may wait in a queue, and to keep it there would double the load.
+        """
+        is_stream = self.route.kind is Kind.STREAMING
+        if is_stream and not self.stream.has_started:
+            return False
+        plan = self._next_plan(time.monotonic())
+        if plan is not None:
+            await Takeover(self, instance, listener, task).run(plan)
+        return True
+
+    def _end_takeover(self):
+        if self.takeover is not None:
+            self.takeover.begin()
+
     def _progress_timeouts(self, first, gap):
         """Return the :class:`ProgressTimeouts` of the next send, None for no timeout.
 
@@ -494,12 +521,19 @@
             listener.on_unknown = self.version.record_unknown
         exchange = self.relay.exchange(target, self.request, options, listener, check)
         exchange = self.move.watch(target, listener, exchange)
+        if timeouts is not None:
+            take_over = functools.partial(self._take_over, target)
+            timeouts = attrs.evolve(timeouts, take_over=take_over)
         try:
             await run_exchange(exchange, listener, timeouts)
             await self._check_end(target, listener.headers)
         except StreamMoved:
             self.may_have_run = True
             return False
+        except TakenOver:
+            error = UpstreamError("silent", ResultCode.STREAM_CUT)
+            await self._record_failure(target, error, listener)
+            raise
         except UpstreamError as error:
             await self._record_failure(target, error, listener)
             return False
--- /dev/null
+++ b/tests/test_silent_instances.py
@@ -0,0 +1,54 @@
+"""An instance falls silent for a moment and goes on, while no other one takes over."""
+
+import platform_fleet
+import pytest
+from platform_fleet import IDEMPOTENT_PATH, RESUMABLE_PATH, PlatformFleet, config
+
+from mulberrydock.standin.platform_engine import Fault
+
+#: Prompts that decode engines prefill and prompts that they don't.
+TOKEN_COUNTS = ("100,10", "30000,10")
+
+
+@pytest.fixture
+def fleet(tmp_path, monkeypatch):
+    """A ready daemon, with retries to spare, before two instances of each kind."""
+    floor = "retry_budget_floor = "
+    settings = platform_fleet.SETTINGS.replace(f"{floor}50.0", f"{floor}5000.0")
+    monkeypatch.setattr(platform_fleet, "SETTINGS", settings)
+    running = PlatformFleet(tmp_path)
+    running.write("op/config", config(3))
+    for stage in ("prefill", "decode"):
+        for number in (1, 2):
+            running.add_instance(f"{stage[0]}{number}", "llm", stage)
+    for number in (1, 2):
+        running.add_instance(f"a{number}", "app")
+    running.start()
+    try:
+        running.wait_ready()
+        yield running
+    finally:
+        running.stop()
+
+
+# Guards against an answer that is ended as its instance is silent for longer than the
+# progress timeout: the one that is to take over refuses the request or fails.
+@pytest.mark.parametrize(
+    "other", [Fault.REFUSE, Fault.CRASH_BEFORE_ANSWER, Fault.ERROR, Fault.HANG]
+)
+@pytest.mark.parametrize(
+    "prefix, tokens",
+    [
+        (RESUMABLE_PATH, TOKEN_COUNTS[0]),
+        (RESUMABLE_PATH, TOKEN_COUNTS[1]),
+        (IDEMPOTENT_PATH, TOKEN_COUNTS[0]),
+    ],
+    ids=["stream", "long-prompt", "plain"],
+)
+def test_answer_of_a_silent_instance_is_awaited(fleet, prefix, tokens, other):
+    faults = [Fault.PAUSE, *[other] * 9]
+    for engine in fleet.engines.values():
+        if engine.stage != "prefill":
+            engine.faults = faults
+    response = fleet.request(prefix, "r", X_Mulberrydock_Token_Counts=tokens)
+    assert (response.status, response.complete) == (200, True)
