Responses without an end: an event and a held response are bounded

Callers of a VM would see it end for want of memory, or stand still.

An event that doesn't end was held up to the 16 MiB, and each part searched all of it again. 16 MiB for each of ten responses is the memory of the smallest VM.

A listener that refuses a response ends the exchange with its own error, where tornado logged it and dropped its type.

Tests: test_endless_responses.py, twelve kinds of bytes without end for requests, streams, calls and the store: the caller closes within bounded bytes. The three cases of events fail on the code before, and those of held responses, which had no bound of their own.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -51,8 +51,11 @@
 CHECK_FIRST_SECONDS = 0.01
 #: Responses to other requests that one exchange skips before it fails.
 MAX_STALE_RESPONSES = 2
-#: Maximum size of a response body; the platform's largest item is 1 MiB, in base64.
+#: Maximum size of a response body. Those that aren't held may be as long as this.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Maximum size of a response of an instance that is held until its end: some tens that
+#: don't end fit into the memory of a VM.
+MAX_HELD_BYTES = 4 * 1024 * 1024
 
 CONNECTION_PARAMS = tornado.http1connection.HTTP1ConnectionParameters(
     decompress=False, max_body_size=MAX_BODY_BYTES
@@ -90,13 +93,37 @@
         """
 
 
+@attrs.define
+class HeldChunks:
+    """The bytes of a response that is held until its end, up to ``limit`` bytes."""
+
+    limit: int = MAX_HELD_BYTES
+    chunks: list = attrs.field(factory=list)
+    size: int = 0
+
+    def append(self, chunk):
+        """Hold a part of the response.
+
+        :raises UpstreamError: when there are too many bytes.
+        """
+        self.size += len(chunk)
+        if self.size > self.limit:
+            self.chunks.clear()
+            raise UpstreamError(f"response of more than {self.limit} bytes")
+        self.chunks.append(chunk)
+
+    def join(self):
+        """Return the bytes held so far."""
+        return b"".join(self.chunks)
+
+
 @attrs.define
 class BufferedResponse(ResponseListener):
     """Collects a whole response in memory."""
 
     status: int = 0
     headers: tornado.httputil.HTTPHeaders | None = None
-    chunks: list = attrs.field(factory=list)
+    chunks: HeldChunks = attrs.field(factory=HeldChunks)
 
     def on_headers(self, status, headers):
         self.status = status
@@ -108,7 +135,7 @@
     @property
     def body(self):
         """The body bytes received so far."""
-        return b"".join(self.chunks)
+        return self.chunks.join()
 
 
 class _Stream(tornado.iostream.IOStream):
@@ -126,9 +153,14 @@
 
 
 class _Delegate(tornado.httputil.HTTPMessageDelegate):
-    """Passes one response on, or skips it when it names another request."""
+    """Passes one response on, or skips it when it names another request.
+
+    ``error`` is the :class:`UpstreamError` with which the listener refused it, if any.
+    """
 
-    def __init__(self, listener, accept_response, on_progress):
+    def __init__(self, stream, listener, accept_response, on_progress):
+        self.stream = stream
+        self.error = None
         self.listener = listener
         self.accept_response = accept_response
         self.on_progress = on_progress
@@ -148,9 +180,15 @@
 
     def data_received(self, chunk):
         self.on_progress()
-        if self.skipped:
+        if self.skipped or self.error is not None:
+            return None
+        try:
+            return self.listener.on_data(chunk)
+        except UpstreamError as error:
+            # Tornado would log an exception raised here and lose its type.
+            self.error = error
+            self.stream.close()
             return None
-        return self.listener.on_data(chunk)
 
     def finish(self):
         if not self.done.done():
@@ -512,8 +550,10 @@
                 f"{error}"
             ) from error
         for _ in range(1 + MAX_STALE_RESPONSES):
-            delegate = _Delegate(listener, accept_response, self._on_progress)
+            delegate = _Delegate(stream, listener, accept_response, self._on_progress)
             complete, read_task = await self._read(http, delegate)
+            if delegate.error is not None:
+                raise delegate.error
             if not complete:
                 break
             if not delegate.skipped:
--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -14,7 +14,12 @@
 import tornado.httputil
 from expression import Error, Ok
 
-from ..connections import BufferedResponse, ConnectionPool
+from ..connections import (
+    MAX_BODY_BYTES,
+    BufferedResponse,
+    ConnectionPool,
+    HeldChunks,
+)
 from ..exceptions import StoreError, UpstreamError, VersionConflict
 from ..sends import ProgressTimeouts, run_exchange
 from ..store import Event, Item, WatchBatch
@@ -36,7 +41,13 @@
 
 
 class ProgressResponse(BufferedResponse):
-    """A buffered response that notes when bytes last arrived."""
+    """A buffered response that notes when bytes last arrived.
+
+    The store's pages are larger than what an instance responds.
+    """
+
+    def __init__(self):
+        super().__init__(chunks=HeldChunks(MAX_BODY_BYTES))
 
     def on_headers(self, status, headers):
         super().on_headers(status, headers)
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from .connections import ResponseListener, ends_with_connection
+from .connections import HeldChunks, ResponseListener, ends_with_connection
 from .exceptions import ConnectionCut, ResultCode, UpstreamError
 
 #: Seconds for which the first event of a stream waits for the check of its engine. The
@@ -105,10 +105,10 @@
         self.status = 0
         self.headers = None
         self.metadata = None
-        self.chunks = []
+        self.chunks = HeldChunks()
         self.error = None
         # Drop the part of an event that a previous engine has sent.
-        stream.splitter.buffer = b""
+        stream.splitter.buffer = bytearray()
 
     def on_headers(self, status, headers):
         self.status = status
@@ -128,7 +128,7 @@
     @property
     def body(self):
         """The body of a response that isn't a stream."""
-        return b"".join(self.chunks)
+        return self.chunks.join()
 
     def on_data(self, chunk):
         if not self.is_signed_stream:
--- a/src/mulberrydock/sse.py
+++ b/src/mulberrydock/sse.py
@@ -3,6 +3,8 @@
 from .exceptions import ResultCode, UpstreamError
 
 EVENT_END = b"\n\n"
+#: Maximum size of one event, which is held until its end.
+MAX_EVENT_BYTES = 1024 * 1024
 ID_FIELD = b"id:"
 
 
@@ -28,24 +30,37 @@
 
     def __init__(self, last_id=0):
         self.last_id = last_id
-        self.buffer = b""
+        self.buffer = bytearray()
         self.count = 0
 
     def feed(self, chunk):
         """Return the bytes of the events completed by ``chunk``, which may be none.
 
         :raises UpstreamError: when an event's id isn't greater than the previous one,
-            as an event would be sent twice or out of order.
+            as an event would be sent twice or out of order, or when an event is too
+            large.
         """
+        # Only the new bytes are searched: an event may come in many small parts.
+        overlap = len(EVENT_END) - 1
+        ends = (self.buffer[-overlap:] + chunk).rfind(EVENT_END) >= 0
         self.buffer += chunk
-        whole, separator, rest = self.buffer.rpartition(EVENT_END)
-        if not separator:
+        if not ends:
+            self._check_size()
             return b""
-        self.buffer = rest
+        whole, separator, rest = bytes(self.buffer).rpartition(EVENT_END)
+        self.buffer = bytearray(rest)
+        self._check_size()
         for event in whole.split(EVENT_END):
             self._check(event)
         return whole + separator
 
+    def _check_size(self):
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            self.buffer = bytearray()
+            raise UpstreamError(
+                f"event of more than {MAX_EVENT_BYTES} bytes", ResultCode.STREAM_CUT
+            )
+
     def _check(self, event):
         number = event_id(event)
         self.count += 1
--- a/src/mulberrydock/upstream.py
+++ b/src/mulberrydock/upstream.py
@@ -16,6 +16,7 @@
 
 from . import defaults
 from ._http import split_address
+from .connections import MAX_BODY_BYTES
 from .exceptions import (
     ConnectionCut,
     MulberrydockError,
@@ -119,7 +120,7 @@
         stream,
         True,
         tornado.http1connection.HTTP1ConnectionParameters(
-            no_keep_alive=True, decompress=False
+            no_keep_alive=True, decompress=False, max_body_size=MAX_BODY_BYTES
         ),
     )
     start = tornado.httputil.RequestStartLine(method, path, "HTTP/1.1")
