A process whose event loop is blocked ends itself

Change: a timer of the kernel, in processor time, sends a signal unless the event loop sets it again. Its handler logs the stack and ends the process with status 70, so that the platform starts it afresh. Processor time, as a process that is paused or slowed is sound. A process that waits in a system call without using the processor isn't noticed.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -152,7 +152,7 @@
             first,
             timeouts.event_gap_seconds + first,
             timeouts.may_abandon,
-            lambda: self.forwarding.silent_at(self.plan.name),
+            silent_at=lambda: self.forwarding.silent_at(self.plan.name),
         )
 
     def _record_failure(self, error):
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -46,6 +46,7 @@
 from .usage import UsageLedger
 from .version_records import VersionRecords
 from .watch import PrefixWatch
+from .watchdog import Watchdog
 
 #: Pause between a response with changes and the next poll, as a share of the time
 #: within which a configuration must be in force. When VMs start or leave one after the
@@ -390,6 +391,7 @@
         :raises OSError: when an address can't be bound.
         """
         loop = asyncio.get_running_loop()
+        Watchdog().start()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
