Retry budget, takeovers: a process without a predecessor has its whole share

The platform states whether a process is of the first start; that one has no predecessor whose retries could be counted.

--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -130,7 +130,8 @@
             ),
             settings.regions,
         )
-        self.fleet.started_at = time.monotonic()
+        if not settings.first_start:
+            self.fleet.started_at = time.monotonic()
         self.fleet.links.on_change = (
             lambda service, lost: self.metrics.links_lost.labels(service).set(int(lost))
         )
