Moves: a call in progress doesn't deny that the run was stopped

Cause: the call that stops the run wasn't answered in time, and the next one was answered 409: a call is in progress. That was taken for an engine that denies having stopped the run, so the end of the connection passed for the end of the stream.

Change: 409 says nothing about the earlier call.

The new case of test_mover.py fails on the code before (the other six guard the other answers).

--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -353,7 +353,9 @@
             return "no room", handle if last else None
         # 421: another instance has the address now.
         stream.run_ended = response.status in (404, 421)
-        stream.may_have_stopped = response.status == 200
+        if response.status != 409:
+            # 409 says that an earlier call, which may stop the run, is in progress.
+            stream.may_have_stopped = response.status == 200
         return f"status {response.status}", None
 
     def release(self, step):
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -1,5 +1,6 @@
 """What a VM derives for a decision from its streams and engines; without network."""
 
+import asyncio
 import types
 
 import attrs
@@ -89,6 +90,37 @@
     assert reasons == ["retry budget spent"] * (4 - len(started))
 
 
+# Guards against a stream without a length that passes as whole though its engine was
+# told to stop it: the call is still in progress as the next one asks.
+@pytest.mark.parametrize(
+    "calls, may_have_stopped",
+    [
+        ([(False, 409)], False),
+        ([(True, None)], True),
+        ([(True, None), (True, 409)], True),
+        ([(True, None), (True, 404)], False),
+        ([(True, 200)], True),
+        ([(True, 503)], True),
+        ([(True, 421)], False),
+    ],
+)
+def test_stream_may_have_stopped_until_its_engine_denies_it(calls, may_have_stopped):
+    mover = make_mover()
+    stream = make_stream(mover)
+    mover.wire = types.SimpleNamespace(
+        move_call=lambda *args: None, read_move=lambda address, body: "handle"
+    )
+    for last, status in calls:
+        answer = status and types.SimpleNamespace(status=status, body=b"")
+
+        async def call(*args, **options):
+            return answer
+
+        mover.relay.call = call
+        asyncio.run(mover._call(stream, stream.source, last, 1.0))
+    assert stream.may_have_stopped is may_have_stopped
+
+
 # Guards against a stopped stream that is sent back to its engine later than allowed.
 @pytest.mark.parametrize(
     ("ends_at", "now", "permitted"),
