--- a/src/mulberrydock/watchdog.py
+++ b/src/mulberrydock/watchdog.py
@@ -36,9 +36,12 @@
     max_seconds: float = MAX_BLOCKED_SECONDS
 
     def start(self):
-        """Watch the running event loop from now on."""
+        """Watch the running event loop, where the system has such a timer."""
         signal.signal(signal.SIGPROF, self._on_blocked)
-        self._beat()
+        try:
+            self._beat()
+        except OSError as error:
+            logger.warning("event loop not watched", error=str(error))
 
     def _beat(self):
         signal.setitimer(signal.ITIMER_PROF, self.max_seconds)
--- a/tests/test_watchdog.py
+++ b/tests/test_watchdog.py
@@ -1,5 +1,6 @@
 """A process whose event loop no longer turns is ended, a paused one isn't."""
 
+import asyncio
 import json
 import signal
 import subprocess
@@ -8,7 +9,7 @@
 
 import pytest
 
-from mulberrydock.watchdog import EXIT_BLOCKED
+from mulberrydock.watchdog import EXIT_BLOCKED, Watchdog
 
 MAX_SECONDS = 1.0
 PROGRAM = """
@@ -67,6 +68,19 @@
     assert any("in spin" in line for line in row["stack"])
 
 
+# Guards against a VM that doesn't start where the system has no such timer.
+def test_process_starts_without_a_timer(monkeypatch):
+    def refuse(which, seconds):
+        raise signal.ItimerError(22, "Invalid argument")
+
+    async def start_and_turn():
+        Watchdog().start()
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(signal, "setitimer", refuse)
+    asyncio.run(start_and_turn())
+
+
 # Guards against a watchdog that ends sound processes: paused by the platform or busy.
 @pytest.mark.parametrize("paused", [False, True])
 def test_process_whose_event_loop_turns_is_not_ended(paused):
