The end of a response without a length is whole only if its instance lives

Change: the instance is asked for its report after such an end; without an answer of the same process the response counts as cut.

--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from .connections import BufferedResponse, ConnectionPool
+from .connections import CHECK_TIMEOUT_SECONDS, BufferedResponse, ConnectionPool
 from .crash_probe import CrashProbe
 from .exceptions import (
     CallRefused,
@@ -381,6 +381,27 @@
             return None
         return response
 
+    async def is_alive(self, instance):
+        """Return whether an instance is still the process that is known here.
+
+        An accepted connection doesn't show that: the kernel closes the listening socket
+        of a process that has ended after its connections. Any answer does.
+        """
+        now = time.monotonic()
+        if not self.fleet.backoffs.permits(instance.id, now):
+            # It wants no calls.
+            return await self.crash_probe.has_crashed(instance) is False
+        call = self.wire.report_call(instance.record)
+        response = await self.call(instance, call, CHECK_TIMEOUT_SECONDS)
+        alive = response is not None and response.status != 421
+        if alive and response.status == 200:
+            report = self.read_report(instance, response)
+            known = instance.record.started_at_ms
+            stated = report.started_at_ms if report is not None else None
+            alive = known is None or stated in (None, known)
+        logger.info("end of a response checked", instance=instance.id, alive=alive)
+        return alive
+
     def read_report(self, instance, response):
         """Return the :class:`~mulberrydock.engine_report.EngineReport` in a response.
 
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -317,19 +317,31 @@
         self.reserved_retries += self._count_retries(plan)
         return True
 
-    async def _take_over(self, instance, listener, task):
+    async def _take_over(self, instance, give_up, listener, task):
         """Let another instance take a silent one's request over, if there is one.
 
-        :returns: False for a stream without an event, whose instance is abandoned: its
-            prompt may wait in a queue, and to keep it there would double the load.
+        :param give_up: called once the silent one is given up.
+        :returns: whether there was one; None for a stream without an event, whose
+            instance is abandoned: its prompt may wait in a queue, and to keep it there
+            would double the load.
         """
         is_stream = self.route.kind is Kind.STREAMING
         if is_stream and not self.stream.has_started:
-            return False
+            return None
         plan = self._next_plan(time.monotonic())
         if plan is not None:
-            await Takeover(self, instance, listener, task).run(plan)
-        return True
+            await Takeover(self, instance, listener, task, give_up).run(plan)
+        return plan is not None
+
+    def _give_up(self, instance, listener, in_flight_send):
+        """Record that an instance was given up, as another one has taken over."""
+        now = time.monotonic()
+        in_flight_send.end()
+        self.fleet.suspicion.record_failure(instance.id, now, unreachable=False)
+        if _ran_past_blame(listener, now):
+            self.quarantine.record_sound(listener.first_progress_at, now)
+        else:
+            self.relay.record_cut(self.request, instance, now)
 
     def _end_takeover(self):
         if self.takeover is not None:
@@ -522,7 +534,8 @@
         exchange = self.relay.exchange(target, self.request, options, listener, check)
         exchange = self.move.watch(target, listener, exchange)
         if timeouts is not None:
-            take_over = functools.partial(self._take_over, target)
+            give_up = functools.partial(self._give_up, target, listener, in_flight_send)
+            take_over = functools.partial(self._take_over, target, give_up)
             timeouts = attrs.evolve(timeouts, take_over=take_over)
         try:
             await run_exchange(exchange, listener, timeouts)
@@ -530,10 +543,6 @@
         except StreamMoved:
             self.may_have_run = True
             return False
-        except TakenOver:
-            error = UpstreamError("silent", ResultCode.STREAM_CUT)
-            await self._record_failure(target, error, listener)
-            raise
         except UpstreamError as error:
             await self._record_failure(target, error, listener)
             return False
@@ -557,14 +566,15 @@
         )
 
     async def _check_end(self, instance, headers):
-        """Check that a response whose end nothing marks wasn't cut off by a crash.
+        """Check that a response whose end nothing marks wasn't cut off.
+
+        The end of its instance closes the connection in the same way, also that of one
+        that leaves.
 
-        :raises ConnectionCut: when its instance has crashed.
+        :raises ConnectionCut: when nothing shows that the instance lives.
         """
-        if instance.leaving or not ends_with_connection(headers):
-            return
-        if await self.relay.crash_probe.has_crashed(instance):
-            raise ConnectionCut(f"{instance.id} crashed as its response ended")
+        if ends_with_connection(headers) and not await self.relay.is_alive(instance):
+            raise ConnectionCut(f"{instance.id} may have ended before its response")
 
     async def _record_failure(self, instance, error, listener):
         """Record a failed send, and find out whether the instance crashed under it."""
