--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -207,11 +207,13 @@
     def _count_calls(self, outcome):
         """Count the calls that the peer made instead of the one to the peer."""
         lifecycle = self.lifecycle
+        # This attempt itself is one of the arrivals.
+        was_retry = lifecycle.arrivals > 1
         lifecycle.sends.maybe_received += outcome.sends - 1
         lifecycle.sends.rejected += outcome.rejected
         lifecycle.prefills.maybe_received += outcome.prefills
         if not outcome.sends:
-            lifecycle.reserved_retries += int(lifecycle.arrivals > 0)
+            lifecycle.reserved_retries += int(was_retry)
 
     def _refuse(self, response):
         """Pass a refusal on; it states that the request has not run."""
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -25,8 +25,8 @@
     another instance takes the request over: silence alone is no reason to end a
     response that may still come. ``take_over`` is asked first if it is set, with the
     listener and the task of the exchange: it lets another instance take over while
-    this one may still go on, and returns False if the instance is to be abandoned
-    instead.
+    this one may still go on. It returns whether there was one, None if the instance is
+    to be abandoned instead.
     """
 
     first_event_seconds: float
@@ -80,8 +80,10 @@
     """
     if time.monotonic() < timeouts.expires_at(started, listener.last_progress_at):
         return timeouts
-    if timeouts.take_over is not None and await timeouts.take_over(listener, task):
-        return None
+    if timeouts.take_over is not None:
+        was_tried = await timeouts.take_over(listener, task)
+        if was_tried is not None:
+            return timeouts if was_tried else None
     if timeouts.may_abandon():
         raise UpstreamError(
             f"no progress within {timeouts.first_event_seconds:.2f} s to the first "
@@ -145,7 +147,9 @@
 
     def release(self):
         released, self.released = self.released, None
-        released.set_result(None)
+        # The exchange that waits for it may have been cancelled.
+        if not released.done():
+            released.set_result(None)
 
     async def _relay_released(self, chunk):
         if not self.woke.done():
--- a/src/mulberrydock/sse.py
+++ b/src/mulberrydock/sse.py
@@ -50,8 +50,12 @@
         whole, separator, rest = bytes(self.buffer).rpartition(EVENT_END)
         self.buffer = bytearray(rest)
         self._check_size()
-        for event in whole.split(EVENT_END):
-            self._check(event)
+        events, last_id = whole.split(EVENT_END), self.last_id
+        for event in events:
+            last_id = self._check(event, last_id)
+        # Not before all are sound: a stream resumes after what was passed on.
+        self.last_id = last_id
+        self.count += len(events)
         return whole + separator
 
     def _check_size(self):
@@ -61,16 +65,16 @@
                 f"event of more than {MAX_EVENT_BYTES} bytes", ResultCode.STREAM_CUT
             )
 
-    def _check(self, event):
+    def _check(self, event, last_id):
+        """Return the id of the last event with one, given that of the one before."""
         number = event_id(event)
-        self.count += 1
         if number is None:
-            return
-        if number <= self.last_id:
+            return last_id
+        if number <= last_id:
             raise UpstreamError(
-                f"event {number} after {self.last_id}", ResultCode.STREAM_CUT
+                f"event {number} after {last_id}", ResultCode.STREAM_CUT
             )
-        self.last_id = number
+        return number
 
     @property
     def clean(self):
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -18,6 +18,7 @@
 
     ``fixed`` is the version at which the stream goes on, empty while it may begin at
     any; ``attempted`` that of the instance that was sent to last, empty if unknown.
+    ``is_known`` is True if a VM remembers the stream that the client takes up.
     """
 
     relay: object
@@ -27,6 +28,7 @@
     is_forwarded: bool
     fixed: str = ""
     attempted: str = ""
+    is_known: bool = False
 
     @property
     def is_taken_up(self):
@@ -43,9 +45,10 @@
     def ranked_route(self):
         """Return the route as it holds for a stream that may have been taken up.
 
-        One of a known version goes before those that have not begun.
+        One that a VM remembers goes before those that have not begun. A request that
+        only names an event doesn't.
         """
-        if not self.is_taken_up or not self.fixed:
+        if not self.is_known or not self.route.resumable:
             return self.route
         return attrs.evolve(self.route, is_taken_up=True)
 
@@ -58,6 +61,7 @@
         final, key = True, self._key
         if self.request.resumes:
             self.fixed, final = await self.relay.origins.find(key, time.monotonic())
+            self.is_known = bool(self.fixed)
         if not self.fixed:
             versions = self.relay.fleet.instances.versions
             self.fixed = versions.sole_version(self.service, time.monotonic())
--- a/src/mulberrydock/takeover.py
+++ b/src/mulberrydock/takeover.py
@@ -31,17 +31,23 @@
     :param instance: the silent instance.
     :param listener: what receives its response.
     :param task: the exchange with it.
+    :param give_up: called without arguments once the instance is given up.
 
     ``attempt`` is the task of the other attempt, ``has_begun`` is True once that has
-    brought an event; the silent instance is given up then.
+    brought an event; the silent instance is given up then. ``is_ended`` is True once
+    it goes on, or the other attempt has failed. ``former`` is the takeover in which the
+    silent instance was to take over itself, None for the first one.
     """
 
     lifecycle: object
     instance: object
     listener: object
     task: object
+    give_up: object
     attempt: object = None
     has_begun: bool = False
+    is_ended: bool = False
+    former: object = None
 
     async def run(self, plan):
         """Make the attempt of ``plan``; return if the silent instance goes on alone.
@@ -52,24 +58,30 @@
         lifecycle, started, code = self.lifecycle, time.monotonic(), None
         # The silent instance has the request.
         lifecycle.may_have_run = True
-        state = lifecycle.move, lifecycle.version.attempted
-        partial_event = lifecycle.stream.splitter.buffer
-        former, lifecycle.takeover = lifecycle.takeover, self
+        move, version = lifecycle.move, lifecycle.version.attempted
+        splitter = lifecycle.stream.splitter
+        position = splitter.buffer, splitter.last_id, splitter.count
+        self.former, lifecycle.takeover = lifecycle.takeover, self
         woke = self.listener.hold()
         lifecycle.move = StreamMove(lifecycle)
         self.attempt = asyncio.ensure_future(lifecycle.attempt(plan))
         outcome = "ended"
         try:
             code = await self._race(woke)
-            outcome = self._outcome(code, woke)
+            if code is not None:
+                self.begin()
+            outcome = self._outcome(woke)
         finally:
+            self.is_ended = True
             await self._end_attempt()
             self._log(plan, outcome, started)
-            lifecycle.takeover = former
-            if not self.has_begun:
+            lifecycle.takeover = self.former
+            if self.has_begun:
+                move.close()
+            else:
                 lifecycle.move.close()
-                lifecycle.move, lifecycle.version.attempted = state
-                lifecycle.stream.splitter.buffer = partial_event
+                lifecycle.move, lifecycle.version.attempted = move, version
+                splitter.buffer, splitter.last_id, splitter.count = position
                 self.listener.release()
         if code is not None:
             raise TakenOver(code)
@@ -103,16 +115,25 @@
         except TakenOver as taken:
             return taken.code
 
-    def _outcome(self, code, woke):
-        if self.has_begun or code is not None:
+    def _outcome(self, woke):
+        if self.has_begun:
             return "taken over"
         return "went on" if woke.done() or self._is_answered() else "not taken over"
 
     def begin(self):
-        """Give the silent instance up, as the other one has begun."""
-        if not self.has_begun:
-            self.has_begun = True
-            self.task.cancel()
+        """Give the silent instance up, as the other one has begun.
+
+        :raises UpstreamError: when the silent instance goes on already.
+        """
+        if self.has_begun:
+            return
+        if self.is_ended:
+            raise UpstreamError("the silent instance goes on", ResultCode.STREAM_CUT)
+        if self.former is not None:
+            self.former.begin()
+        self.has_begun = True
+        self.task.cancel()
+        self.give_up()
 
     async def _end_attempt(self):
         self.attempt.cancel()
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -14,6 +14,8 @@
 from mulberrydock.admission import RetryBudget
 from mulberrydock.exceptions import ConnectionCut, ResultCode, UpstreamError
 from mulberrydock.fleet_view import RETRY_BUDGET_SHARE, FleetView
+from mulberrydock.forward_attempt import ForwardAttempt
+from mulberrydock.forward_messages import ForwardOutcome
 from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.membership import Membership, Peer
 from mulberrydock.metrics import ServeMetrics
@@ -185,6 +187,23 @@
     assert asked == [1]
 
 
+# Guards against a retry that nobody has granted: the peer of a forwarded request has
+# only made a prefill call, in vain.
+def test_forward_that_only_prefilled_in_vain_gives_no_free_retry():
+    view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    relay = types.SimpleNamespace(fleet=view, wire=None, forwarding=None)
+    request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
+    route = types.SimpleNamespace(timeout=5.0)
+    lifecycle = RequestLifecycle(relay, request, route, "llm", None)
+    asked = []
+    view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
+    assert lifecycle.reserve_retries(Plan(None), 0.0) and asked == []
+    lifecycle.sends.record_call()
+    attempt = ForwardAttempt(lifecycle, types.SimpleNamespace(name="peer"))
+    attempt._count_calls(ForwardOutcome(ResultCode.NO_UPSTREAM, 0, 0, 1))
+    assert lifecycle.reserve_retries(Plan(None), 1.0) and asked == [1]
+
+
 class RefusingEngines:
     """What a prefill call needs of a relay and wire, to engines that refuse it."""
 
@@ -287,7 +306,8 @@
             listener.on_headers(200, HTTPHeaders())
             listener.on_data(b'{"kv_handle": "h", "tokens": 1}')
         else:
-            listener.on_headers(200, HTTPHeaders({wire.SIGNATURE: "s"}))
+            head = {wire.SIGNATURE: "s", "Transfer-Encoding": "chunked"}
+            listener.on_headers(200, HTTPHeaders(head))
             listener.on_data(b"id: 1\ndata: x\n\n")
 
 
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -1,6 +1,8 @@
 """The records of which version began each stream, before a store that loses answers."""
 
 import asyncio
+import time
+import types
 
 import attrs
 import pytest
@@ -10,6 +12,8 @@
 
 from mulberrydock import origin_records
 from mulberrydock.exceptions import StoreError, VersionConflict
+from mulberrydock.metrics import ServeMetrics
+from mulberrydock.origin_exchange import OriginExchange
 from mulberrydock.origin_records import (
     EXPIRY_INTERVAL_SECONDS,
     MAX_WRITERS,
@@ -258,15 +262,30 @@
 
 
 # Guards against a request that goes before others because it names an event, although
-# nobody knows a stream that it goes on with.
+# nobody remembers a stream that it goes on with.
 @pytest.mark.parametrize(
-    "last_event_id, version, is_first",
-    [(0, "", False), (0, "v1", False), (7, "", False), (7, "v1", True)],
+    "resumes, is_resumable, is_first",
+    [("", True, False), ("other", True, False), ("s", False, False), ("s", True, True)],
 )
-def test_only_known_streams_that_are_taken_up_go_first(
-    last_event_id, version, is_first
+def test_only_remembered_streams_that_are_taken_up_go_first(
+    resumes, is_resumable, is_first
 ):
+    versions = VersionHistory({("llm", "v1"): 0.0}, 0.0, 0.0, {"llm": ("v1",)}, True)
+    instances = types.SimpleNamespace(versions=versions)
+    relay = types.SimpleNamespace(
+        fleet=types.SimpleNamespace(instances=instances),
+        metrics=ServeMetrics(),
+        origins=OriginExchange(),
+    )
+    versions.observed_at = versions.complete_since = time.monotonic()
+    relay.origins.origins.record(
+        StreamOrigin(origin_key("llm", "s"), "v1"), time.monotonic()
+    )
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
-    request.last_event_id = last_event_id
-    stream_version = StreamVersion(None, request, ROUTE, "llm", False, version)
-    assert stream_version.ranked_route().is_taken_up is is_first
+    request.last_event_id, request.resumes = 7, resumes
+    route = attrs.evolve(ROUTE, priority=7, resumable=is_resumable)
+    version = StreamVersion(relay, request, route, "llm", False)
+    asyncio.run(version.find())
+    assert version.fixed == "v1"
+    assert version.ranked_route().is_taken_up is is_first
+    assert (version.ranked_route().urgency == 0) is is_first
