The soak finds VMs that leave requests without an answer

Cause: a request without an answer had status 0, which no check read; requests served at the other VMs counted as recovery; and clients opened few connections at once, so the fault was rare.

Change: another client sends bursts of 24 streams, at engines that state their start. A request without an answer or an end at a daemon that was neither paused nor restarted is a violation, as its client waits for twice the deadline that it states; so are a daemon that ends by itself and a run in which nothing is served. --no-faults runs it without faults.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,15 +10,17 @@
 runs it and is sent repeatedly, and so do two parts of prompts, in requests of which no
 two are alike; a crashed instance restarts under its id at any software version, and the
 store shows it late. Clients reuse open connections until these are closed,
-and take streams up that were cut or that they left. The faults
-follow the seed, but the timing of what they hit differs a little from run to run: a
-seed that failed once is to be run several times.
+and take streams up that were cut or that they left; another one sends bursts of
+streams. The faults follow the seed, but the timing of what they hit differs a little
+from run to run: a seed that failed once is to be run several times.
 
 Run ``python tests/soak.py --seed 7 --seconds 60 --daemons 4``. It prints the violated
-guarantees, if any, and keeps the logs of that run.
+guarantees, if any, and keeps the logs of that run. With ``--no-faults`` there are none
+of the faults above.
 """
 
 import collections
+import concurrent.futures
 import http.client
 import itertools
 import json
@@ -76,6 +78,12 @@
 #: Time in which requests must be served again once all faults are over.
 RECOVERY_TIMEOUT_SECONDS = 20.0
 CLIENT_COUNT = 6
+#: Streams that one client begins at once, each on a connection of its own, and the
+#: range of the random interval between two such bursts.
+BURST_STREAMS = 24
+BURST_INTERVAL_SECONDS = (0.5, 1.5)
+#: Exit statuses of the daemons that the soak stops or kills.
+STOPPED_STATUSES = (0, -signal.SIGKILL, -signal.SIGTERM)
 #: Software versions of the engines, and seconds between two events of their streams.
 VERSIONS = ("v1", "v1.1", "v2")
 EVENT_INTERVAL_SECONDS = 0.05
@@ -127,6 +135,8 @@
     :param origin: id of the request that began the stream, ``after_event`` the last
         event that its client had when it sent this request.
     :param parts: the parts of its prompt, empty for those of all requests.
+    :param timed_out_at: when the client gave up, as nothing came any more, monotonic
+        seconds, 0 if it didn't.
     """
 
     id: str
@@ -143,6 +153,7 @@
     origin: str = ""
     after_event: int = 0
     parts: str = ""
+    timed_out_at: float = 0.0
 
 
 @attrs.define
@@ -156,6 +167,7 @@
     :param disturbances: (name, start, end) of each daemon that was paused or restarted,
         of each address whose connections were disturbed and of each link that was cut,
         monotonic seconds.
+    :param ended: (name, exit status) of each daemon that ended by itself.
     :param finished: set when the clients are to stop.
     """
 
@@ -169,6 +181,7 @@
     fault_timers: list = attrs.field(factory=list)
     replaced: list = attrs.field(factory=list)
     disturbances: list = attrs.field(factory=list)
+    ended: list = attrs.field(factory=list)
     version: int = 3
     instance_count: int = 0
     finished: threading.Event = attrs.field(factory=threading.Event)
@@ -331,7 +344,8 @@
         how = self.random.choice((signal.SIGKILL, signal.SIGTERM))
         process.send_signal(signal.SIGCONT)
         process.send_signal(how)
-        process.wait()
+        if process.wait() not in STOPPED_STATUSES:
+            self.ended.append((name, process.returncode))
         self.fleet.start(name)
         self._record_disturbance(name, 0.0)
         return f"{name} {how.name} and restart"
@@ -369,22 +383,28 @@
             for name, begin, until in self.disturbances
         )
 
-    def run(self, seconds):
+    def run(self, seconds, faults=True):
         """Inject faults for ``seconds``, then check the guarantees.
 
         Waits until the faults are over and requests are served again.
 
+        :param faults: False for a run of the same length without faults.
         :returns: the violated guarantees, one line each.
         """
         clients = [
             threading.Thread(target=self._run_client, args=(number,), daemon=True)
             for number in range(CLIENT_COUNT)
         ]
-        clients.append(threading.Thread(target=self._run_crasher, daemon=True))
+        clients.append(threading.Thread(target=self._run_bursts, daemon=True))
+        if faults:
+            clients.append(threading.Thread(target=self._run_crasher, daemon=True))
         for client in clients:
             client.start()
-        self._inject_faults(seconds)
-        self._end_faults()
+        if faults:
+            self._inject_faults(seconds)
+            self._end_faults()
+        else:
+            time.sleep(seconds)
         recovered = self._wait_for_recovery()
         self.finished.set()
         for client in clients:
@@ -486,6 +506,26 @@
             for request_id in engine.arrived_ids
         )
 
+    def _run_bursts(self):
+        """Send bursts of streams, each burst to any daemon."""
+        rng, number = random.Random(f"{self.seed}/bursts"), 0
+        while not self.finished.wait(rng.uniform(*BURST_INTERVAL_SECONDS)):
+            number += 1
+            name = f"entry-{rng.randrange(self.daemons)}"
+            ids = [f"b{number}-{place}" for place in range(BURST_STREAMS)]
+            self._send_burst(name, ids)
+
+    def _send_burst(self, name, ids):
+        """Send one stream for each id at once; return when all have ended."""
+        outcomes = [
+            Outcome(i, RESUMABLE_PATH, f"prompt {i}".encode(), daemon=name) for i in ids
+        ]
+        with concurrent.futures.ThreadPoolExecutor(len(ids)) as pool:
+            for outcome in outcomes:
+                connection = self.fleet.connect(name)
+                connection.timeout = CLIENT_TIMEOUT_SECONDS
+                pool.submit(self._try_exchange, connection, outcome, "100,10")
+
     def _run_client(self, number):
         """Send requests one after the other, reusing the connection while open."""
         rng = random.Random(f"{self.seed}/{number}")
@@ -531,6 +571,8 @@
             return self._exchange(connection, outcome, tokens)
         except Exception as error:  # http.client raises undocumented exceptions
             outcome.body = getattr(error, "partial", repr(error).encode())
+            if isinstance(error, TimeoutError):
+                outcome.timed_out_at = time.monotonic()
             return True
         finally:
             self.outcomes.append(outcome)
@@ -588,6 +630,7 @@
         violations += [
             f"UNASKED: {request} ran, but no client sent it" for request in runs
         ]
+        violations += self._lost_violations()
         violations += self._drain_violations()
         violations += self._pause_violations()
         violations += self._order_violations()
@@ -605,6 +648,24 @@
             if request_id in outcomes
         ]
 
+    def _lost_violations(self):
+        """Yield the requests that a daemon left without an answer or an end.
+
+        Each states a deadline, and its client waits for at least twice that time.
+        """
+        for outcome in self.outcomes:
+            at = outcome.timed_out_at
+            if at and not self._is_disturbed({outcome.daemon}, outcome.sent_at, at):
+                what = "end" if outcome.status else "answer"
+                yield f"LOST: {outcome.id} got no {what} from {outcome.daemon}"
+        for name, process in self.fleet.daemons.items():
+            if process.poll() is not None:
+                self.ended.append((name, process.returncode))
+        for name, status in self.ended:
+            yield f"LOST: {name} ended by itself with exit status {status}"
+        if not self._count_served_since(0):
+            yield "LOST: no request was served"
+
     def _drain_violations(self):
         told_at = {}
         for outcome in self.outcomes:
@@ -711,11 +772,11 @@
     return violations
 
 
-def run_soak(directory, seed, seconds, daemons):
+def run_soak(directory, seed, seconds, daemons, faults=True):
     """Run one seed; return (violations, outcomes)."""
     soak = Soak.from_seed(directory, seed, daemons)
     try:
-        return soak.run(seconds), soak.outcomes
+        return soak.run(seconds, faults), soak.outcomes
     finally:
         for process in soak.fleet.daemons.values():
             if process.poll() is None:
@@ -725,16 +786,19 @@
         soak.fleet.stop()
 
 
-def main(*, seed: int = 0, seconds: float = 30.0, daemons: int = 3):
+def main(
+    *, seed: int = 0, seconds: float = 30.0, daemons: int = 3, faults: bool = True
+):
     """Run one seed and print the violated guarantees.
 
     :param seed: decides the faults; 0 takes a random one.
     :param seconds: for how long faults are injected.
     :param daemons: entry VMs, one process each.
+    :param faults: whether there are faults.
     """
     seed = seed or random.randrange(1, 10**9)
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    violations, outcomes = run_soak(directory, seed, seconds, daemons)
+    violations, outcomes = run_soak(directory, seed, seconds, daemons, faults)
     counts = collections.Counter((o.status, o.complete) for o in outcomes)
     resumed = collections.Counter(
         (o.status, o.complete) for o in outcomes if o.after_event
