A process that starts ignores SIGHUP until it can reload its settings

Cause: the default action of SIGHUP ends a process, and the handler is set once the event loop runs, some tenths of a second after the start.

Change: the signal is ignored from the first lines of the program on. A change of the settings in that time is read with them.

--- a/src/mulberrydock/cli.py
+++ b/src/mulberrydock/cli.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 
 import defopt
@@ -77,6 +78,8 @@
 
     :param settings: settings file; the platform names it in the environment.
     """
+    # Until the daemon reloads its settings on SIGHUP, it must not end by it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from . import platform
     from .serve import ServeDaemon
     from .serve_settings import load_serve_settings
