Tests read logs of running daemons up to the last whole line

The product was sound; the test read a log of a process that was writing to it.

Cause: PlatformFleet.log() returned whatever the file held. A write to a file becomes visible page by page, so a reader beside it can see the beginning of a line.

Change: log() ends with the last newline. A line that isn't JSON still fails the readers that asked for that before, so no check is weaker; a torn line is read whole by the next call.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -210,8 +210,9 @@
         return any(f'"instance":"{instance}{end}' in log for end in '"@')
 
     def log(self, name="entry-1"):
-        """Return the daemon's log so far."""
-        return (self.directory / f"{name}.log").read_text()
+        """Return the daemon's log so far, without a line that is being written."""
+        text = (self.directory / f"{name}.log").read_text()
+        return text[: text.rfind("\n") + 1]
 
     def log_records(self, event, name="entry-1"):
         """Return the daemon's log records of one event."""
