Runs with different temporary directories share no ports

Cause: a run locks its block of ports by a file in its temporary directory, so two runs with different TMPDIRs may lock the same block. Both then allocate ports that are free at that moment and bound later, and one run's VMs reach the other's store and instances.

Change: a run also binds the first port of its block, which every process of the machine sees. The file lock stays for runs of older checkouts.

--- a/src/mulberrydock/fleet.py
+++ b/src/mulberrydock/fleet.py
@@ -164,25 +164,23 @@
 
     An allocated port is bound only later, by another process; two test runs that used
     the same ports would sometimes allocate the same one, and a daemon of one of them
-    couldn't listen. So each run locks a block of ports by a file lock, which ends
-    with its process.
+    couldn't listen. So each run locks a block of ports: it binds the first one and
+    locks a file. Both locks end with its process.
     """
 
     def __init__(self):
         lowest_ephemeral = int(EPHEMERAL_RANGE.read_text().split()[0])
         blocks = (lowest_ephemeral - MIN_TEST_PORT) // PORTS_PER_BLOCK
         for index in random.sample(range(blocks), blocks):
-            path = pathlib.Path(tempfile.gettempdir(), f"mulberrydock-ports-{index}")
-            self.lock = open(path, "ab")
-            try:
-                fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except BlockingIOError:
-                self.lock.close()
-                continue
             first = MIN_TEST_PORT + index * PORTS_PER_BLOCK
-            # Cyclic, so that the most recently allocated ports are reused last.
-            self.ports = itertools.cycle(range(first, first + PORTS_PER_BLOCK))
-            return
+            self.locks = _lock_port(first), _lock_file(index)
+            if all(self.locks):
+                # Cyclic, so that the most recently allocated ports are reused last.
+                ports = range(first + 1, first + PORTS_PER_BLOCK)
+                self.ports = itertools.cycle(ports)
+                return
+            for lock in filter(None, self.locks):
+                lock.close()
         raise OSError("every block of ports below the ephemeral range is in use")
 
     def allocate(self, count):
@@ -191,7 +189,7 @@
         :raises OSError: when the block has fewer.
         """
         ports = []
-        for port in itertools.islice(self.ports, PORTS_PER_BLOCK):
+        for port in itertools.islice(self.ports, PORTS_PER_BLOCK - 1):
             if _is_free(port):
                 ports.append(port)
             if len(ports) == count:
@@ -199,12 +197,40 @@
         raise OSError("no free ports left in this process's block")
 
 
+def _lock_port(port):
+    """Return a socket bound to a loopback port, None if it is in use.
+
+    Unlike a lock file, it is seen by runs with another temporary directory.
+    """
+    lock = socket.socket()
+    try:
+        lock.bind(("127.0.0.1", port))
+    except OSError:
+        lock.close()
+        return None
+    return lock
+
+
+def _lock_file(index):
+    """Return the open lock file of a block, None if another run has locked it.
+
+    Runs of older checkouts lock nothing else.
+    """
+    path = pathlib.Path(tempfile.gettempdir(), f"mulberrydock-ports-{index}")
+    lock = open(path, "ab")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return None
+    return lock
+
+
 def _is_free(port):
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    lock = _lock_port(port)
+    if lock is None:
+        return False
+    lock.close()
     return True
 
 
--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -1,9 +1,11 @@
 """Port allocation for the local fleets of test runs at the same time."""
 
+import random
 import subprocess
 import sys
+import tempfile
 
-from mulberrydock.fleet import free_ports
+from mulberrydock.fleet import PortBlock, free_ports
 
 #: Approximate number of fleets in one test run, and the ports of each.
 FLEETS = 30
@@ -45,3 +47,17 @@
     """Guards against two processes of a fleet with the same port."""
     ports = free_ports(PORTS)
     assert len(set(ports)) == PORTS
+
+
+# Guards against runs that share their ports, and so reach each other's stores and
+# instances, because their lock files are in different temporary directories.
+def test_runs_with_different_temporary_directories_share_no_port(tmp_path, monkeypatch):
+    monkeypatch.setattr(random, "sample", lambda blocks, count: list(blocks))
+    blocks = []
+    for name in ("one", "other"):
+        directory = tmp_path / name
+        directory.mkdir()
+        monkeypatch.setattr(tempfile, "tempdir", str(directory))
+        blocks.append(PortBlock())
+    first, second = (set(block.allocate(PORTS)) for block in blocks)
+    assert not first & second
