Wait for a silent instance at the end of a response without a length

Callers saw a stream cut after its last event, or 502 or 504 instead of a whole plain response, as the instance fell silent for a second right after it had ended the response by closing the connection.

Such a response counts as whole only if its instance answers a report call, and a VM waited 0.3 s for that. A sound instance may be silent for longer and goes on. Now it has 2 s. A process that has ended is noticed as soon as before: the call is refused or its connection is closed.

--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from .connections import CHECK_TIMEOUT_SECONDS, BufferedResponse, ConnectionPool
+from .connections import BufferedResponse, ConnectionPool
 from .crash_probe import CrashProbe
 from .exceptions import (
     CallRefused,
@@ -26,6 +26,10 @@
 
 #: Seconds for a call that releases an unused KV handle.
 RELEASE_TIMEOUT_SECONDS = 1.0
+#: Seconds for the answer that shows that an instance lives, after a response whose end
+#: nothing marks: a sound one may be silent for a second or so. Clients give a stream up
+#: after 2.4 s without an event.
+ALIVE_TIMEOUT_SECONDS = 2.0
 
 
 class Relay:
@@ -392,7 +396,7 @@
             # It wants no calls.
             return await self.crash_probe.has_crashed(instance) is False
         call = self.wire.report_call(instance.record)
-        response = await self.call(instance, call, CHECK_TIMEOUT_SECONDS)
+        response = await self.call(instance, call, ALIVE_TIMEOUT_SECONDS)
         alive = response is not None and response.status != 421
         if alive and response.status == 200:
             report = self.read_report(instance, response)
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -28,7 +28,8 @@
       or of a stream's event.
     - ``CRASH_BEFORE_ANSWER``: closes the connection before it responds.
     - ``UNFRAMED``: sends a response, also a stream, that has no length and ends with
-      its connection.
+      its connection; after ``UNFRAMED_PAUSE`` the process is silent for
+      :data:`PAUSE_SECONDS`.
     - ``UNFRAMED_CRASH``, ``UNFRAMED_CRASH_AT_ONCE``: the process crashes during such a
       response, between two events or before the first, and closes the connection
       without a reset.
@@ -47,6 +48,7 @@
     CUT_MID_EVENT = "cut-mid-event"
     CRASH_BEFORE_ANSWER = "crash-before-answer"
     UNFRAMED = "unframed"
+    UNFRAMED_PAUSE = "unframed-pause"
     UNFRAMED_CRASH = "unframed-crash"
     UNFRAMED_CRASH_AT_ONCE = "unframed-crash-at-once"
     EXTRA = "extra"
@@ -59,6 +61,7 @@
 #: Faults of responses that end with their connection.
 UNFRAMED_FAULTS = (
     Fault.UNFRAMED,
+    Fault.UNFRAMED_PAUSE,
     Fault.UNFRAMED_CRASH,
     Fault.UNFRAMED_CRASH_AT_ONCE,
 )
@@ -157,6 +160,7 @@
     moves: object = None
     states_leave: bool = True
     leaves_at: float | None = None
+    silent_until: float = 0.0
     version: object = "v1"
     arrived_ids: list = attrs.field(factory=list)
     arrival_times: list = attrs.field(factory=list)
@@ -244,6 +248,8 @@
 
         :param reader: the :class:`_Reader` that received it and sends the response.
         """
+        while time.monotonic() < self.silent_until:
+            await asyncio.sleep(self.silent_until - time.monotonic())
         path = reader.start_line.path
         if reader.headers.get(wire.EXPECT_INSTANCE, self.id) != self.id:
             self.misdirected += 1
@@ -390,9 +396,9 @@
         if fault is Fault.LATE_OTHER:
             reader.raw(_raw_response({wire.ATTEMPT_ID: "other"}, b"someone else's"))
         if fault in UNFRAMED_FAULTS:
-            crashes = fault is not Fault.UNFRAMED
+            crashes = fault not in (Fault.UNFRAMED, Fault.UNFRAMED_PAUSE)
             reader.raw(_raw_head(self._response_headers(run)) + body[crashes * 4 :])
-            self.crash() if crashes else reader.close()
+            self.crash() if crashes else self._end_unframed(reader, fault)
             return
         if fault is Fault.CUT:
             reader.raw(_raw_response(self._response_headers(run), body)[:-4])
@@ -414,6 +420,11 @@
             reader.raw(self._event(run, number))
             run.made = number
             await asyncio.sleep(self.event_interval_seconds)
+        self._end_unframed(reader, fault)
+
+    def _end_unframed(self, reader, fault):
+        if fault is Fault.UNFRAMED_PAUSE:
+            self.silent_until = time.monotonic() + PAUSE_SECONDS
         reader.close()
 
     def _event(self, run, number):
--- a/tests/test_silent_instances.py
+++ b/tests/test_silent_instances.py
@@ -1,7 +1,14 @@
 """An instance falls silent for a moment and goes on, while no other one takes over."""
 
 import pytest
-from platform_fleet import IDEMPOTENT_PATH, RESUMABLE_PATH, PlatformFleet, config
+from platform_fleet import (
+    IDEMPOTENT_PATH,
+    NON_IDEMPOTENT_PATH,
+    RESUMABLE_PATH,
+    STREAM_PATH,
+    PlatformFleet,
+    config,
+)
 
 from mulberrydock.standin.platform_engine import Fault
 
@@ -48,3 +55,17 @@
             engine.faults = faults
     response = fleet.request(prefix, "r", X_Mulberrydock_Token_Counts=tokens)
     assert (response.status, response.complete) == (200, True)
+
+
+# Guards against a whole response without a length that counts as cut, as its instance
+# is silent for a moment right after it.
+@pytest.mark.parametrize(
+    "prefix", [RESUMABLE_PATH, STREAM_PATH, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH]
+)
+def test_end_of_a_response_is_confirmed_after_a_silence(fleet, prefix):
+    faults = [Fault.UNFRAMED_PAUSE, *[Fault.REFUSE] * 9]
+    for engine in fleet.engines.values():
+        if engine.stage != "prefill":
+            engine.faults = faults
+    response = fleet.request(prefix, "r")
+    assert (response.status, response.complete) == (200, True)
