Accept no request later than 3 s after SIGTERM in a grace period of 8 s

A stream that was sent 3.0 to 3.2 s after SIGTERM and lasted for longer than 4.1 s was cut by the stop.

The VM accepted requests for 0.4 of the grace period, 3.2 s of 8, and cuts what isn't complete after 7.3 s. It now accepts them for 0.36 of it, 2.9 s, and refuses later ones with 503, so that clients go to another VM at once.

--- a/src/mulberrydock/stopping/plan.py
+++ b/src/mulberrydock/stopping/plan.py
@@ -4,9 +4,10 @@
 
 import attrs
 
-#: Share of the grace period in which requests are still accepted (3.2 s of the
-#: platform's 8 s): a request accepted later could be cut when the period ends.
-ACCEPT_SHARE = 0.4
+#: Share of the grace period in which requests are still accepted (2.9 s of the
+#: platform's 8 s): one that is sent later than 3 s after the signal must not be cut
+#: when the period ends.
+ACCEPT_SHARE = 0.36
 #: Minimum number of seconds for which later requests are refused before the end: more
 #: may arrive on open connections.
 MIN_REFUSE_SECONDS = 0.5
