Takeovers: an answer ends the takeover before it reaches the client

Callers could get two responses to one plain request, or a stream with two ends, after two takeovers in a row: the first instance's response and the third one's were complete within a few iterations of the event loop.

Cause: an event of the instance that takes over ends the takeover as it is passed on, but a whole response or the end of a stream without a further event didn't. The outer takeover learns of the answer an iteration or two later, and meanwhile took the first instance's response as the better one.

Now the takeover is ended before a response or an end is passed on; if a silent instance has gone on first, that raises and nothing is passed on.

Evidence: the new test has 22 cases of both kinds at nearby moments.

--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -218,7 +218,7 @@
     The headers are those of the first engine that sent an event. ``on_begin`` is called
     without arguments at the first event; ``first_event_at`` is when that was passed on,
     monotonic seconds. ``on_progress`` is called without arguments before the first
-    event of each run is passed on.
+    event of each run is passed on, and before the end.
     """
 
     wire: object
@@ -243,6 +243,7 @@
 
     def finish(self, status, headers):
         """End the response as complete; one without an event begins only now."""
+        self.on_progress()
         if not self.has_started:
             self.sink.begin(status, self.wire.response_headers(headers))
         self.sink.finish()
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -625,5 +625,6 @@
 
     def respond(self, response):
         """Send an instance's whole response to the client."""
+        self._end_takeover()
         headers = self.wire.response_headers(response.headers)
         self.sink.respond(response.status, headers, response.body)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,29 +17,35 @@
 from mulberrydock.platform import PlatformWire, wire
 from mulberrydock.ports import Sink
 from mulberrydock.relay import Relay
-from mulberrydock.request import Prompt, PromptPart, Request, RoutingConfig, ServiceSpec
+from mulberrydock.request import (
+    Kind,
+    Prompt,
+    PromptPart,
+    Request,
+    RoutingConfig,
+    ServiceSpec,
+)
 
 HEAD = {wire.SIGNATURE: "s", "Transfer-Encoding": "chunked"}
 
 
 class RecordingSink(Sink):
     aborted = False
-    finished = False
 
     def __init__(self):
-        self.data = b""
+        self.data, self.responses, self.ends = b"", [], 0
 
     def write(self, chunk):
         self.data += chunk
 
     def respond(self, status, headers, body):
-        pass
+        self.responses.append(status)
 
     def begin(self, status, headers):
         pass
 
     def finish(self):
-        self.finished = True
+        self.ends += 1
 
     def abort(self):
         self.aborted = True
@@ -71,7 +77,14 @@
     listener.on_headers(200, HTTPHeaders(HEAD))
 
 
-def stage(monkeypatch, engines, max_attempts):
+async def respond(listener):
+    head = {wire.SIGNATURE: "s", "Content-Length": "1"}
+    listener.on_headers(200, HTTPHeaders(head))
+    await feed(listener, b"x")
+
+
+def stage(monkeypatch, engines, max_attempts, kind=Kind.STREAMING):
+    monkeypatch.setattr(serving, "PLAIN_RESPONSE_TIMEOUT_SECONDS", 0.1)
     monkeypatch.setattr(serving, "EVENT_GAP_TIMEOUT_SECONDS", 0.1)
     monkeypatch.setattr(serving, "FIRST_EVENT_MARGIN_SECONDS", 0.1)
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
@@ -111,8 +124,10 @@
         now + 8.0,
         Prompt(100, 20, (PromptPart("own", 100),)),
     )
+    if kind is not Kind.STREAMING:
+        request.prompt = Prompt()
     sink = RecordingSink()
-    route = attrs.evolve(ROUTE, max_attempts=max_attempts)
+    route = attrs.evolve(ROUTE, kind=kind, max_attempts=max_attempts)
     return view, serving.RequestLifecycle(relay, request, route, "llm", sink), sink
 
 
@@ -308,3 +323,42 @@
     _, lifecycle, sink = stage(monkeypatch, engines, 2)
     code = asyncio.run(lifecycle.run())
     assert code in (ResultCode.OK, ResultCode.STREAM_CUT)
+
+
+# Guards against a client that gets two responses, or two ends of one, as the first of
+# three instances goes on when the third one's response has just ended.
+@pytest.mark.parametrize("lag", range(-3, 8))
+@pytest.mark.parametrize("kind", [Kind.IDEMPOTENT, Kind.STREAMING])
+def test_client_gets_one_response_when_first_and_third_end_together(
+    monkeypatch, kind, lag
+):
+    third_ends = asyncio.Event()
+
+    async def first(listener, options):
+        if kind is Kind.STREAMING:
+            begun(listener)
+            await feed(listener, b"id: 1\ndata: x\n\n")
+        await third_ends.wait()
+        for _ in range(lag):
+            await asyncio.sleep(0)
+        if kind is not Kind.STREAMING:
+            await respond(listener)
+
+    async def second(listener, options):
+        await asyncio.sleep(10)
+
+    async def third(listener, options):
+        await asyncio.sleep(0.05)
+        third_ends.set()
+        for _ in range(-lag):
+            await asyncio.sleep(0)
+        if kind is Kind.STREAMING:
+            begun(listener)
+        else:
+            await respond(listener)
+
+    engines = Engines(first, second, third)
+    _, lifecycle, sink = stage(monkeypatch, engines, 4, kind)
+    assert asyncio.run(lifecycle.run()) is ResultCode.OK
+    assert len(engines.names) == 3
+    assert sink.responses + [sink.ends] == ([1] if kind is Kind.STREAMING else [200, 0])
