Takeovers: a deadline that passes with the answer ends nothing twice

Callers could get a 504 after a whole response, or a stream that was cut at its end, if the deadline (or the stop of the VM) fell into the one or two iterations of the event loop after an instance that took over had answered.

Cause: the attempt of a takeover answers the client in a task of its own. The request's task is cancelled by the deadline before it learns of that, and answered again.

Now the request notes that it was answered, and isn't ended a second time.

Evidence: the new test lets the deadline pass as the response is written. Both of its cases fail before ([200, 504]; STREAM_CUT after the end), and pass now.

--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -218,7 +218,8 @@
     The headers are those of the first engine that sent an event. ``on_begin`` is called
     without arguments at the first event; ``first_event_at`` is when that was passed on,
     monotonic seconds. ``on_progress`` is called without arguments before the first
-    event of each run is passed on, and before the end.
+    event of each run is passed on, and before the end. ``is_finished`` is True once the
+    response has ended.
     """
 
     wire: object
@@ -227,6 +228,7 @@
     on_begin: t.Callable = lambda: None
     first_event_at: float | None = None
     on_progress: t.Callable = lambda: None
+    is_finished: bool = False
 
     @property
     def has_started(self):
@@ -246,4 +248,5 @@
         self.on_progress()
         if not self.has_started:
             self.sink.begin(status, self.wire.response_headers(headers))
+        self.is_finished = True
         self.sink.finish()
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -65,6 +65,7 @@
     ``takeover`` is the :class:`~mulberrydock.takeover.Takeover` in progress, if any.
     ``served`` is True once an instance has answered with success, ``began_at`` when it
     began to write its answer, None if unknown.
+    ``is_answered`` is True once the client was sent an instance's whole response.
     ``is_stopped`` is True once the stop of this VM ends it before its deadline.
     ``forwards`` counts the attempts through peers, ``refused_by`` names the peers that
     didn't take the request.
@@ -109,6 +110,7 @@
         self.takeover = None
         self.stream.on_progress = self._end_takeover
         self.served = False
+        self.is_answered = False
         self.is_stopped = False
         self.began_at = None
         self.error_response = None
@@ -135,6 +137,9 @@
                     await self.quarantine.claim_trial(time.monotonic())
                 return await self._attempts()
         except TimeoutError:
+            if self.is_answered or self.stream.is_finished:
+                # Another instance has taken over and answered in the same moment.
+                return ResultCode.OK
             return final_response.expire(self)
         finally:
             self.begin.record_plain(self.sends)
@@ -626,5 +631,6 @@
     def respond(self, response):
         """Send an instance's whole response to the client."""
         self._end_takeover()
+        self.is_answered = True
         headers = self.wire.response_headers(response.headers)
         self.sink.respond(response.status, headers, response.body)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -362,3 +362,40 @@
     assert asyncio.run(lifecycle.run()) is ResultCode.OK
     assert len(engines.names) == 3
     assert sink.responses + [sink.ends] == ([1] if kind is Kind.STREAMING else [200, 0])
+
+
+# Guards against a client that gets a second response, or a cut stream, as the deadline
+# passes right after the instance that took over has answered.
+@pytest.mark.parametrize("kind", [Kind.IDEMPOTENT, Kind.STREAMING])
+def test_deadline_passes_as_the_second_has_answered(monkeypatch, kind):
+    async def first(listener, options):
+        if kind is Kind.STREAMING:
+            begun(listener)
+            await feed(listener, b"id: 1\ndata: x\n\n")
+        await asyncio.sleep(10)
+
+    async def second(listener, options):
+        if kind is Kind.STREAMING:
+            begun(listener)
+            await feed(listener, b"id: 2\ndata: x\n\n")
+        else:
+            await respond(listener)
+
+    class LateSink(RecordingSink):
+        def respond(self, status, headers, body):
+            super().respond(status, headers, body)
+            self.pass_deadline()
+
+        def finish(self):
+            super().finish()
+            self.pass_deadline()
+
+        def pass_deadline(self):
+            if not lifecycle.time_limit.expired():
+                lifecycle.time_limit.reschedule(asyncio.get_running_loop().time())
+
+    _, lifecycle, sink = stage(monkeypatch, Engines(first, second), 3, kind)
+    lifecycle.sink = lifecycle.stream.sink = sink = LateSink()
+    assert asyncio.run(lifecycle.run()) is ResultCode.OK
+    assert not sink.aborted
+    assert sink.responses + [sink.ends] == ([1] if kind is Kind.STREAMING else [200, 0])
