Stream records: the keys of a record are read once

A VM that starts refused records of many streams ("origin record refused"), and with them every stream in them that a client took up.

Cause: decoding accessed the field of the keys once for each stream. Each access counts the whole field against the reader's traversal limit of 64 MiB, which some 2300 streams of one version exceed; the time is quadratic as well.

Now the field is read once for each version.

Evidence: the new test with 20000 streams fails before (KjException, exceeded message traversal limit) and passes now.

--- a/src/mulberrydock/origin_records.py
+++ b/src/mulberrydock/origin_records.py
@@ -77,9 +77,11 @@
     """
     record, origins = records.decode(records.OriginRecord, text), []
     for row in record.origins:
-        for start in range(0, len(row.keys), FINGERPRINT_BYTES):
-            key = row.keys[start : start + FINGERPRINT_BYTES].hex()
-            origins.append(StreamOrigin(key, row.version))
+        # Each access to a field of the record reads the whole of it.
+        version, keys = row.version, bytes(row.keys)
+        for start in range(0, len(keys), FINGERPRINT_BYTES):
+            key = keys[start : start + FINGERPRINT_BYTES].hex()
+            origins.append(StreamOrigin(key, version))
     return origins
 
 
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -24,7 +24,12 @@
     OriginRecords,
 )
 from mulberrydock.request import Request
-from mulberrydock.stream_origins import RETENTION_SECONDS, StreamOrigin, origin_key
+from mulberrydock.stream_origins import (
+    MAX_ORIGINS,
+    RETENTION_SECONDS,
+    StreamOrigin,
+    origin_key,
+)
 from mulberrydock.stream_version import StreamVersion
 from mulberrydock.version_history import MAX_GAP_SECONDS, VersionHistory
 from mulberrydock.version_records import VersionRecords
@@ -193,6 +198,14 @@
     assert (not store.items) is leads
 
 
+# Guards against a record of a busy VM that can't be read, as it is large.
+@pytest.mark.parametrize("count", [1, 2000, MAX_ORIGINS])
+def test_record_of_any_size_can_be_read(count):
+    streams = {stream(number).key: f"v{number % 2}" for number in range(count)}
+    text = origin_records.Segment("origins/x/0", origins=streams).encode()
+    assert {o.key: o.version for o in origin_records.decode(text)} == streams
+
+
 @pytest.mark.parametrize("value", ["", "?", "AAAA", "////"])
 def test_record_that_cannot_be_read_is_ignored(value):
     vm = writer(Store())
