Stream records: a running VM doesn't decode those of the fleet

Beyond 20,000 streams a minute the VM also forgot those that it had been told of, which a client that takes up a stream later is refused for.

Cause: the records are wanted by VMs that start, but changes were applied for as long as a VM ran.

Now a VM reads the records of others in a full read only; peers tell of later streams as before.

Evidence: the new test's running VM fails before (the stream it was told of isn't known), and passes now. test_all_vms_lost.py passes.

--- a/src/mulberrydock/origin_records.py
+++ b/src/mulberrydock/origin_records.py
@@ -100,6 +100,8 @@
     ``waiting`` maps services to (when it began, origin) of the streams that this VM
     began and that may have to be written. ``segments`` are this process's records by
     their place; ``changed_at`` maps the keys of all records to when they changed.
+    ``is_loading`` is True until the store has been read in full: peers tell of later
+    streams, and the records are those of the whole fleet.
     """
 
     name: str
@@ -110,6 +112,7 @@
     waiting: dict = attrs.field(factory=dict)
     segments: dict = attrs.field(factory=dict)
     changed_at: dict = attrs.field(factory=dict)
+    is_loading: bool = True
     expired_at: float = 0.0
 
     def add(self, service, origin, now):
@@ -122,6 +125,11 @@
     def begin_reload(self):
         """Start a full read of the store."""
         self.changed_at.clear()
+        self.is_loading = True
+
+    def finish_reload(self):
+        """End a full read."""
+        self.is_loading = False
 
     def apply(self, key, value, revision):
         """Apply a record, or its removal when ``value`` is None."""
@@ -130,7 +138,7 @@
             self.changed_at.pop(key, None)
             return
         self.changed_at[key] = now
-        if key.startswith(self._prefix):
+        if not self.is_loading or key.startswith(self._prefix):
             return
         try:
             origins = decode(value)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -340,6 +340,7 @@
         self.quarantine.finish_reload(now)
         self.fleet.instances.finish_reload(now)
         self.membership.finish_reload()
+        self.origin_records.finish_reload()
         self.version_records.finish_reload()
 
     def watch_pause(self):
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -206,6 +206,24 @@
     assert {o.key: o.version for o in origin_records.decode(text)} == streams
 
 
+# Guards against a VM that forgets the streams which it was told of, and that works for
+# each stream of a large fleet: it reads the records of others as it starts only.
+@pytest.mark.parametrize("is_running", [True, False])
+def test_running_vm_does_not_read_the_streams_of_the_fleet(is_running):
+    now = time.monotonic()
+    vm, segment = writer(Store()), origin_records.Segment("origins/other/0")
+    vm.begin_reload()
+    if is_running:
+        vm.finish_reload()
+    vm.exchange.origins.record(stream("told"), now)
+    for number in range(MAX_ORIGINS):
+        segment.origins[stream(number).key] = "v1"
+    vm.apply(segment.key, segment.encode(), 1)
+    known = [vm.exchange.origins.get(stream(n).key, now) for n in ("told", 7)]
+    assert known == (["v1", ""] if is_running else ["", "v1"])
+    assert segment.key in vm.changed_at
+
+
 @pytest.mark.parametrize("value", ["", "?", "AAAA", "////"])
 def test_record_that_cannot_be_read_is_ignored(value):
     vm = writer(Store())
