--- a/src/mulberrydock/call_counter.py
+++ b/src/mulberrydock/call_counter.py
@@ -36,10 +36,5 @@
         self.maybe_received += 1
 
     def record_not_sent(self):
-        """Record that the last call wasn't sent.
-
-        :returns: the number of retries reserved from the retry budget for it, which the
-            next attempt may use.
-        """
+        """Record that the last call wasn't sent."""
         self.maybe_received -= 1
-        return int(self.maybe_received > 0)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -165,7 +165,7 @@
     for end in ends:
         lifecycle.sends.record_call()
         if end == "not sent":
-            lifecycle.reserved_retries += lifecycle.sends.record_not_sent()
+            lifecycle.record_not_sent(lifecycle.sends)
     assert lifecycle.reserve_retries(Plan(None), 0.0) is granted
 
 
@@ -183,7 +183,7 @@
     for _ in range(3):
         assert lifecycle.reserve_retries(Plan(None), 0.0)
         lifecycle.sends.record_call()
-        lifecycle.reserved_retries += lifecycle.sends.record_not_sent()
+        lifecycle.record_not_sent(lifecycle.sends)
     assert asked == [1]
 
 
