Takeovers: a silent instance counts as failed once

An instance that was silent for a moment was avoided after that one failure, if the one that took over failed as well.

Cause: its failure is recorded as the other one begins. When that one failed, the error passed through the send to the silent instance, which recorded a failure of the silent one again.

Now that error has a type of its own, and the send records nothing for it.

Evidence: the new test counts failures of three engines: [2, 1, 0] before, [1, 1, 0] now.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -30,7 +30,7 @@
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 from .stream_version import StreamVersion
-from .takeover import TakenOver, Takeover
+from .takeover import SuccessorFailed, TakenOver, Takeover
 
 #: Seconds, beyond the estimated wait, that an engine has for its first event. Clients
 #: give a stream up after 2.4 s without an event, so a second engine must have answered
@@ -545,7 +545,7 @@
         try:
             await run_exchange(exchange, listener, timeouts)
             await self._check_end(target, listener.headers)
-        except StreamMoved:
+        except (StreamMoved, SuccessorFailed):
             self.may_have_run = True
             return False
         except UpstreamError as error:
--- a/src/mulberrydock/takeover.py
+++ b/src/mulberrydock/takeover.py
@@ -23,6 +23,12 @@
         self.code = code
 
 
+class SuccessorFailed(UpstreamError):
+    """The instance that took over has failed; the silent one was given up before."""
+
+    code = ResultCode.STREAM_CUT
+
+
 @attrs.define(eq=False)
 class Takeover:
     """The attempt of ``lifecycle`` to replace one silent instance.
@@ -53,7 +59,7 @@
         """Make the attempt of ``plan``; return if the silent instance goes on alone.
 
         :raises TakenOver: when the request was answered through another one.
-        :raises UpstreamError: STREAM_CUT when that one has begun and failed.
+        :raises SuccessorFailed: when that one has begun and failed.
         """
         lifecycle, started, code = self.lifecycle, time.monotonic(), None
         # The silent instance has the request.
@@ -86,8 +92,8 @@
         if code is not None:
             raise TakenOver(code)
         if self.has_begun:
-            raise UpstreamError(
-                "the instance that took over failed", ResultCode.STREAM_CUT
+            raise SuccessorFailed(
+                f"the instance that replaced {self.instance.id} failed"
             )
 
     async def _race(self, woke):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -399,3 +399,28 @@
     assert asyncio.run(lifecycle.run()) is ResultCode.OK
     assert not sink.aborted
     assert sink.responses + [sink.ends] == ([1] if kind is Kind.STREAMING else [200, 0])
+
+
+# Guards against an engine that is avoided after one silence, as its failure is recorded
+# again when the engine that took over fails.
+def test_silent_engine_counts_as_failed_once_when_its_successor_fails(monkeypatch):
+    async def first(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 1\ndata: x\n\n")
+        await asyncio.sleep(10)
+
+    async def second(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 2\ndata: x\n\n")
+        raise ConnectionCut("cut")
+
+    async def third(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 3\ndata: x\n\n")
+
+    engines = Engines(first, second, third)
+    view, lifecycle, sink = stage(monkeypatch, engines, 3)
+    assert asyncio.run(lifecycle.run()) is ResultCode.OK
+    assert sink.data.count(b"id:") == 3
+    failures = [view.suspicion.health(name).failures for name in engines.names]
+    assert failures == [1, 1, 0]
