--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,29 +17,35 @@
 from mulberrydock.platform import PlatformWire, wire
 from mulberrydock.ports import Sink
 from mulberrydock.relay import Relay
-from mulberrydock.request import Prompt, PromptPart, Request, RoutingConfig, ServiceSpec
+from mulberrydock.request import (
+    Kind,
+    Prompt,
+    PromptPart,
+    Request,
+    RoutingConfig,
+    ServiceSpec,
+)
 
 HEAD = {wire.SIGNATURE: "s", "Transfer-Encoding": "chunked"}
 
 
 class RecordingSink(Sink):
     aborted = False
-    finished = False
 
     def __init__(self):
-        self.data = b""
+        self.data, self.responses, self.ends = b"", [], 0
 
     def write(self, chunk):
         self.data += chunk
 
     def respond(self, status, headers, body):
-        pass
+        self.responses.append(status)
 
     def begin(self, status, headers):
         pass
 
     def finish(self):
-        self.finished = True
+        self.ends += 1
 
     def abort(self):
         self.aborted = True
@@ -71,7 +77,14 @@
     listener.on_headers(200, HTTPHeaders(HEAD))
 
 
-def stage(monkeypatch, engines, max_attempts):
+async def respond(listener):
+    head = {wire.SIGNATURE: "s", "Content-Length": "1"}
+    listener.on_headers(200, HTTPHeaders(head))
+    await feed(listener, b"x")
+
+
+def stage(monkeypatch, engines, max_attempts, kind=Kind.STREAMING):
+    monkeypatch.setattr(serving, "PLAIN_RESPONSE_TIMEOUT_SECONDS", 0.1)
     monkeypatch.setattr(serving, "EVENT_GAP_TIMEOUT_SECONDS", 0.1)
     monkeypatch.setattr(serving, "FIRST_EVENT_MARGIN_SECONDS", 0.1)
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
@@ -111,8 +124,10 @@
         now + 8.0,
         Prompt(100, 20, (PromptPart("own", 100),)),
     )
+    if kind is not Kind.STREAMING:
+        request.prompt = Prompt()
     sink = RecordingSink()
-    route = attrs.evolve(ROUTE, max_attempts=max_attempts)
+    route = attrs.evolve(ROUTE, kind=kind, max_attempts=max_attempts)
     return view, serving.RequestLifecycle(relay, request, route, "llm", sink), sink
 
 
@@ -308,3 +323,104 @@
     _, lifecycle, sink = stage(monkeypatch, engines, 2)
     code = asyncio.run(lifecycle.run())
     assert code in (ResultCode.OK, ResultCode.STREAM_CUT)
+
+
+# Guards against a client that gets two responses, or two ends of one, as the first of
+# three instances goes on when the third one's response has just ended.
+@pytest.mark.parametrize("lag", range(-3, 8))
+@pytest.mark.parametrize("kind", [Kind.IDEMPOTENT, Kind.STREAMING])
+def test_client_gets_one_response_when_first_and_third_end_together(
+    monkeypatch, kind, lag
+):
+    third_ends = asyncio.Event()
+
+    async def first(listener, options):
+        if kind is Kind.STREAMING:
+            begun(listener)
+            await feed(listener, b"id: 1\ndata: x\n\n")
+        await third_ends.wait()
+        for _ in range(lag):
+            await asyncio.sleep(0)
+        if kind is not Kind.STREAMING:
+            await respond(listener)
+
+    async def second(listener, options):
+        await asyncio.sleep(10)
+
+    async def third(listener, options):
+        await asyncio.sleep(0.05)
+        third_ends.set()
+        for _ in range(-lag):
+            await asyncio.sleep(0)
+        if kind is Kind.STREAMING:
+            begun(listener)
+        else:
+            await respond(listener)
+
+    engines = Engines(first, second, third)
+    _, lifecycle, sink = stage(monkeypatch, engines, 4, kind)
+    assert asyncio.run(lifecycle.run()) is ResultCode.OK
+    assert len(engines.names) == 3
+    assert sink.responses + [sink.ends] == ([1] if kind is Kind.STREAMING else [200, 0])
+
+
+# Guards against a client that gets a second response, or a cut stream, as the deadline
+# passes right after the instance that took over has answered.
+@pytest.mark.parametrize("kind", [Kind.IDEMPOTENT, Kind.STREAMING])
+def test_deadline_passes_as_the_second_has_answered(monkeypatch, kind):
+    async def first(listener, options):
+        if kind is Kind.STREAMING:
+            begun(listener)
+            await feed(listener, b"id: 1\ndata: x\n\n")
+        await asyncio.sleep(10)
+
+    async def second(listener, options):
+        if kind is Kind.STREAMING:
+            begun(listener)
+            await feed(listener, b"id: 2\ndata: x\n\n")
+        else:
+            await respond(listener)
+
+    class LateSink(RecordingSink):
+        def respond(self, status, headers, body):
+            super().respond(status, headers, body)
+            self.pass_deadline()
+
+        def finish(self):
+            super().finish()
+            self.pass_deadline()
+
+        def pass_deadline(self):
+            if not lifecycle.time_limit.expired():
+                lifecycle.time_limit.reschedule(asyncio.get_running_loop().time())
+
+    _, lifecycle, sink = stage(monkeypatch, Engines(first, second), 3, kind)
+    lifecycle.sink = lifecycle.stream.sink = sink = LateSink()
+    assert asyncio.run(lifecycle.run()) is ResultCode.OK
+    assert not sink.aborted
+    assert sink.responses + [sink.ends] == ([1] if kind is Kind.STREAMING else [200, 0])
+
+
+# Guards against an engine that is avoided after one silence, as its failure is recorded
+# again when the engine that took over fails.
+def test_silent_engine_counts_as_failed_once_when_its_successor_fails(monkeypatch):
+    async def first(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 1\ndata: x\n\n")
+        await asyncio.sleep(10)
+
+    async def second(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 2\ndata: x\n\n")
+        raise ConnectionCut("cut")
+
+    async def third(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 3\ndata: x\n\n")
+
+    engines = Engines(first, second, third)
+    view, lifecycle, sink = stage(monkeypatch, engines, 3)
+    assert asyncio.run(lifecycle.run()) is ResultCode.OK
+    assert sink.data.count(b"id:") == 3
+    failures = [view.suspicion.health(name).failures for name in engines.names]
+    assert failures == [1, 1, 0]
