Takeovers from a moved stream take attempts of their route

By reading: a stream that had moved with its memory and whose new engine then fell silent could run at more engines than its route's max_attempts allows.

Cause: StreamMove restored the request's counts of sends after a moved send, as that is the same run and takes no attempt. A takeover from the silent engine happens within that send, so its sends were taken back too.

Evidence: the new test. Before, with max_attempts 3, the stream was sent to five engines: the first, the one that it moved to, one that took over, and two more attempts:

FAILED tests/test_takeover.py::test_takeover_from_a_moved_stream_takes_an_attempt[3] AssertionError: assert 5 == (3 + 1)

With max_attempts 2 a moved send has no progress timeout, so there is no takeover; with 4 the pool of the test has no more engines.

Why it works: a moved send is counted by a counter of its own, so nothing has to be taken back, and every other send counts where it is made. The retry budget isn't affected: it was asked for each of these sends before.

--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -6,6 +6,7 @@
 import attrs
 from loguru import logger
 
+from ..call_counter import CallCounter
 from ..connections import ends_with_connection
 from ..exceptions import ConnectionCut, ResultCode, UpstreamError
 from ..request import Kind
@@ -223,17 +224,17 @@
     async def _try_step(self, plan, step, listener, last_event_at):
         after_event = self.splitter.last_id
         self.has_retry = False
-        sends = self.lifecycle.sends
-        counts = sends.maybe_received, sends.rejected
         # The prompt needs no prefill, and its wait says nothing about the estimates.
         plan = attrs.evolve(
             plan, target=step.instance, prefill=None, tokens=0, wait=0.0
         )
+        # The run is the same one, so it takes none of the route's attempts. Another
+        # engine's run that takes over from it takes one.
+        counter = CallCounter(self.lifecycle.sends.made)
+        self.lifecycle.sends.made += 1
         try:
-            return await self.lifecycle.run_stream(plan, listener, step.handle)
+            return await self.lifecycle.run_stream(plan, listener, step.handle, counter)
         finally:
-            # The run is the same one, so it takes none of the route's attempts.
-            sends.maybe_received, sends.rejected = counts
             self._log(step, listener, after_event, last_event_at)
 
     def _may_go_on(self, step, now):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -382,11 +382,10 @@
         timeouts = self.attempt_timeouts(plan.wait)
         in_flight_send = self.fleet.loads.begin(plan.target.id, 0)
         self.begin.expect(self.sends, time.monotonic())
-        if not await self._send(plan, response, in_flight_send, timeouts):
+        if not await self._send(plan, response, in_flight_send, timeouts, self.sends):
             return False
-        return self._deliver_buffered(
-            plan, response, self.wire.read_metadata(response.headers)
-        )
+        metadata = self.wire.read_metadata(response.headers)
+        return self._deliver_buffered(plan, response, metadata, self.sends)
 
     async def _attempt_stream(self, plan):
         """Run a streamed request once; return whether the client was answered."""
@@ -416,10 +415,11 @@
                 self.relay.release_handle(prefill, handle)
         return await self.move.go_on(plan)
 
-    async def run_stream(self, plan, listener, handle):
+    async def run_stream(self, plan, listener, handle, counter=None):
         """Send a streamed request once; return whether the client was answered.
 
         :param handle: that of the KV cache to go on from, None without one.
+        :param counter: the :class:`CallCounter` that counts it, None for :attr:`sends`.
         """
         tokens = plan.tokens if handle is None else 0
         urgency = self.route.urgency
@@ -428,14 +428,18 @@
         estimates = self.fleet.estimates.pool(self.service)
         estimates.demand.record(Demand(decode_engine_work=tokens), time.monotonic())
         timeouts = self.attempt_timeouts(plan.wait)
-        complete = await self._send(plan, listener, in_flight_send, timeouts, handle)
+        counter = counter or self.sends
+        complete = await self._send(
+            plan, listener, in_flight_send, timeouts, counter, handle
+        )
         if complete and listener.is_signed_stream:
             self.fleet.estimates.record_prefill(plan.target.id, self.request.prompt)
             self._record_stream(plan, time.monotonic())
             self.served, self.began_at = True, listener.first_progress_at
             self.stream.finish(listener.status, listener.headers)
             return True
-        return complete and self._deliver_buffered(plan, listener, listener.metadata)
+        metadata = listener.metadata
+        return complete and self._deliver_buffered(plan, listener, metadata, counter)
 
     def _record_stream(self, plan, now):
         """Record a complete stream in the service's estimates and metrics."""
@@ -452,12 +456,14 @@
             ratio = (self.stream.first_event_at - self.planned_at) / plan.wait
             metrics.wait_ratio.labels(self.service).observe(ratio)
 
-    def _deliver_buffered(self, plan, response, metadata):
+    def _deliver_buffered(self, plan, response, metadata, counter):
         """Pass an instance's response on unless another attempt may do better.
 
+        :param counter: the :class:`CallCounter` of the send.
         :returns: True when it went to the client.
         """
-        recorded = self._record_response(plan.target, metadata, response.status)
+        status = response.status
+        recorded = self._record_response(plan.target, metadata, status, counter)
         return recorded and self.pass_on(response)
 
     def pass_on(self, response):
@@ -474,19 +480,20 @@
         self.respond(response)
         return True
 
-    def _record_response(self, instance, metadata, status):
+    def _record_response(self, instance, metadata, status, counter):
         """Record what a response shows of its instance.
 
+        :param counter: the :class:`CallCounter` of the send.
         :returns: False when the response must not be passed on.
         """
         now = time.monotonic()
         if status == 421:
-            self.sends.rejected += 1
+            counter.rejected += 1
             self.fleet.record_misdirected(instance, metadata.instance, now)
             self.cause = f"{instance.id} is not at its address or in its stage"
             return False
         if metadata.not_executed:
-            self.sends.rejected += 1
+            counter.rejected += 1
             self.fleet.suspicion.record_no_slot(instance.id, now)
             self.cause = f"{instance.id} refused"
             return False
@@ -500,11 +507,16 @@
             self.fleet.suspicion.record_success(instance.id)
         return True
 
-    async def _send(self, plan, listener, in_flight_send, timeouts, handle=None):
-        """Send once to the plan's target; return whether a complete response came."""
+    async def _send(
+        self, plan, listener, in_flight_send, timeouts, counter, handle=None
+    ):
+        """Send once to the plan's target; return whether a complete response came.
+
+        :param counter: the :class:`CallCounter` of the send.
+        """
         target = plan.target
         now = time.monotonic()
-        self.sends.record_call()
+        counter.record_call()
         self.tried.add(target.id)
         self.version.attempted = target.record.stream_version
         options = SendOptions(
@@ -518,7 +530,7 @@
             "send",
             request=self.request.id,
             instance=target.id,
-            attempt=self.sends.made,
+            attempt=counter.made,
             version=target.record.version,
             after_event=options.last_event_id,
             prefilled=handle is not None,
@@ -544,7 +556,7 @@
             self.may_have_run = True
             return False
         except UpstreamError as error:
-            await self._record_failure(target, error, listener)
+            await self._record_failure(target, error, listener, counter)
             return False
         finally:
             in_flight_send.end()
@@ -576,11 +588,11 @@
         if ends_with_connection(headers) and not await self.relay.is_alive(instance):
             raise ConnectionCut(f"{instance.id} may have ended before its response")
 
-    async def _record_failure(self, instance, error, listener):
+    async def _record_failure(self, instance, error, listener, counter):
         """Record a failed send, and find out whether the instance crashed under it."""
         not_sent = error.code == ResultCode.NOT_RUN
         if not_sent:
-            self.record_not_sent(self.sends)
+            self.record_not_sent(counter)
         else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -14,10 +14,19 @@
 from mulberrydock.fleet_view import FleetView
 from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.metrics import ServeMetrics
+from mulberrydock.moves.mover import Leave
+from mulberrydock.moves.stream import Step
 from mulberrydock.platform import PlatformWire, wire
 from mulberrydock.ports import Sink
 from mulberrydock.relay import Relay
-from mulberrydock.request import Prompt, PromptPart, Request, RoutingConfig, ServiceSpec
+from mulberrydock.request import (
+    KvHandle,
+    Prompt,
+    PromptPart,
+    Request,
+    RoutingConfig,
+    ServiceSpec,
+)
 
 HEAD = {wire.SIGNATURE: "s", "Transfer-Encoding": "chunked"}
 
@@ -308,3 +317,40 @@
     _, lifecycle, sink = stage(monkeypatch, engines, 2)
     code = asyncio.run(lifecycle.run())
     assert code in (ResultCode.OK, ResultCode.STREAM_CUT)
+
+
+# Guards against a stream that runs at more engines than its route allows: those that
+# took over from the engine that it had moved to weren't counted.
+@pytest.mark.parametrize("max_attempts", [2, 3, 4])
+def test_takeover_from_a_moved_stream_takes_an_attempt(monkeypatch, max_attempts):
+    async def first(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 1\ndata: x\n\n")
+        move = lifecycle.move
+        destination = next(
+            instance
+            for instance in view.instances.instances.values()
+            if instance.id not in engines.names
+        )
+        move.leave = Leave(move.source, 0.0, 0.0, 0.0)
+        move.record_stop([Step(destination, KvHandle("h:1", "k", 100), move.source)])
+        await asyncio.sleep(10)
+
+    async def moved(listener, options):
+        begun(listener)
+        await feed(listener, b"id: 2\ndata: x\n\n")
+        await asyncio.sleep(0.4)
+        raise ConnectionCut("cut")
+
+    async def cut(listener, options):
+        raise ConnectionCut("cut")
+
+    engines = Engines(first, moved, *[cut] * 8)
+    view, lifecycle, sink = stage(monkeypatch, engines, max_attempts)
+    config = RoutingConfig(
+        1, (), {"llm": ServiceSpec("llm", 100, 1000, moves=True)}, None
+    )
+    view.routes.accept(attrs.evolve(config, version=2))
+    asyncio.run(lifecycle.run())
+    # The move takes no attempt.
+    assert len(engines.names) == max_attempts + 1
