Peers know of accepted prefills of forwarded requests

Cause: the first accepted prefill call is no arrival, but the peer was told only how many prefill calls there were, so it counted this one as an arrival and charged the next call to the retry budget.

Evidence: the new test compares what sender and peer charge for the same plan.

Why it works: the message says whether a prefill was accepted, and the peer counts arrivals from the same numbers as the sender. The field is new and defaults to false, so messages to and from VMs of an older version are counted as before. The other direction, from the peer's outcome back, stays as it was.

--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -40,7 +40,8 @@
     ``reserved_retries`` were granted by the sender's retry budget. ``may_have_run`` is
     True if an instance may have executed the request, ``begun`` if the sender has
     counted its begin. ``version`` is the software version at which its stream goes on,
-    empty while it may begin at any.
+    empty while it may begin at any. ``prefilled`` is True if an engine has accepted one
+    of the prefill calls.
     """
 
     sends: int = 0
@@ -50,6 +51,7 @@
     may_have_run: bool = False
     begun: bool = False
     version: str = ""
+    prefilled: bool = False
 
     @classmethod
     def from_lifecycle(cls, lifecycle):
@@ -67,6 +69,7 @@
             lifecycle.may_have_run,
             begun,
             lifecycle.version.fixed,
+            lifecycle.prefills.accepted > 0,
         )
 
 
@@ -202,6 +205,7 @@
         begun=prior.begun,
         sender=forwarded.sender,
         version=prior.version,
+        prefilled=prior.prefilled,
         resumes=request.resumes,
     ).to_bytes()
 
@@ -241,5 +245,6 @@
             message.mayHaveRun,
             message.begun,
             message.version,
+            message.prefilled,
         )
         return ForwardedRequest(request, message.priority, prior, message.sender)
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -226,4 +226,5 @@
   sender @20 :Text;        # name of the VM that received the request
   version @21 :Text;       # at which the stream goes on, empty while any will do
   resumes @22 :Text;       # the request that began the stream, empty if none is named
+  prefilled @23 :Bool;     # an engine has accepted one of the prefill calls
 }
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -93,7 +93,11 @@
         self.sends = CallCounter(
             self.prior.sends, self.prior.sends, self.prior.rejected
         )
-        self.prefills = CallCounter(self.prior.prefills, self.prior.prefills)
+        self.prefills = CallCounter(
+            self.prior.prefills,
+            self.prior.prefills,
+            accepted=int(self.prior.prefilled),
+        )
         self.reserved_retries = self.prior.reserved_retries
         self.planned_at = request.arrived
         self.tried = set()
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -10,12 +10,14 @@
 from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders
 
+from mulberrydock import forward_messages
 from mulberrydock._serve_model import Timing
 from mulberrydock.admission import RetryBudget
+from mulberrydock.call_counter import CallCounter
 from mulberrydock.exceptions import ConnectionCut, ResultCode, UpstreamError
 from mulberrydock.fleet_view import RETRY_BUDGET_SHARE, FleetView
 from mulberrydock.forward_attempt import ForwardAttempt
-from mulberrydock.forward_messages import ForwardOutcome
+from mulberrydock.forward_messages import ForwardedRequest, ForwardOutcome, PriorCalls
 from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.membership import Membership, Peer
 from mulberrydock.metrics import ServeMetrics
@@ -204,6 +206,45 @@
     assert lifecycle.reserve_retries(Plan(None), 1.0) and asked == [1]
 
 
+# Guards against forwarded requests that are refused a retry which they have: the peer
+# counted the sender's accepted prefill as an arrival.
+@pytest.mark.parametrize(
+    "prefills, accepted, prefill, charged",
+    [
+        (0, 0, None, []),
+        (0, 0, "p1", []),
+        (1, 1, None, []),
+        # The second accepted prefill call is one beyond the first.
+        (1, 1, "p1", [1]),
+        (1, 0, None, [1]),
+        (1, 0, "p1", [2]),
+        (2, 1, None, [1]),
+        (2, 1, "p1", [2]),
+    ],
+)
+def test_peer_counts_the_calls_of_the_sender_as_the_sender_does(
+    prefills, accepted, prefill, charged
+):
+    view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    relay = types.SimpleNamespace(fleet=view, wire=None)
+    request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
+    route = types.SimpleNamespace(timeout=5.0)
+    sender = RequestLifecycle(relay, request, route, "llm", None)
+    sender.prefills = CallCounter(prefills, prefills, accepted=accepted)
+    forwarded = ForwardedRequest(request, 0, PriorCalls.from_lifecycle(sender), "vm-1")
+    message = forward_messages.encode(forwarded, 0.0)
+    prior = forward_messages.decode(message, 0.0).prior
+    asked = []
+    view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
+    for lifecycle in (
+        sender,
+        RequestLifecycle(relay, request, route, "llm", None, prior),
+    ):
+        asked.clear()
+        assert lifecycle.reserve_retries(Plan(None, prefill=prefill), 0.0)
+        assert asked == charged
+
+
 class RefusingEngines:
     """What a prefill call needs of a relay and wire, to engines that refuse it."""
 
