VMs that stop keep their share of the retry budget

What callers saw: with VMs stopped by SIGTERM while engines refused, a service got more retries than the budget allows.

Cause: the budget's floor is divided by the number of VMs, and a VM that announced its leave wasn't counted from then on. It had spent its share, goes on with its requests and starts again a moment later. When all stop together, each counts itself alone and takes the floor of the whole fleet.

By the old count, a VM that sees seven others leave counts 1 of 8, where the new test expects 8; the test can't run on the old code, as it calls the new count.

Why it works: for the budget, a VM counts until the budget's window has passed since its record is gone, so what it has spent has left the window. Connections and duties still use the count of VMs alive.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -56,13 +56,22 @@
     :param limits: the :class:`~mulberrydock.rate_limits.RateLimits` of the
         instances, None for a VM without peers.
     :param regions: the region of each data centre, None if they lie in one.
+    :param recent_vm_count: returns the number of entry VMs that may have spent retries
+        in the budget's window, None for ``vm_count``.
 
     ``configuration_current`` is False while this VM couldn't hear of a new version.
     ``started_at`` is when its process started, -inf if no other one ran before.
     """
 
     def __init__(
-        self, data_centre, timing, vm_count, on_removed, limits=None, regions=None
+        self,
+        data_centre,
+        timing,
+        vm_count,
+        on_removed,
+        limits=None,
+        regions=None,
+        recent_vm_count=None,
     ):
         self.routes = RouteTable()
         self.instances = InstanceRegistry(on_removed)
@@ -77,6 +86,7 @@
         self.estimates = FleetEstimates(self._kv_capacity)
         self.timing = timing
         self.vm_count = vm_count
+        self.recent_vm_count = recent_vm_count or vm_count
         self.retry_budgets = {}
         self.started_at = -math.inf
         self.configuration_current = True
@@ -130,8 +140,8 @@
                 start_share=START_BUDGET_SHARE / RETRY_BUDGET_SHARE,
             )
             self.retry_budgets[service] = budget
-        share = self.timing.retry_budget_floor * RETRY_BUDGET_SHARE / self.vm_count()
-        budget.floor = share
+        floor = self.timing.retry_budget_floor * RETRY_BUDGET_SHARE
+        budget.floor = floor / self.recent_vm_count()
         return budget
 
     def connection_limit(self, instance):
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -51,7 +51,8 @@
 
     ``peers`` maps names to registered entries. ``expired`` holds those whose record
     was removed: the store may have dropped the lease in an outage while the entry
-    is alive.
+    is alive. ``left`` maps the names of VMs that stop or have stopped to until when
+    they count as alive of late: ``recent_seconds`` from the removal of their record.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         peer_address="",
         forward_key=b"",
         renew_seconds=lambda: math.inf,
+        recent_seconds=0.0,
     ):
         self.store = store
         self.entry = entry
@@ -74,6 +76,8 @@
         self.leaving = False
         self.peers = {}
         self.expired = {}
+        self.recent_seconds = recent_seconds
+        self.left = {}
 
     @property
     def key(self):
@@ -88,6 +92,15 @@
         """
         return len({self.entry.name, *self.peers, *self.expired})
 
+    def count_recent_vms(self):
+        """Return the number of entry VMs alive of late, this one included.
+
+        VMs that stop still count: they have spent a part of what all VMs share.
+        """
+        now = time.monotonic()
+        self.left = {name: until for name, until in self.left.items() if until > now}
+        return len({self.entry.name, *self.peers, *self.expired, *self.left})
+
     def _record(self):
         return records.encode(
             records.EntryRecord.new_message(
@@ -172,8 +185,10 @@
             return
         record = records.decode(records.EntryRecord, value)
         self.expired.pop(name, None)
+        self.left.pop(name, None)
         if record.leaving:
             self.peers.pop(name, None)
+            self.left[name] = math.inf
             logger.info("peer leaving", peer=name, revision=revision)
             return
         if name not in self.peers:
@@ -187,11 +202,15 @@
         if peer is not None:
             self.expired[name] = peer
             logger.info("peer record gone", peer=name)
+        if name in self.left:
+            self.left[name] = time.monotonic() + self.recent_seconds
         if name == self.entry.name:
             self.registered = False
 
     def begin_reload(self):
         """Start a full read: entries that it lacks count as expired."""
+        until = time.monotonic() + self.recent_seconds
+        self.left = {name: min(until, end) for name, end in self.left.items()}
         self.expired.update(self.peers)
         self.peers.clear()
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -116,6 +116,7 @@
             f"{settings.ip}:{peer_port}",
             forward_key,
             lambda: self.freshness.renewal_seconds(boot_seconds()),
+            settings.timing.retry_budget_window_seconds,
         )
         self.fleet = FleetView(
             settings.data_centre,
@@ -129,6 +130,7 @@
                 is not None,
             ),
             settings.regions,
+            self.membership.count_recent_vms,
         )
         if not settings.first_start:
             self.fleet.started_at = time.monotonic()
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -290,7 +290,7 @@
             sends=self.sends.maybe_received,
             spent=len(budget.retries),
             bound=round(budget.bound(now), 2),
-            vms=self.fleet.vm_count(),
+            vms=self.fleet.recent_vm_count(),
         )
         return granted
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -139,6 +139,53 @@
     assert membership.count_vms() == 8
 
 
+# Guards against VMs that stop together and each take the share of the whole fleet: none
+# counted the others, which serve their last requests and start again.
+@pytest.mark.parametrize(
+    "leaving, removed, reloads, seconds, counted",
+    [
+        (0, 0, False, 0.0, VMS),
+        (3, 0, False, 0.0, VMS),
+        (VMS - 1, 0, False, 100.0, VMS),
+        (VMS - 1, VMS - 1, False, 9.0, VMS),
+        (VMS - 1, VMS - 1, False, 11.0, 1),
+        (VMS - 1, 0, True, 9.0, VMS),
+    ],
+)
+def test_vms_that_stop_keep_their_share_of_the_budget(
+    monkeypatch, leaving, removed, reloads, seconds, counted
+):
+    now = 100.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    membership = Membership(
+        None, EntryVm("entry-0", "127.0.0.1:1", "dc1"), recent_seconds=10.0
+    )
+    others = [
+        Membership(None, EntryVm(f"entry-{number}", "127.0.0.1:1", "dc1"))
+        for number in range(1, VMS)
+    ]
+    for number, other in enumerate(others):
+        membership.apply(other.key, other._record(), 1)
+        if number < leaving:
+            other.leaving = True
+            membership.apply(other.key, other._record(), 2)
+    for other in others[:removed]:
+        membership.apply(other.key, None, 3)
+    if reloads:
+        membership.begin_reload()
+    now += seconds
+    assert membership.count_recent_vms() == counted
+    view = FleetView(
+        "dc1",
+        TIMING,
+        membership.count_vms,
+        lambda instance: None,
+        recent_vm_count=membership.count_recent_vms,
+    )
+    share = TIMING.retry_budget_floor * RETRY_BUDGET_SHARE / counted
+    assert view.budget("llm").bound(now) == share
+
+
 @pytest.mark.parametrize(
     "ends, granted",
     [
