A directory without a configuration lists no addresses

What callers saw: 44 requests refused with "no configuration yet" within two seconds at one VM of 18, while the other 17 served.

Cause: a VM that starts while the store is silent knows no other VM, so its directory listed only its own address. A client that asked there kept that list, and sent everything to the one VM that couldn't serve it.

The directory answers 503 until the VM has read the store, which is a failure for a client: it asks the next directory, or keeps the list that it has.

The test failed before, at the assertion of (503, no body).

--- a/src/mulberrydock/pages.py
+++ b/src/mulberrydock/pages.py
@@ -29,6 +29,10 @@
 
     def get(self):
         daemon = self.daemon
+        if daemon.fleet.routes.config is None:
+            # It knows no other VM yet either; the client then asks another directory.
+            self.set_status(503)
+            return
         now = time.monotonic()
         data_centre = self.get_query_argument(platform.RESOLVE_DATA_CENTRE, "")
         addresses = daemon.directory.addresses(daemon.draining, now, data_centre)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -564,6 +564,29 @@
         fleet.stop()
 
 
+# Guards against a directory that sends all its clients to a VM that can't serve them.
+def test_directory_without_configuration_lists_no_addresses(tmp_path):
+    """A VM starts while the store fails. It knows neither routes nor other VMs, so its
+    directory answers 503 until it has read them, and clients ask another one.
+    """
+    fleet = PlatformFleet(tmp_path)
+    fleet.store.refusing = True
+    fleet.start()
+    try:
+        wait_until(lambda: fleet.log_records("store lost"))
+        directory = fleet.settings["entry-1"]["directory"]
+        status, body = fleet.get(directory, "/resolve")
+        assert (status, body) == (503, b"")
+        fleet.store.refusing = False
+        fleet.write("op/config", config(1))
+        wait_until(lambda: fleet.is_ready())
+        status, body = fleet.get(directory, "/resolve")
+        assert status == 200
+        assert str(fleet.settings["entry-1"]["front"]).encode() in body
+    finally:
+        fleet.stop()
+
+
 def test_graceful_stop_completes_streams_and_moves_connections(fleet):
     """A VM is stopped while it answers a stream and a client holds an idle connection.
     It is no longer ready nor listed; the stream completes, and a request on the idle
