Stand-ins stop to listen also while another process of the test starts

Cause: in the stand-ins. i10 was to crash under d2-8 (sent at 18.770 s): it took its next version, then its proxy failed to close, so the process went on, under the new version and its old start, and c2-40 got its last event from it. The proxy closes its socket and binds the port again; a child process that has forked and not executed its program holds the socket too, which goes on to listen, so the bind fails ("Address already in use"). entry-1 was being started just then: its settings were written at 16.71 s, and the start was over at 20 s.

Change: sockets are shut down before they are closed, which ends the listening in all processes.

--- a/src/mulberrydock/standin/faultproxy.py
+++ b/src/mulberrydock/standin/faultproxy.py
@@ -19,6 +19,7 @@
 import tornado.web
 
 from .._http import JsonHandler, split_address
+from .listening import ListenerMixin, shut_down
 
 #: Most bytes read from one side at a time.
 CHUNK_BYTES = 65536
@@ -38,7 +39,7 @@
         self.upstream.close()
 
 
-class _Acceptor(tornado.tcpserver.TCPServer):
+class _Acceptor(ListenerMixin, tornado.tcpserver.TCPServer):
     """Accepts the connections of a proxy until it is stopped.
 
     It is used once only: a tornado server that listens again after a stop can't be
@@ -72,9 +73,7 @@
 
     def open(self):
         """Start to accept connections."""
-        if self.reserved is not None:
-            self.reserved.close()
-            self.reserved = None
+        self._free_port()
         host, port = self.listen_address
         self.acceptor = _Acceptor(self)
         self.acceptor.listen(port, address=host)
@@ -90,11 +89,16 @@
         self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.reserved.bind(self.listen_address)
 
+    def _free_port(self):
+        if self.reserved is not None:
+            shut_down(self.reserved)
+            self.reserved.close()
+            self.reserved = None
+
     def release(self):
         """Stop for good: close all connections and release the port."""
         self.acceptor.stop()
-        if self.reserved is not None:
-            self.reserved.close()
+        self._free_port()
         for pipe in list(self.pipes):
             pipe.close()
 
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -16,6 +16,7 @@
 import tornado.httputil
 
 from ..platform import wire
+from .listening import ListenerMixin
 
 
 class Fault(enum.Enum):
@@ -193,7 +194,7 @@
         """
         self.listen_address = self.listen_address or self.address
         host, port = self.listen_address.split(":")
-        self.server = tornado.httpserver.HTTPServer(_ConnectionDelegate(self))
+        self.server = _Server(_ConnectionDelegate(self))
         self.server.listen(int(port), address=host)
         self.server_running = True
 
@@ -520,6 +521,10 @@
         self.connection.stream.close()
 
 
+class _Server(ListenerMixin, tornado.httpserver.HTTPServer):
+    """Serves an engine until it stops or crashes."""
+
+
 class _ConnectionDelegate(tornado.httputil.HTTPServerConnectionDelegate):
     def __init__(self, engine):
         self.engine = engine
