Tests: connections of the crash guard's upstreams end with their event loop

The handlers of tests/test_crash_guard.py didn't end their connections when asyncio.run cancelled them: four warnings of StreamWriter.__del__ in a run of tests/test_[a-h]*.py on, none in test_crash_guard.py now.

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -46,6 +46,12 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
+        try:
+            await self._receive(reader)
+        finally:
+            writer.transport.abort()
+
+    async def _receive(self, reader):
         head = await reader.readuntil(b"\r\n\r\n")
         length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
         body = await reader.readexactly(length)
@@ -53,7 +59,6 @@
         if b"crash" in body:
             self.crashes += 1
             self.server.close()
-        writer.transport.abort()
 
     async def restart(self):
         if not self.server.is_serving():
