A VM that has just read of its peers tells and asks them

Callers saw: streams that they took up within 0.2 s of the start of all VMs were refused for good (503, UNKNOWN_VERSION), although the VM that began them lived.

Cause: the peers that a VM knows are read at most every 0.2 s. Before, the first read came with the first stream; the records of streams ask from the start on, when a VM knows nobody. If it read of its peers a moment later, it went on without any: it told nobody of a stream, asked nobody, and took "nobody asked" for a final answer.

Now a VM that knows no peer looks each time, which costs nothing while there is none.

--- a/src/mulberrydock/origin_exchange.py
+++ b/src/mulberrydock/origin_exchange.py
@@ -80,11 +80,16 @@
 
     def names(self, key, now):
         """Yield the names of all VMs, this one included, in the order of ``key``."""
-        read_at = self.peers_read_at
-        if self.groups and (read_at is None or now - read_at >= PEERS_EXPIRY_SECONDS):
+        if self.groups and self._are_peers_due(now):
             self._read_peers(now)
         return self.ring.names(key)
 
+    def _are_peers_due(self, now):
+        # A VM that starts knows no peer at first, and then all of them at once.
+        if not self.peers or self.peers_read_at is None:
+            return True
+        return now - self.peers_read_at >= PEERS_EXPIRY_SECONDS
+
     def is_own(self, name):
         """Return whether ``name`` is this VM's."""
         return name == self.groups.name
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -235,3 +235,19 @@
         history = VersionHistory()
         observe(history, unstated, 0.0, 2 * RETENTION_SECONDS)
     assert history.sole_version("llm", now) == found
+
+
+# Guards against a VM that tells and asks nobody right after its start, as it was asked
+# for its peers once before it had read of them.
+@pytest.mark.parametrize("sizes", SIZES)
+def test_vm_that_has_just_read_of_its_peers_uses_them(sizes):
+    network = Network(sizes)
+    for vm in network.vms.values():
+        peers, vm.groups.peers = vm.groups.peers, {}
+        assert not set(vm.names("key", 0.0)) - {vm.groups.name}
+        vm.groups.peers = peers
+    rows = network.begin()
+    assert network.find(rows) == expected()
+    for name, key in rows:
+        network.dead = {name}
+        assert network.find([(name, key)]) == [expected()[rows.index((name, key))]]
