The check of a response's end reads reports as the check of a connection does

Cause: Relay.is_alive decided by hand what the response to a report call shows of an instance (421, no report, no start, another start), which IncarnationCheck._read and compare_starts do already.

Change: that method is the function read_outcome, and both call it. Behaviour is as before: an instance lives if the outcome is "confirmed" or "unknown".

Measured: the 111 tests of unmarked ends, incarnation checks, connection checks and stage orders pass, unchanged.

--- a/src/mulberrydock/incarnation_check.py
+++ b/src/mulberrydock/incarnation_check.py
@@ -38,6 +38,21 @@
     return CheckOutcome.RESTARTED if stated > known else CheckOutcome.OLDER
 
 
+def read_outcome(relay, instance, response):
+    """Return what the response to a report call shows of the instance.
+
+    :param relay: the :class:`~mulberrydock.relay.Relay` that reads the report.
+    :returns: the :class:`CheckOutcome`, and the start that the instance states, Unix
+        milliseconds or None.
+    """
+    if response.status == 421:
+        return CheckOutcome.MISDIRECTED, None
+    report = relay.read_report(instance, response)
+    if report is None:
+        return CheckOutcome.UNKNOWN, None
+    return compare_starts(instance.record, report), report.started_at_ms
+
+
 @attrs.define
 class IncarnationCheck(ConnectionCheck):
     """The check of ``instance`` for one send of ``request``.
@@ -84,7 +99,7 @@
         return self.task.done() and self.task.result()
 
     def confirms(self, response, now):
-        outcome, started_at_ms = self._read(response)
+        outcome, started_at_ms = read_outcome(self.relay, self.instance, response)
         logger.info(
             "incarnation checked",
             request=self.request.id,
@@ -103,12 +118,3 @@
         elif outcome is CheckOutcome.OLDER:
             fleet.suspicion.record_refusal(self.instance.id, now)
         return outcome is CheckOutcome.CONFIRMED
-
-    def _read(self, response):
-        """Return the :class:`CheckOutcome` and the start that the instance states."""
-        if response.status == 421:
-            return CheckOutcome.MISDIRECTED, None
-        report = self.relay.read_report(self.instance, response)
-        if report is None:
-            return CheckOutcome.UNKNOWN, None
-        return compare_starts(self.instance.record, report), report.started_at_ms
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -16,6 +16,7 @@
     UpstreamError,
 )
 from .forward_messages import ForwardOutcome
+from .incarnation_check import CheckOutcome, read_outcome
 from .link_monitor import LinkMonitor
 from .moves import Mover
 from .origin_exchange import OriginExchange
@@ -397,12 +398,10 @@
             return await self.crash_probe.has_crashed(instance) is False
         call = self.wire.report_call(instance.record)
         response = await self.call(instance, call, ALIVE_TIMEOUT_SECONDS)
-        alive = response is not None and response.status != 421
-        if alive and response.status == 200:
-            report = self.read_report(instance, response)
-            known = instance.record.started_at_ms
-            stated = report.started_at_ms if report is not None else None
-            alive = known is None or stated in (None, known)
+        alive = False
+        if response is not None:
+            outcome, _ = read_outcome(self, instance, response)
+            alive = outcome in (CheckOutcome.CONFIRMED, CheckOutcome.UNKNOWN)
         logger.info("end of a response checked", instance=instance.id, alive=alive)
         return alive
 
