The connection keeps the type of any error of a listener

Callers saw nothing; the VM took an engine whose first event was wrong for one that had cut its connection, and asked whether it had crashed, where that event waited for the check of the engine or for another one to take over.

Cause: two mechanisms for the same end. StreamListener noted its error and raised it, for its check() at the end; the connection's reader (since the bound on responses without an end) noted the error of any listener, but only if on_data raised it at once. A wrong event in an awaited part reached Tornado, which logs it and drops its type, and check() isn't reached, as the exchange has failed with ConnectionCut before.

Change: the reader notes the error in both cases, and the listener's own note is gone.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -194,12 +194,22 @@
         if self.skipped or self.error is not None:
             return None
         try:
-            return self.listener.on_data(chunk)
+            written = self.listener.on_data(chunk)
         except UpstreamError as error:
-            # Tornado would log an exception raised here and lose its type.
-            self.error = error
-            self.stream.close()
+            self._refuse(error)
             return None
+        return self._pass_on(written) if asyncio.iscoroutine(written) else written
+
+    async def _pass_on(self, written):
+        try:
+            await written
+        except UpstreamError as error:
+            self._refuse(error)
+
+    def _refuse(self, error):
+        # Tornado would log an exception raised here and lose its type.
+        self.error = error
+        self.stream.close()
 
     def finish(self):
         if not self.done.done():
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -116,7 +116,6 @@
         self.headers = None
         self.metadata = None
         self.chunks = HeldChunks()
-        self.error = None
         # Drop the part of an event that a previous engine has sent.
         stream.splitter.buffer = bytearray()
 
@@ -179,12 +178,7 @@
 
     def _relay(self, chunk):
         """Pass on the events that ``chunk`` completes."""
-        try:
-            events = self.stream.splitter.feed(chunk)
-        except UpstreamError as error:
-            # Tornado logs an exception raised here and drops its type.
-            self.error = error
-            raise
+        events = self.stream.splitter.feed(chunk)
         return self.pass_on(events) if events else None
 
     def pass_on(self, events):
@@ -197,8 +191,6 @@
         return self.stream.write(self.status, self.headers, events)
 
     def check(self):
-        if self.error is not None:
-            raise self.error
         if not self.is_signed_stream:
             return
         if not self.stream.splitter.clean:
