The daemon says in one place whether it leads

The condition stood three times in serve.py, twice of them new: the records of streams and of versions ask as the quarantine does. Change: one method.

--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -175,13 +175,13 @@
             self.fleet.quarantine,
             store,
             settings.name,
-            lambda: self.lease.valid(boot_seconds()),
+            self._is_leader,
         )
         self.relay.claim_trial = self.quarantine.claim_trial
         self.version_records = VersionRecords(
             self.fleet.instances.versions,
             store,
-            lambda: self.lease.valid(boot_seconds()),
+            self._is_leader,
             settings.first_start,
         )
         self.watch = self._watch()
@@ -217,7 +217,7 @@
             store,
             self.relay.origins,
             self.fleet.instances.versions,
-            lambda: self.lease.valid(boot_seconds()),
+            self._is_leader,
         )
         self.relay.origins.on_begin = self.origin_records.add
         self.relay.origins.on_write = self.origin_records.write
@@ -310,6 +310,9 @@
         self.lease.discard()
         self.watch.invalidate()
 
+    def _is_leader(self):
+        return self.lease.valid(boot_seconds())
+
     def _on_leader(self, key, value, revision):
         self.leader_exists = value is not None
         self.leader = ""
