Moves: a refused call doesn't deny that an earlier one stopped the run

Cause: the call that stops a run isn't answered in time, and the next one is refused. A copy that was answered with 200 raised one though it stops nothing.

Change: a refusal takes back only the doubt that its own call has brought; a 5xx answer takes back none.

The test's case of a 404 after an unanswered stop expected the fault; it now expects the opposite.

--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -338,11 +338,15 @@
         call = self.wire.move_call(
             source.record, stream.request.id, destination.record, last
         )
-        stream.may_have_stopped = stream.may_have_stopped or last
+        stopped_before = stream.may_have_stopped
+        stream.may_have_stopped = stopped_before or last
         response = await self.relay.call(source, call, seconds, is_certain=True)
         stream.unanswered = response is None
         if response is None:
             return NO_ANSWER, None
+        if self._is_refusal(response):
+            # It says nothing about an earlier call that wasn't answered.
+            stream.may_have_stopped = stopped_before
         handle = None
         if response.status in (200, 503):
             handle = self.wire.read_move(source.address, response.body)
@@ -353,11 +357,16 @@
             return "no room", handle if last else None
         # 421: another instance has the address now.
         stream.run_ended = response.status in (404, 421)
-        if response.status != 409:
-            # 409 says that an earlier call, which may stop the run, is in progress.
-            stream.may_have_stopped = response.status == 200
         return f"status {response.status}", None
 
+    def _is_refusal(self, response):
+        """Return whether a response says that its call wasn't carried out.
+
+        An engine may fail with another 5xx status after it has stopped the run.
+        """
+        refused = self.wire.read_metadata(response.headers).not_executed
+        return refused or 400 <= response.status < 500
+
     def release(self, step):
         """Release the memory of a stream that doesn't go on with it."""
         engine = step.instance if step.source.terminated else step.source
--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -48,8 +48,9 @@
     earlier engines. ``leave`` is the :class:`~mulberrydock.moves.mover.Leave` of the
     source, ``call`` the task of the move in progress. ``steps`` are where the stream
     may go on once it has ended there; ``stopped`` says that the source has stopped it,
-    ``may_have_stopped`` that it was told to and hasn't denied it, ``run_ended`` that it
-    knows no such run, ``unanswered`` that it didn't answer the last call. ``attempts``
+    ``may_have_stopped`` that it was told to by a call that it didn't refuse,
+    ``run_ended`` that it knows no such run, ``unanswered`` that it didn't answer the
+    last call. ``attempts``
     counts the moves from this source, ``refused_by`` names the engines that had no
     room. ``has_retry`` is True while the retry budget has granted a send that wasn't
     made yet.
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -91,27 +91,37 @@
 
 
 # Guards against a stream without a length that passes as whole though its engine was
-# told to stop it: the call is still in progress as the next one asks.
+# told to stop it: a later call is refused, which says nothing about the earlier one.
 @pytest.mark.parametrize(
     "calls, may_have_stopped",
     [
         ([(False, 409)], False),
+        ([(False, 200)], False),
         ([(True, None)], True),
-        ([(True, None), (True, 409)], True),
-        ([(True, None), (True, 404)], False),
         ([(True, 200)], True),
+        ([(True, 500)], True),
         ([(True, 503)], True),
-        ([(True, 421)], False),
+        ([(True, "503 not executed")], False),
+        *[([(True, status)], False) for status in (400, 404, 409, 421, 429)],
+        *[([(True, None), (True, status)], True) for status in (400, 404, 409, 421)],
+        *[([(True, None), (True, status)], True) for status in (429, 500, 503)],
+        ([(True, None), (True, "503 not executed")], True),
+        ([(True, None), (False, 404)], True),
     ],
 )
 def test_stream_may_have_stopped_until_its_engine_denies_it(calls, may_have_stopped):
     mover = make_mover()
     stream = make_stream(mover)
     mover.wire = types.SimpleNamespace(
-        move_call=lambda *args: None, read_move=lambda address, body: "handle"
+        move_call=lambda *args: None,
+        read_move=lambda address, body: None,
+        read_metadata=lambda headers: types.SimpleNamespace(not_executed=bool(headers)),
     )
     for last, status in calls:
-        answer = status and types.SimpleNamespace(status=status, body=b"")
+        refused = status == "503 not executed"
+        answer = status and types.SimpleNamespace(
+            status=503 if refused else status, headers=refused, body=b""
+        )
 
         async def call(*args, **options):
             return answer
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -82,6 +82,20 @@
         assert_whole(stream, source)
 
 
+# Guards against a stopped stream that passes as complete, as its engine knows of no run
+# any more: the call that stopped it wasn't answered.
+@BOTH_PATHS
+@on_loop
+async def test_stream_without_framing_is_not_whole_after_an_unanswered_stop(path):
+    async with started_fleet() as fleet:
+        for name in DECODERS:
+            fleet.engines[name].faults = [Fault.UNFRAMED]
+        faults = [MoveFault.LOSE, MoveFault.ENDED]
+        stream, source = await begin_and_leave(fleet, path, faults)
+        await stream.end()
+        assert stream.sink.ids == ALL or not stream.sink.complete
+
+
 # Guards against a stream that stands still for the whole transfer of a long prompt.
 @on_loop
 async def test_stream_runs_on_during_a_long_transfer():
