The watchdog needs no timer of processor time

Callers saw: nothing yet.

Cause: the watchdog relied on the kernel's timer of processor time, and the VM went on without one.

Change: a thread compares the event loop's count of turns once a second. It ends the process after 15 checks and 5 s of processor time without a turn. The checks are for systems whose clock of processor time also counts waiting, as the users' platform does.

Evidence: the program of test_blocked_process_ends_without_a_timer with the watchdog before was still running after 10 s (ended by hand); now it ends with status 70. That test replaces test_process_starts_without_a_timer: a process without the timer must now also end when blocked.

--- a/tests/test_watchdog.py
+++ b/tests/test_watchdog.py
@@ -1,6 +1,5 @@
 """A process whose event loop no longer turns is ended, a paused one isn't."""
 
-import asyncio
 import json
 import signal
 import subprocess
@@ -9,9 +8,20 @@
 
 import pytest
 
-from mulberrydock.watchdog import EXIT_BLOCKED, Watchdog
+from mulberrydock.watchdog import EXIT_BLOCKED, MAX_MISSED_CHECKS, Watchdog
 
 MAX_SECONDS = 1.0
+INTERVAL_SECONDS = 0.05
+NO_TIMER = """
+import signal
+
+
+def refuse(which, seconds):
+    raise signal.ItimerError(22, "Invalid argument")
+
+
+signal.setitimer = refuse
+"""
 PROGRAM = """
 import asyncio
 import sys
@@ -38,7 +48,7 @@
 
 
 async def main():
-    Watchdog({max_seconds}).start()
+    Watchdog({max_seconds}, {interval}).start()
     print("started", flush=True)
     await {function}()
     print("ended", flush=True)
@@ -48,8 +58,10 @@
 """
 
 
-def start(function):
-    program = PROGRAM.format(function=function, max_seconds=MAX_SECONDS)
+def start(function, preamble=""):
+    program = preamble + PROGRAM.format(
+        function=function, max_seconds=MAX_SECONDS, interval=INTERVAL_SECONDS
+    )
     process = subprocess.Popen(
         [sys.executable, "-c", program], stdout=subprocess.PIPE, text=True
     )
@@ -68,17 +80,37 @@
     assert any("in spin" in line for line in row["stack"])
 
 
-# Guards against a VM that doesn't start where the system has no such timer.
-def test_process_starts_without_a_timer(monkeypatch):
-    def refuse(which, seconds):
-        raise signal.ItimerError(22, "Invalid argument")
+# Guards against a VM that nothing ends where the system has no timer of processor time.
+def test_blocked_process_ends_without_a_timer():
+    process = start("spin", NO_TIMER)
+    process.communicate(timeout=60)
+    assert process.returncode == EXIT_BLOCKED
 
-    async def start_and_turn():
-        Watchdog().start()
-        await asyncio.sleep(0)
 
-    monkeypatch.setattr(signal, "setitimer", refuse)
-    asyncio.run(start_and_turn())
+# Guards against a watchdog that ends a sound process: one that was paused or has little
+# of its processor is late, but turns.
+@pytest.mark.parametrize(
+    "turns, seconds, is_blocked",
+    [
+        ([0] * MAX_MISSED_CHECKS, 1.0, True),
+        ([0] * (MAX_MISSED_CHECKS - 1), 9.0, False),
+        ([0] * (MAX_MISSED_CHECKS - 1) + [1] + [0] * 9, 9.0, False),
+        ([0] * MAX_MISSED_CHECKS, 0.05, False),
+        ([0] * 101, 0.05, True),
+    ],
+)
+def test_process_is_blocked_after_many_checks_and_much_processor_time(
+    turns, seconds, is_blocked
+):
+    watchdog, now = Watchdog(5.0), 100.0
+    watchdog.turns = 1
+    assert not watchdog.is_blocked(now)
+    found = []
+    for count in turns:
+        now += seconds
+        watchdog.turns += count
+        found.append(watchdog.is_blocked(now))
+    assert found[-1] is is_blocked and not any(found[:-1])
 
 
 # Guards against a watchdog that ends sound processes: paused by the platform or busy.
