Instance records: a text that can't be sent on is refused where it is read

Callers saw: with one odd entry among those of the engines every VM ended, and ended again when started anew, or closed the connections of requests that it sent there (LOST, own ends).

Cause: an entry's bytes were checked for UTF-8, but an escape in JSON brings lone surrogates after that check, and the id comes from the key, which wasn't checked. The text then failed where it was encoded: the leader's record of versions, datagrams, the header that names an instance.

Change: texts of an entry are printable and short; an id arrives unchanged in any header and has no "@", which separates it from the start; a version that isn't such a value counts as not stated; ports have ASCII digits.

Deep nesting, large numbers and ports out of range held before too.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -26,6 +26,9 @@
 UNCONFIRMED_SECONDS = 5.0
 #: Maximum number of removed instances that are remembered.
 MAX_REMOVED_IDS = 1000
+#: Separates an instance's id, which can't contain it, from its start in the name of an
+#: incarnation.
+INCARNATION_SEPARATOR = "@"
 
 
 class Stage(enum.Enum):
@@ -64,9 +67,9 @@
         An instance may restart under the same id and has then lost its state, so
         everything that is stored about an instance is keyed by its incarnation.
         """
-        return (
-            self.id if self.started_at_ms is None else f"{self.id}@{self.started_at_ms}"
-        )
+        if self.started_at_ms is None:
+            return self.id
+        return f"{self.id}{INCARNATION_SEPARATOR}{self.started_at_ms}"
 
     def is_same_process(self, other):
         """Return whether another record of the same id is about the same process."""
@@ -87,7 +90,7 @@
 
 def id_of(incarnation):
     """Return the id of the instance that an ``InstanceRecord.incarnation`` is of."""
-    return incarnation.partition("@")[0]
+    return incarnation.partition(INCARNATION_SEPARATOR)[0]
 
 
 @attrs.define(eq=False)
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -6,7 +6,7 @@
 
 from ..engine_report import EngineReport, RunReport
 from ..exceptions import SettingsError, UpstreamError
-from ..instances import InstanceRecord, Stage
+from ..instances import INCARNATION_SEPARATOR, InstanceRecord, Stage
 from ..request import Kind, RequestLimits, Route, RoutingConfig, ServiceSpec, Split
 from ..scaling import AutoscaleSpec
 from ..teams import Team
@@ -19,8 +19,9 @@
 
 #: Lower bound of a client's idle timeout: no client abandons a stream earlier.
 MIN_CLIENT_IDLE_TIMEOUT_SECONDS = 2.0
-#: Maximum length of a version: VMs tell each other the versions in datagrams.
-MAX_VERSION_CHARS = 200
+#: Maximum length of a name or a version: VMs tell each other these in datagrams, of
+#: which each has many.
+MAX_TEXT_CHARS = 200
 #: Maximum of a count: larger numbers aren't exact as floating-point numbers, and some
 #: are none.
 MAX_COUNT = 2**53
@@ -164,11 +165,11 @@
     try:
         row = _document(text)
         return InstanceRecord(
-            id=_text(instance_id(key), "id"),
-            service=_text(row["service"], "service"),
+            id=_id(instance_id(key)),
+            service=_short_text(row["service"], "service"),
             address=_address(row["address"]),
             # The platform calls a data centre a zone.
-            data_centre=_text(row["zone"], "zone"),
+            data_centre=_short_text(row["zone"], "zone"),
             slots=_count(row["slots"], "slots"),
             draining=_draining(row["state"]),
             stage=_stage(row.get("stage")),
@@ -223,8 +224,8 @@
 
 
 def _document(text):
-    # The store client decodes bytes that aren't UTF-8 to lone surrogates, which
-    # could otherwise pass as part of a valid name; encoding raises for them.
+    # The store client decodes bytes that aren't UTF-8 to lone surrogates; encoding
+    # raises for them.
     if isinstance(text, str):
         text.encode()
     row = json.loads(text)
@@ -233,9 +234,38 @@
     return row
 
 
+def _is_text(value):
+    """Return whether a value can be sent on in a datagram, a record or a log line.
+
+    Lone surrogates, which no encoding of Unicode has, aren't printable either.
+    """
+    return isinstance(value, str) and value != "" and value.isprintable()
+
+
+def _is_short_text(value):
+    return _is_text(value) and len(value) <= MAX_TEXT_CHARS
+
+
 def _text(value, name):
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{name}: expected a non-empty string, got {value!r:.40}")
+    if not _is_text(value):
+        raise TypeError(f"{name}: expected a printable string, got {value!r:.40}")
+    return value
+
+
+def _short_text(value, name):
+    if not _is_short_text(value):
+        raise TypeError(f"{name}: expected a short string, got {value!r:.40}")
+    return value
+
+
+def _is_header_value(value):
+    """Return whether a value arrives as it was sent in a header of any request."""
+    return _is_short_text(value) and value.isascii() and value == value.strip()
+
+
+def _id(value):
+    if not _is_header_value(value) or INCARNATION_SEPARATOR in value:
+        raise ValueError(f"id: expected ASCII without @, got {value!r:.40}")
     return value
 
 
@@ -255,7 +285,8 @@
 def _address(value):
     host, _, port = _text(value, "address").rpartition(":")
     ipaddress.IPv4Address(host)
-    if not port.isdecimal() or not 0 < int(port) < 65536:
+    # Digits of other scripts are decimal too, but no header has them.
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 65536):
         raise ValueError(f"address: expected IPv4:port, got {value!r:.40}")
     return value
 
@@ -274,8 +305,8 @@
 
 def _version(value):
     """Return the version of an instance's software, empty if it states no valid one."""
-    valid = isinstance(value, str) and len(value) <= MAX_VERSION_CHARS
-    return value if valid else ""
+    # VMs state it to each other in a header.
+    return value if _is_header_value(value) else ""
 
 
 def _started_at_ms(row):
--- a/tests/test_instance_records.py
+++ b/tests/test_instance_records.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 
 import pytest
 from hypothesis import given
@@ -79,17 +80,29 @@
         ("service", 7),
         ("service", ""),
         ("service", ["llm"]),
+        ("service", "ll\ud800m"),
+        ("service", "ll\nm"),
+        ("service", "l" * 100_000),
         ("address", "10.0.0.1"),
         ("address", "somewhere:80"),
         ("address", "10.0.0.1:99999"),
         ("address", "10.0.0.1:-1"),
         ("address", "10.0.0.1:²"),
+        ("address", "10.0.0.1:٨٠٨٠"),
+        ("address", "10.0.0.1:" + "9" * 5000),
+        ("address", "10.0.0.1:8080\r\nX: y"),
         ("address", {"host": "10.0.0.1"}),
         ("zone", 3),
+        ("zone", "dc\udc80"),
+        ("zone", "dc\0"),
+        ("zone", "d" * 100_000),
         ("slots", "64"),
         ("slots", True),
         ("slots", -1),
         ("slots", 1.5),
+        ("slots", 10**400),
+        ("slots", math.inf),
+        ("slots", math.nan),
         ("state", "leaving"),
         ("state", ["ready"]),
         ("stage", "both"),
@@ -110,6 +123,29 @@
         read_instance(KEY, json.dumps(row))
 
 
+# Guards against requests that end as a fault of this VM, as no header can name their
+# instance, and against an id that is taken for another instance's incarnation.
+@pytest.mark.parametrize(
+    "name",
+    [
+        "",
+        " ",
+        "e ",
+        "e\udc80",
+        "e\ud800",
+        "é",
+        "e\n",
+        "e\r\nX: y",
+        "e\0",
+        "e@1",
+        "e" * 201,
+    ],
+)
+def test_record_under_an_invalid_id_is_rejected(name):
+    with pytest.raises(SettingsError):
+        read_instance(f"servers/{name}", json.dumps(GOOD))
+
+
 @pytest.mark.parametrize("field", ["version", "models", "cold_remaining_ms", "new"])
 @pytest.mark.parametrize("value", [None, 7, "x", [], {"a": [1]}])
 def test_unused_fields_of_a_record_are_ignored(field, value):
@@ -128,6 +164,10 @@
         (7, "", "@e1"),
         (["v1"], "", "@e1"),
         ("v" * 100_000, "", "@e1"),
+        ("v\ud800", "", "@e1"),
+        ("v\n1", "", "@e1"),
+        ("v1 ", "", "@e1"),
+        ("é", "", "@e1"),
     ],
 )
 def test_version_of_an_instance(value, version, stream_version):
