A change in the store that can't be applied no longer ends the VM

Callers saw (reported by other operators, for entries of engines): VMs that read the store's list ended again and again, as the odd record was still there when they started anew.

Cause: any error in a handler of a record ended the watch, its task, and so the process. The record of an entry VM wasn't checked at all: one that can't be read, or names a port out of range, ended the VMs that read it or sent it a message.

Change: the daemon logs such a change, counts it and goes on with the others. The record of an entry VM must be of the VM that its key names and have a valid address for datagrams; otherwise it is refused and what was known of that VM stays.

Evidence: on the code before, with the name of the method adapted, test_no_record_ends_a_vm fails (drawn records of all prefixes), as do all six cases of test_record_of_a_peer_is_valid_or_refused and the test of a handler that fails. All pass now.

--- a/src/mulberrydock/_http.py
+++ b/src/mulberrydock/_http.py
@@ -1,5 +1,6 @@
 """Helpers for JSON bodies over tornado's HTTP server and client."""
 
+import ipaddress
 import json
 
 import tornado.httpclient
@@ -14,6 +15,18 @@
     return host, int(port)
 
 
+def check_address(address):
+    """Check that ``address`` is an IPv4 address and a port, as ``host:port``.
+
+    :raises ValueError: when it isn't.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    # Digits of other scripts are decimal too, but no header has them.
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 65536):
+        raise ValueError(f"expected IPv4:port, got {address!r:.40}")
+
+
 def url(address, path):
     """Return ``http://address/path``."""
     return f"http://{address}{path}"
--- a/src/mulberrydock/membership.py
+++ b/src/mulberrydock/membership.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from . import defaults, records
+from ._http import check_address
 from .watch import PrefixWatch
 
 #: Seconds between two checks of this entry's registration.
@@ -34,6 +35,20 @@
     peer_address: str = ""
     forward_key: bytes = attrs.field(default=b"", repr=False)
 
+    @classmethod
+    def from_record(cls, name, record):
+        """Build a peer from the record that the store holds under ``name``.
+
+        :raises ValueError: when it is another VM's, or no datagram can be sent to it.
+        """
+        if record.name != name:
+            raise ValueError(f"record of {record.name!r}")
+        if record.peerAddress:
+            check_address(record.peerAddress)
+        return cls(
+            record.address, record.dataCentre, record.peerAddress, record.forwardKey
+        )
+
 
 class Membership:
     """The registration of this entry, and the registered peers.
@@ -183,7 +198,12 @@
         if value is None:
             self._expire(name)
             return
-        record = records.decode(records.EntryRecord, value)
+        try:
+            record = records.decode(records.EntryRecord, value)
+            peer = Peer.from_record(name, record)
+        except Exception as error:  # capnp and base64 raise their own types
+            logger.warning("peer record refused", key=key, error=repr(error))
+            return
         self.expired.pop(name, None)
         self.left.pop(name, None)
         if record.leaving:
@@ -193,9 +213,7 @@
             return
         if name not in self.peers:
             logger.info("peer seen", peer=name, revision=revision)
-        self.peers[name] = Peer(
-            record.address, record.dataCentre, record.peerAddress, record.forwardKey
-        )
+        self.peers[name] = peer
 
     def _expire(self, name):
         peer = self.peers.pop(name, None)
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -177,6 +177,11 @@
             "Messages to peers that held a value that can't be encoded.",
             registry=self.registry,
         )
+        self.store_changes_failed = prometheus_client.Counter(
+            "mulberrydock_store_changes_failed_total",
+            "Changes in the store that this VM could not apply and left out.",
+            registry=self.registry,
+        )
         self.links_lost = prometheus_client.Gauge(
             "mulberrydock_links_lost",
             "Whether this VM can't connect to any instance of a stage of the service.",
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -1,9 +1,9 @@
 """Decodes the documents that the operator and the instances write to the store."""
 
-import ipaddress
 import json
 import math
 
+from .._http import check_address
 from ..engine_report import EngineReport, RunReport
 from ..exceptions import SettingsError, UpstreamError
 from ..instances import INCARNATION_SEPARATOR, InstanceRecord, Stage
@@ -283,11 +283,7 @@
 
 
 def _address(value):
-    host, _, port = _text(value, "address").rpartition(":")
-    ipaddress.IPv4Address(host)
-    # Digits of other scripts are decimal too, but no header has them.
-    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 65536):
-        raise ValueError(f"address: expected IPv4:port, got {value!r:.40}")
+    check_address(_text(value, "address"))
     return value
 
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -25,7 +25,7 @@
 from .forwarding import Forwarding
 from .front import Front
 from .handover import LeaderHandover
-from .instance_feed import InstanceFeed
+from .instance_feed import MAX_LOGGED_CHARACTERS, InstanceFeed
 from .lease import LeaderLease
 from .membership import Membership
 from .metrics import ServeMetrics
@@ -323,6 +323,23 @@
                 logger.warning("leader record refused", key=key, error=repr(error))
 
     def _on_item(self, key, value, revision):
+        """Apply a change in the store, or leave it out if it can't be applied.
+
+        An error here would end the watch and this process, which would read the same
+        record again when it is started anew.
+        """
+        try:
+            self._apply_change(key, value, revision)
+        except Exception as error:
+            self.metrics.store_changes_failed.inc()
+            logger.opt(exception=True).error(
+                "store change not applied",
+                key=key[:MAX_LOGGED_CHARACTERS],
+                revision=revision,
+                error=repr(error)[:MAX_LOGGED_CHARACTERS],
+            )
+
+    def _apply_change(self, key, value, revision):
         urgency = change_urgency(
             key, value, self.fleet.instances.instances, self.front.has_requests
         )
