A success without a length that ends before its first byte isn't whole

Callers saw (reported by other operators as heads that end early): a 200 with an empty body, framed as whole, as an instance closed its connection right after a head without a length (MIXED).

Cause: the end of such a response is complete if its instance lives, which says nothing of an instance that drops one connection. Streams need an event to be whole; plain responses needed nothing.

Change: a buffered success without a length is cut unless it brought a byte. The request goes on elsewhere if it may be repeated, and ends with 502 otherwise.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -143,6 +143,12 @@
     def on_data(self, chunk):
         self.chunks.append(chunk)
 
+    def check(self):
+        # Such a response can't be told from one that is cut right after its head.
+        is_success = 200 <= self.status < 300 and self.status != 204
+        if is_success and not self.chunks.size and ends_with_connection(self.headers):
+            raise ConnectionCut("response ended before its first byte")
+
     @property
     def body(self):
         """The body bytes received so far."""
