The entry daemon passes no cut response without a length on

Cause: the reader reports the end of such a body and a reset in the same way, and upstream.py didn't look at the socket's error as connections.py does.

Change: a response that ends with its connection is cut if the socket has an error or no byte came.

A plain close in the middle of the body still can't be told from its end there.

--- a/src/mulberrydock/upstream.py
+++ b/src/mulberrydock/upstream.py
@@ -16,7 +16,7 @@
 
 from . import defaults
 from ._http import split_address
-from .connections import MAX_BODY_BYTES
+from .connections import MAX_BODY_BYTES, ends_with_connection
 from .exceptions import (
     ConnectionCut,
     MulberrydockError,
@@ -160,6 +160,17 @@
         if isinstance(delegate.error, UpstreamError):
             raise delegate.error
         raise UpstreamError(f"{address}: {delegate.error}", ResultCode.STREAM_CUT)
-    if not result.finished:
+    if not result.finished or _was_cut(result, stream):
         raise ConnectionCut(f"{address} cut the answer", ResultCode.STREAM_CUT)
     return result
+
+
+def _was_cut(response, stream):
+    """Return whether a response whose end only its connection marks was cut off.
+
+    A close in its middle looks like its end, a reset doesn't; nor does a close before
+    its first byte.
+    """
+    if response.status == 204 or not ends_with_connection(response.headers):
+        return False
+    return stream.error is not None or not response.received
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -18,6 +18,7 @@
 )
 from scripted_server import STARTED_AT_MS, ScriptedServer, Sender, request_id, response
 
+from mulberrydock import upstream
 from mulberrydock.connections import BufferedResponse, ConnectionPool
 from mulberrydock.exceptions import UpstreamError
 from mulberrydock.forward_attempt import ForwardedResponse
@@ -219,3 +220,30 @@
             server.server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against the same at the entry daemon, which has exchanges of its own.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize(
+    "body, resets, is_whole",
+    [
+        (EVENTS, False, True),
+        (b"", False, False),
+        (b"", True, False),
+        (b"i", True, False),
+    ],
+)
+def test_entry_passes_no_cut_response_on(framing, body, resets, is_whole):
+    async def scenario():
+        head, data = whole(framing)
+        server = CuttingServer(head + (data if is_whole else body), resets)
+        address, chunks = await server.start(), []
+        try:
+            await upstream.exchange(address, "GET", "/", {}, b"", chunks.append)
+            return b"".join(chunks)
+        except UpstreamError:
+            return None
+        finally:
+            server.server.close()
+
+    assert asyncio.run(scenario()) == (EVENTS if is_whole else None)
