The retries of a request are one class

serving.py held what a request has called and what its retry budget has granted beside its attempts.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -159,7 +159,7 @@
         """Record that the peer gave no whole response."""
         lifecycle = self.lifecycle
         if error.code == ResultCode.NOT_RUN:
-            lifecycle.record_not_sent(lifecycle.sends)
+            lifecycle.retries.record_not_sent(lifecycle.sends)
         else:
             lifecycle.may_have_run = True
         self._refused(str(error))
@@ -208,12 +208,12 @@
         """Count the calls that the peer made instead of the one to the peer."""
         lifecycle = self.lifecycle
         # This attempt itself is one of the arrivals.
-        was_retry = lifecycle.arrivals > 1
+        was_retry = lifecycle.retries.arrivals > 1
         lifecycle.sends.maybe_received += outcome.sends - 1
         lifecycle.sends.rejected += outcome.rejected
         lifecycle.prefills.maybe_received += outcome.prefills
         if not outcome.sends:
-            lifecycle.reserved_retries += int(was_retry)
+            lifecycle.retries.reserved += int(was_retry)
 
     def _refuse(self, response):
         """Pass a refusal on; it states that the request has not run."""
--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -60,7 +60,7 @@
         :param lifecycle: the :class:`~mulberrydock.serving.RequestLifecycle`.
         """
         begun = lifecycle.begin.hand_over(lifecycle.sends, lifecycle.stream.has_started)
-        reserved, lifecycle.reserved_retries = lifecycle.reserved_retries, 0
+        reserved, lifecycle.retries.reserved = lifecycle.retries.reserved, 0
         return cls(
             lifecycle.sends.maybe_received,
             lifecycle.sends.rejected,
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -12,7 +12,6 @@
 from loguru import logger
 
 from . import final_response
-from .call_counter import CallCounter
 from .connections import BufferedResponse, ends_with_connection
 from .crash_evidence import CRASH_BLAME_SECONDS
 from .demand import Demand
@@ -26,6 +25,7 @@
 from .request import Kind, SendOptions
 from .request_begin import RequestBegin
 from .request_quarantine import RequestQuarantine
+from .request_retries import RequestRetries
 from .request_room import ask_for_room
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
@@ -55,9 +55,8 @@
 class RequestLifecycle:
     """Serves one request; :meth:`run` answers it through ``sink``.
 
-    ``sends`` and ``prefills`` are the :class:`CallCounter` of each kind.
-    ``reserved_retries`` is the number of calls that the retry budget has granted and
-    that were not made yet, ``tried`` the ids of the instances called so far.
+    ``retries`` are its :class:`RequestRetries`, ``tried`` the ids of the instances
+    called so far.
     ``error_response`` is an instance's failure that is passed on if no attempt gives
     better, ``cause`` says why the last attempt failed. ``begin`` is its
     :class:`RequestBegin`, ``quarantine`` its :class:`RequestQuarantine`, ``version``
@@ -91,15 +90,9 @@
         )
         self.is_forwarded = prior is not None
         self.prior = prior or PriorCalls()
-        self.sends = CallCounter(
-            self.prior.sends, self.prior.sends, self.prior.rejected
+        self.retries = RequestRetries.from_prior(
+            self.fleet, request, service, self.prior
         )
-        self.prefills = CallCounter(
-            self.prior.prefills,
-            self.prior.prefills,
-            accepted=int(self.prior.prefilled),
-        )
-        self.reserved_retries = self.prior.reserved_retries
         self.planned_at = request.arrived
         self.tried = set()
         self.forwards = 0
@@ -120,6 +113,16 @@
         self.error_response = None
         self.cause = "no instance serves the route"
 
+    @property
+    def sends(self):
+        """The :class:`~mulberrydock.call_counter.CallCounter` of its sends."""
+        return self.retries.sends
+
+    @property
+    def prefills(self):
+        """That of its prefill calls."""
+        return self.retries.prefills
+
     async def run(self):
         """Answer the request.
 
@@ -207,7 +210,10 @@
             return None
         plan = self._plan(now)
         self.planned_at = now
-        if plan is None or not self.reserve_retries(plan, now):
+        if plan is None:
+            return None
+        if not self.retries.reserve(plan, now):
+            self.cause += "; retry budget spent"
             return None
         return plan
 
@@ -251,68 +257,6 @@
         self.cause = cause or self.cause
         return bool(cause)
 
-    def reserve_retries(self, plan, now):
-        """Reserve the calls of ``plan`` that are retries from the retry budget.
-
-        :returns: False when the budget doesn't allow them.
-        """
-        calls = self._count_retries(plan)
-        reserved = min(calls, self.reserved_retries)
-        calls -= reserved
-        if calls and not self._ask_budget(calls, now):
-            self.cause += "; retry budget spent"
-            return False
-        self.reserved_retries -= reserved
-        return True
-
-    @property
-    def arrivals(self):
-        """The number of calls so far of which all but one count as retries.
-
-        A call that found nobody listening is none: when engines are lost, requests
-        would spend the budget on finding another engine and be refused once they had
-        found it.
-        """
-        return self.sends.arrivals + self.prefills.arrivals
-
-    def _count_retries(self, plan):
-        """Return how many calls of ``plan`` may count as retries."""
-        if plan.prefill is None:
-            return int(self.arrivals > 0)
-        # The first call is no retry. The prefill call is none either if it is the first
-        # one that an engine accepts, but until then nobody knows.
-        return 2 if self.arrivals else int(self.prefills.accepted > 0)
-
-    def _ask_budget(self, calls, now):
-        budget = self.fleet.budget(self.service)
-        granted = budget.allow(now, calls)
-        logger.info(
-            "retry granted" if granted else "retry refused",
-            request=self.request.id,
-            service=self.service,
-            calls=calls,
-            prefills=self.prefills.maybe_received,
-            sends=self.sends.maybe_received,
-            spent=len(budget.retries),
-            bound=round(budget.bound(now), 2),
-            vms=self.fleet.recent_vm_count(),
-        )
-        return granted
-
-    def record_not_sent(self, counter):
-        """Record that the last call of a kind wasn't sent, and keep its retry.
-
-        :param counter: the :class:`CallCounter` of that kind.
-        """
-        counter.record_not_sent()
-        self.reserved_retries += int(self.arrivals > 0)
-
-    def _record_accepted_prefill(self):
-        """Record that an engine accepted the last prefill call, and keep its retry."""
-        self.prefills.accepted += 1
-        if self.prefills.accepted == 1:
-            self.reserved_retries += int(self.arrivals > 0)
-
     def _may_abandon(self):
         """Return whether a silent instance may be abandoned, as another one takes over.
 
@@ -323,7 +267,7 @@
         plan = self._next_plan(now)
         if plan is None:
             return False
-        self.reserved_retries += self._count_retries(plan)
+        self.retries.keep(plan)
         return True
 
     async def _take_over(self, instance, give_up, listener, task):
@@ -428,7 +372,7 @@
         """Send a streamed request once; return whether the client was answered.
 
         :param handle: that of the KV cache to go on from, None without one.
-        :param counter: the :class:`CallCounter` that counts it, None for :attr:`sends`.
+        :param counter: what counts it, None for :attr:`sends`.
         """
         tokens = plan.tokens if handle is None else 0
         urgency = self.route.urgency
@@ -468,7 +412,7 @@
     def _deliver_buffered(self, plan, response, metadata, counter):
         """Pass an instance's response on unless another attempt may do better.
 
-        :param counter: the :class:`CallCounter` of the send.
+        :param counter: what counts the send.
         :returns: True when it went to the client.
         """
         status = response.status
@@ -492,7 +436,7 @@
     def _record_response(self, instance, metadata, status, counter):
         """Record what a response shows of its instance.
 
-        :param counter: the :class:`CallCounter` of the send.
+        :param counter: what counts the send.
         :returns: False when the response must not be passed on.
         """
         now = time.monotonic()
@@ -521,7 +465,7 @@
     ):
         """Send once to the plan's target; return whether a complete response came.
 
-        :param counter: the :class:`CallCounter` of the send.
+        :param counter: what counts the send.
         """
         target = plan.target
         now = time.monotonic()
@@ -601,7 +545,7 @@
         """Record a failed send, and find out whether the instance crashed under it."""
         not_sent = error.code == ResultCode.NOT_RUN
         if not_sent:
-            self.record_not_sent(counter)
+            self.retries.record_not_sent(counter)
         else:
             self.may_have_run = True
         self.cause = f"{instance.id}: {error}"
@@ -637,12 +581,12 @@
             return await call.run(self.seconds_left(time.monotonic()))
         except UpstreamError as error:
             if error.code == ResultCode.NOT_RUN:
-                self.record_not_sent(self.prefills)
+                self.retries.record_not_sent(self.prefills)
             self.cause = f"prefill at {plan.prefill.id}: {error}"
             return None
         finally:
             if call.accepted:
-                self._record_accepted_prefill()
+                self.retries.record_accepted_prefill()
 
     def respond(self, response):
         """Send an instance's whole response to the client."""
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -214,8 +214,8 @@
     for end in ends:
         lifecycle.sends.record_call()
         if end == "not sent":
-            lifecycle.record_not_sent(lifecycle.sends)
-    assert lifecycle.reserve_retries(Plan(None), 0.0) is granted
+            lifecycle.retries.record_not_sent(lifecycle.sends)
+    assert lifecycle.retries.reserve(Plan(None), 0.0) is granted
 
 
 def test_retry_granted_for_a_call_that_was_not_sent_is_reused():
@@ -230,9 +230,9 @@
     view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
     lifecycle.sends.record_call()
     for _ in range(3):
-        assert lifecycle.reserve_retries(Plan(None), 0.0)
+        assert lifecycle.retries.reserve(Plan(None), 0.0)
         lifecycle.sends.record_call()
-        lifecycle.record_not_sent(lifecycle.sends)
+        lifecycle.retries.record_not_sent(lifecycle.sends)
     assert asked == [1]
 
 
@@ -246,11 +246,11 @@
     lifecycle = RequestLifecycle(relay, request, route, "llm", None)
     asked = []
     view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
-    assert lifecycle.reserve_retries(Plan(None), 0.0) and asked == []
+    assert lifecycle.retries.reserve(Plan(None), 0.0) and asked == []
     lifecycle.sends.record_call()
     attempt = ForwardAttempt(lifecycle, types.SimpleNamespace(name="peer"))
     attempt._count_calls(ForwardOutcome(ResultCode.NO_UPSTREAM, 0, 0, 1))
-    assert lifecycle.reserve_retries(Plan(None), 1.0) and asked == [1]
+    assert lifecycle.retries.reserve(Plan(None), 1.0) and asked == [1]
 
 
 # Guards against forwarded requests that are refused a retry which they have: the peer
@@ -277,7 +277,7 @@
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
     route = types.SimpleNamespace(timeout=5.0)
     sender = RequestLifecycle(relay, request, route, "llm", None)
-    sender.prefills = CallCounter(prefills, prefills, accepted=accepted)
+    sender.retries.prefills = CallCounter(prefills, prefills, accepted=accepted)
     forwarded = ForwardedRequest(request, 0, PriorCalls.from_lifecycle(sender), "vm-1")
     message = forward_messages.encode(forwarded, 0.0)
     prior = forward_messages.decode(message, 0.0).prior
@@ -288,7 +288,7 @@
         RequestLifecycle(relay, request, route, "llm", None, prior),
     ):
         asked.clear()
-        assert lifecycle.reserve_retries(Plan(None, prefill=prefill), 0.0)
+        assert lifecycle.retries.reserve(Plan(None, prefill=prefill), 0.0)
         assert asked == charged
 
 
