VMs tell each other of instances whose record was removed

Change: messages to peers hold the removals that their sender has read, or heard of, in the last 1.5 s. A VM that hears of one sends the instance nothing new until it reads the record or its removal itself, for 5 s at most: the record may have been written again.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -221,7 +221,7 @@
 
         :raises CallWithheld: when it leaves or has asked this VM for a pause.
         """
-        if instance.leaving:
+        if instance.is_going:
             raise CallWithheld(f"{instance.id} leaves")
         self.check_call(instance, now)
 
--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -24,6 +24,9 @@
 #: removed instance is unconfirmed. Live instances write their records again; those of
 #: instances that don't are removed after a few heartbeats.
 UNCONFIRMED_SECONDS = 5.0
+#: Seconds for which an instance gets no new work after a peer has read that its record
+#: was removed. Meanwhile this VM reads the store too, or the record is written again.
+REPORTED_REMOVAL_SECONDS = 5.0
 #: Maximum number of removed instances that are remembered.
 MAX_REMOVED_IDS = 1000
 #: Separates an instance's id, which can't contain it, from its start in the name of an
@@ -100,7 +103,8 @@
     ``leaving`` is set when it accepts no new work, ``terminated`` when it has been
     removed from the registry, ``unreadable`` while its record can't be decoded;
     ``expired_at`` is the time (monotonic seconds) since which its record has been
-    missing because of a store outage.
+    missing because of a store outage, ``reported_removed_at`` when a peer said that it
+    was removed.
     """
 
     record: InstanceRecord
@@ -108,6 +112,12 @@
     expired_at: float | None = None
     unreadable: bool = False
     terminated: bool = False
+    reported_removed_at: float | None = None
+
+    @property
+    def is_going(self):
+        """Whether it leaves, or its record was removed, as far as this VM knows."""
+        return self.leaving or self.reported_removed_at is not None
 
     @property
     def id(self):
@@ -188,6 +198,7 @@
         self.versions.record(record.service, record.stream_version, now)
         known.expired_at = None
         known.unreadable = False
+        known.reported_removed_at = None
         if record.draining and self.leave_notices.add(known.id, now):
             logger.info("instance draining", instance=known.id)
         known.leaving = known.leaving or known.id in self.leave_notices
@@ -225,6 +236,37 @@
             )
         ]
 
+    def removal_updates(self, recent_seconds, now):
+        """Return the incarnations whose record was removed in the last seconds.
+
+        Also as peers have reported it: reporters tell it to other data centres.
+        """
+        removed = [
+            incarnation
+            for incarnation, removed_at in self.removed_at.items()
+            if now - removed_at <= recent_seconds
+            and self.get_incarnation(incarnation) is None
+        ]
+        reported = [
+            instance.id
+            for instance in self.instances.values()
+            if instance.reported_removed_at is not None
+            and now - instance.reported_removed_at <= recent_seconds
+        ]
+        return removed + reported
+
+    def mark_removal_reported(self, incarnation, source, now):
+        """Record that a peer has read that an instance's record was removed.
+
+        Other than an announced leave that isn't final: the record may have been written
+        again since.
+        """
+        instance = self.get_incarnation(incarnation)
+        if instance is None or instance.is_going:
+            return
+        instance.reported_removed_at = now
+        logger.info("instance removal reported", instance=incarnation, source=source)
+
     def handle_store_restored(self, now):
         """Handle a store that was restored from an older copy.
 
@@ -349,6 +391,7 @@
     def sweep(self, now):
         """Remove instances whose record is still missing after the grace period."""
         self._apply_unconfirmed(now)
+        self._drop_old_reports(now)
         self.versions.observe(self.instances.values(), now)
         if self.records_incomplete(now):
             return
@@ -357,6 +400,15 @@
                 reason = "record still missing after the outage"
                 self._remove(instance_id, reason, now)
 
+    def _drop_old_reports(self, now):
+        """Forget removals that a peer has reported and this VM hasn't read since."""
+        for instance in self.instances.values():
+            reported_at = instance.reported_removed_at
+            if reported_at is None:
+                continue
+            if now - reported_at > REPORTED_REMOVAL_SECONDS:
+                instance.reported_removed_at = None
+
     def _remove(self, instance_id, reason, now):
         """Remove an instance whose record the store removed; it may register again."""
         self.removed_at.pop(self.instances[instance_id].id, None)
@@ -387,7 +439,7 @@
             i
             for i in self.instances.values()
             if i.record.service == service
-            and not i.leaving
+            and not i.is_going
             and not i.unreadable
             and (stage is None or i.record.stage is stage)
         ]
--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -243,7 +243,7 @@
         returns = step.instance is step.source
         if returns and not self.leave.permits_return(now):
             return False
-        if not returns and step.instance.leaving:
+        if not returns and step.instance.is_going:
             return False
         if self.lifecycle.is_quarantined(now):
             return False
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -96,8 +96,9 @@
     :class:`~mulberrydock.estimates.PoolUpdate`, ``samples`` are
     :class:`~mulberrydock.estimates.PrefillSample`, ``crashes`` are
     :class:`CrashReport`, ``limits`` are :class:`LimitUpdate`,
-    ``leaving_instances`` are incarnations that announced their leave, ``sound_works``
-    are :class:`SoundWork`. ``store`` is the sender's
+    ``leaving_instances`` are incarnations that announced their leave,
+    ``removed_instances`` those whose record was removed of late, ``sound_works`` are
+    :class:`SoundWork`. ``store`` is the sender's
     :class:`~mulberrydock.store_freshness.StoreReport`, None if it has nothing to say.
     """
 
@@ -112,6 +113,7 @@
     leaving_instances: list = attrs.field(factory=list)
     sound_works: list = attrs.field(factory=list)
     store: StoreReport | None = None
+    removed_instances: list = attrs.field(factory=list)
 
 
 @attrs.define(frozen=True)
@@ -203,6 +205,7 @@
         crashes=[report.row for report in update.crashes],
         limits=[limit.row for limit in update.limits],
         leavingInstances=update.leaving_instances,
+        removedInstances=update.removed_instances,
         lostServices=sorted(report.lost_services),
         vmsWithoutLinks=sorted(report.vms_without_links),
         soundWorks=[sound.row for sound in update.sound_works],
@@ -277,4 +280,5 @@
         list(message.leavingInstances),
         [SoundWork.from_row(row) for row in message.soundWorks],
         StoreReport.from_row(message.store) if message._has("store") else None,
+        list(message.removedInstances),
     )
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -215,6 +215,8 @@
             return
         for incarnation in update.leaving_instances:
             self.instances.mark_leaving(incarnation, update.name, now)
+        for incarnation in update.removed_instances:
+            self.instances.mark_removal_reported(incarnation, update.name, now)
 
     def _leave_updates(self, now, number):
         """Return the leaving instances for the message with that number."""
@@ -223,6 +225,12 @@
         everything = number % MESSAGES_PER_POOL_REPORT == 0
         return self.instances.leave_updates(UPDATE_REPEAT_SECONDS, everything, now)
 
+    def _removal_updates(self, now):
+        """Return the instances whose record this VM has seen removed of late."""
+        if self.instances is None:
+            return []
+        return self.instances.removal_updates(UPDATE_REPEAT_SECONDS, now)
+
     def _limit_updates(self, now, number):
         """Return the rate limits for the message with that number."""
         if self.limits is None:
@@ -281,6 +289,7 @@
                 limits=limits,
                 leaving_instances=leaves,
                 store=self._store_report(),
+                removed_instances=self._removal_updates(now),
             )
             return peer_messages.encode(update)
         prefills = self.estimates.cache.take_updates()
@@ -301,6 +310,7 @@
             leaves,
             sound_works,
             self._store_report(),
+            self._removal_updates(now),
         )
         return peer_messages.encode(update)
 
@@ -338,6 +348,7 @@
             pools,
             limits=self._limit_updates(now, self.sum_count),
             leaving_instances=self._leave_updates(now, self.sum_count),
+            removed_instances=self._removal_updates(now),
         )
         return peer_messages.encode(update)
 
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -172,12 +172,13 @@
   crashes @11 :List(CrashNews);   # seen by the sender; repeated as datagrams may be lost
   limits @12 :List(LimitNews);   # changed ones in every message, all of them in some
   usage @13 :UsageNews;    # when set, the message holds nothing else but the name
-  leavingInstances @14 :List(Text);   # incarnations that announced it in a response
+  leavingInstances @14 :List(Text);   # incarnations that announced it to the sender
   lostServices @15 :List(Text);   # services to whose instances the sender has no link
   vmsWithoutLinks @16 :List(Text);   # in a sum: VMs without links to some service
   streamOrigin @17 :StreamOriginNews;   # when set, nothing else but the name
   soundWorks @18 :List(SoundNews);   # suspected by a peer, but served since or before
   store @19 :StoreNews;    # unset when the sender polls for itself only
+  removedInstances @20 :List(Text);   # incarnations whose record was removed of late
 }
 
 struct StoreNews {
--- a/tests/test_leave_notices.py
+++ b/tests/test_leave_notices.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from mulberrydock.fleet_view import FleetView
-from mulberrydock.instances import InstanceRecord, InstanceRegistry, Stage
+from mulberrydock.instances import (
+    REPORTED_REMOVAL_SECONDS,
+    InstanceRecord,
+    InstanceRegistry,
+    Stage,
+)
 from mulberrydock.leave_notices import MAX_NOTICES, LeaveNotices
 from mulberrydock.request import ResponseMetadata
 
@@ -164,6 +169,48 @@
     assert knowing(fleet) == len(fleet.vms)
 
 
+def serving(fleet):
+    """Return the names of the VMs that still send work to the instance."""
+    return [n for n, vm in fleet.vms.items() if vm.link.instances.serving("llm")]
+
+
+# Guards against requests for an engine that leaves unannounced: the other VMs read that
+# its record is removed seconds after the first one.
+@pytest.mark.parametrize(
+    "sizes",
+    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
+    ids=["8 VMs", "195 VMs"],
+)
+def test_no_vm_uses_an_instance_whose_removal_one_has_read(peer_fleet, sizes):
+    fleet = peer_fleet(**sizes)
+    for vm in fleet.vms.values():
+        vm.link.instances.put(RECORD, fleet.now)
+    fleet.run(2.0)
+    assert len(serving(fleet)) == len(fleet.vms)
+    first = next(iter(fleet.vms.values()))
+    first.link.instances.remove(RECORD.id, fleet.now)
+    fleet.run(CONTACT_SECONDS)
+    assert serving(fleet) == []
+
+
+# Guards against an instance that gets no work for good, as a peer has read an older
+# state of the store: its record was written again, or this VM reads no removal.
+@pytest.mark.parametrize("is_written_again", [True, False])
+def test_reported_removal_is_not_final(is_written_again):
+    registry = InstanceRegistry()
+    registry.put(RECORD, 0.0)
+    registry.mark_removal_reported(RECORD.incarnation, "peer", 1.0)
+    assert registry.serving("llm") == []
+    if is_written_again:
+        registry.put(RECORD, 2.0)
+    else:
+        registry.sweep(1.0 + REPORTED_REMOVAL_SECONDS)
+        assert registry.serving("llm") == []
+        registry.sweep(1.1 + REPORTED_REMOVAL_SECONDS)
+    assert len(registry.serving("llm")) == 1
+    assert registry.removal_updates(9.0, 9.0) == []
+
+
 # Guards against messages that grow with every instance that ever left.
 def test_notice_is_not_repeated_once_the_store_shows_it():
     registry = InstanceRegistry()
