--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -50,10 +50,9 @@
     may go on once it has ended there; ``stopped`` says that the source has stopped it,
     ``may_have_stopped`` that it was told to by a call that it didn't refuse,
     ``run_ended`` that it knows no such run, ``unanswered`` that it didn't answer the
-    last call. ``attempts``
-    counts the moves from this source, ``refused_by`` names the engines that had no
-    room. ``has_retry`` is True while the retry budget has granted a send that wasn't
-    made yet.
+    last call. ``attempts`` counts the moves from this source, ``refused_by`` names the
+    engines that had no room. ``has_retry`` is True while the retry budget has granted a
+    send that wasn't made yet.
     """
 
     lifecycle: object
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -330,14 +330,10 @@
         """
         try:
             self._apply_change(key, value, revision)
-        except Exception as error:
+        except Exception:
             self.metrics.store_changes_failed.inc()
-            logger.opt(exception=True).error(
-                "store change not applied",
-                key=key[:MAX_LOGGED_CHARACTERS],
-                revision=revision,
-                error=repr(error)[:MAX_LOGGED_CHARACTERS],
-            )
+            key = key[:MAX_LOGGED_CHARACTERS]
+            logger.exception("store change not applied", key=key, revision=revision)
 
     def _apply_change(self, key, value, revision):
         urgency = change_urgency(
--- a/tests/test_leave_notices.py
+++ b/tests/test_leave_notices.py
@@ -19,6 +19,12 @@
 #: Seconds within which all VMs of a fleet must know of a leave: the shortest contact
 #: time of the platform.
 CONTACT_SECONDS = 3.0
+#: Fleets whose VMs all send to each other, and whose data centres exchange sums.
+SMALL_AND_LARGE = pytest.mark.parametrize(
+    "sizes",
+    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
+    ids=["8 VMs", "195 VMs"],
+)
 EVENTS = {
     "record": lambda registry, now: registry.put(RECORD, now),
     "removal": lambda registry, now: registry.remove("e1", now),
@@ -128,18 +134,20 @@
     assert registry.leave_updates(1.0, False, 3.0) == []
 
 
-# Guards against a leave that only the VM knows which was told, in small fleets and in
-# those whose data centres exchange sums, also when a VM starts later.
-@pytest.mark.parametrize(
-    "sizes",
-    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
-    ids=["8 VMs", "195 VMs"],
-)
-def test_all_vms_learn_of_a_leave(peer_fleet, sizes):
+def start_fleet(peer_fleet, sizes):
+    """Start VMs that all know the instance."""
     fleet = peer_fleet(**sizes)
     for vm in fleet.vms.values():
         vm.link.instances.put(RECORD, fleet.now)
     fleet.run(2.0)
+    return fleet
+
+
+# Guards against a leave that only the VM knows which was told, in small fleets and in
+# those whose data centres exchange sums, also when a VM starts later.
+@SMALL_AND_LARGE
+def test_all_vms_learn_of_a_leave(peer_fleet, sizes):
+    fleet = start_fleet(peer_fleet, sizes)
     first = next(iter(fleet.vms.values()))
     first.link.instances.mark_leaving(RECORD.incarnation, "response", fleet.now)
     fleet.run(CONTACT_SECONDS)
@@ -153,16 +161,9 @@
 
 # Guards against requests for an engine that leaves: the other VMs read its record
 # seconds after the first one, behind large configurations.
-@pytest.mark.parametrize(
-    "sizes",
-    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
-    ids=["8 VMs", "195 VMs"],
-)
+@SMALL_AND_LARGE
 def test_all_vms_learn_of_a_leave_that_one_has_read(peer_fleet, sizes):
-    fleet = peer_fleet(**sizes)
-    for vm in fleet.vms.values():
-        vm.link.instances.put(RECORD, fleet.now)
-    fleet.run(2.0)
+    fleet = start_fleet(peer_fleet, sizes)
     first = next(iter(fleet.vms.values()))
     first.link.instances.put(attrs.evolve(RECORD, draining=True), fleet.now)
     fleet.run(CONTACT_SECONDS)
@@ -176,16 +177,9 @@
 
 # Guards against requests for an engine that leaves unannounced: the other VMs read that
 # its record is removed seconds after the first one.
-@pytest.mark.parametrize(
-    "sizes",
-    [{"dc1": 3, "dc2": 3, "dc3": 2}, {f"dc{n}": 39 for n in range(1, 6)}],
-    ids=["8 VMs", "195 VMs"],
-)
+@SMALL_AND_LARGE
 def test_no_vm_uses_an_instance_whose_removal_one_has_read(peer_fleet, sizes):
-    fleet = peer_fleet(**sizes)
-    for vm in fleet.vms.values():
-        vm.link.instances.put(RECORD, fleet.now)
-    fleet.run(2.0)
+    fleet = start_fleet(peer_fleet, sizes)
     assert len(serving(fleet)) == len(fleet.vms)
     first = next(iter(fleet.vms.values()))
     first.link.instances.remove(RECORD.id, fleet.now)
