A record that begins to drain is logged also if a peer has told of it

Callers saw: nothing; the log of a VM lacked "instance draining" where a peer's message came before its own poll, so test_draining_engine_gets_no_work_after_a_restore waited for that line in vain (once, in a run of all tests on in three processes).

Cause: the line was bound to a new notice.

Change: the line is logged when the record begins to drain. The notice keeps the time at which the VM first learned of the leave.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -178,6 +178,9 @@
         if known is not None and _is_older(record, known.record):
             logger.info("older instance record ignored", instance=record.incarnation)
             return
+        begins_to_drain = record.draining and (
+            known is None or not known.record.draining
+        )
         if known is None:
             known = Instance(record)
             self.instances[record.id] = known
@@ -199,7 +202,9 @@
         known.expired_at = None
         known.unreadable = False
         known.reported_removed_at = None
-        if record.draining and self.leave_notices.add(known.id, now):
+        if record.draining:
+            self.leave_notices.add(known.id, now)
+        if begins_to_drain:
             logger.info("instance draining", instance=known.id)
         known.leaving = known.leaving or known.id in self.leave_notices
 
--- a/src/mulberrydock/trace.py
+++ b/src/mulberrydock/trace.py
@@ -25,6 +25,7 @@
         "instance stage changed",
         "instance draining",
         "instance leaving",
+        "instance removal reported",
         "instance asks for a pause",
         "instance record lapsed",
         "instance gone",
--- a/tests/test_leave_notices.py
+++ b/tests/test_leave_notices.py
@@ -4,6 +4,7 @@
 import pytest
 from hypothesis import assume, given
 from hypothesis import strategies as st
+from loguru import logger
 
 from mulberrydock.fleet_view import FleetView
 from mulberrydock.instances import (
@@ -205,6 +206,23 @@
     assert registry.removal_updates(9.0, 9.0) == []
 
 
+# Guards against a log in which a VM seems not to have read that an engine drains, as a
+# peer has told it before.
+@pytest.mark.parametrize("is_told", [False, True])
+def test_draining_record_is_logged_once(is_told):
+    events = []
+    sink = logger.add(lambda message: events.append(message.record["message"]))
+    registry = InstanceRegistry()
+    registry.put(RECORD, 0.0)
+    if is_told:
+        registry.mark_leaving(RECORD.incarnation, "peer", 1.0)
+    for now in (2.0, 3.0):
+        registry.put(attrs.evolve(RECORD, draining=True), now)
+    logger.remove(sink)
+    assert events.count("instance draining") == 1
+    assert registry.leave_notices.learned_at[RECORD.incarnation] == 2.0 - is_told
+
+
 # Guards against messages that grow with every instance that ever left.
 def test_notice_is_not_repeated_once_the_store_shows_it():
     registry = InstanceRegistry()
