Admission decides from the caller's time and the work left

What callers saw: with a full decode engine, a request with 4.0 s and one with 3.4 s were refused, those with 2.9 s and 2.5 s for the same work were let in, and one with 0.9 s too, whose answer was cut. Without priorities of teams, nobody was refused for the queue, and where places were full, each with Retry-After 0.5 whatever was expected. After a failed attempt nothing was asked.

Cause: a limit under three quarters of the route's timeout was taken for the sign of a retry, and retries were let in without a look at places; the queue was bounded by the shortest target latency of the pool; a tenth of each kind was let in by lot; an expected wait of up to twice the caller's patience was let in; Retry-After aimed at being recognised as a retry, and was cut to three tenths of the time left even if no room was expected by then. The estimate of the wait counted requests that run beside it (which delay later events) and a penalty for preemption as waits.

Change: one decision, the same with and without teams' priorities, before each send of what can't have run yet. Retry-After is when room is expected, or beyond the caller's time. The reserve for more urgent requests is their rate times the delay of reports, no longer half of the places at most. An average that no stream confirms expires, so that a wrong one can't keep all requests out.

Tests: properties (more time is never worse; nothing is let in that is expected late; who returns as told is let in if nothing else arrives) and a daemon with and without a team. Replaced, each by one as strict or stricter: the tests of the lot, of telling retries apart, of refusals at twice the patience, of the most urgent without an estimate (now the wait before any stream has ended), and of the queue that decides nothing without teams. The case "ample places" asked for room while unreported urgent requests fill the pool; it keeps its figures with a load that the pool bears, and the former load is a case of its own.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -354,14 +354,16 @@
         self.estimates.pool(service).place_use.record_arrival(route.urgency, now)
 
     def place_wait(self, service, route, places, now):
-        """Return the seconds until there is a place for a request, None if unknown.
+        """Return the seconds until there is a place for a request.
 
         :param places: the :class:`~mulberrydock.room.places.Places` of its pool.
         """
-        estimates = self.estimates.pool(service)
-        # The sum over all peers is needed only while places may be short.
-        streams = 0.0 if places.has_ample else estimates.demand.total(now).streams
-        return estimates.place_use.wait(route.urgency, places, streams, now)
+        place_use = self.estimates.pool(service).place_use
+        return place_use.wait(route.urgency, places, route.timeout, now)
+
+    def stream_seconds(self, service, route, now):
+        """Return for how long a stream of a route holds its place, 0 if unknown."""
+        return self.estimates.pool(service).place_use.stream_seconds(route.urgency, now)
 
     def stage_needs(self, spec, now):
         """Return the :class:`StageNeeds` of a pool, from the demand of all VMs.
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -104,10 +104,6 @@
         """Return the :class:`Load` of one engine."""
         return self.loads.get(instance.id, NO_LOAD)
 
-    def has_free_slot(self, instance):
-        """Return whether a decode engine has a slot for one more stream."""
-        return self.load(instance).running < max(1, instance.record.slots)
-
 
 @attrs.define(frozen=True)
 class Plan:
@@ -115,10 +111,10 @@
 
     ``tokens`` is the prefill work, in tokens without context; ``cached`` tokens of the
     prompt need no prefill. ``wait`` is the estimate of seconds to the first token,
-    ``prefill_seconds`` the part of it that prefilling the prompt takes, ``queued_work``
-    the work that is prefilled before it, in the unit of ``tokens``. ``urgency`` is the
-    priority at the engine that prefills. ``decode_slots_full`` is True when the slots
-    of all decode engines are in use, ``places`` counts them.
+    ``prefill_seconds`` the part of it that prefilling the prompt takes,
+    ``queue_seconds`` that for which others are prefilled before it. ``queued_work`` is
+    the work of those, in the unit of ``tokens``. ``urgency`` is the priority at the
+    engine that prefills. ``places`` counts the slots of the decode engines.
     """
 
     target: object
@@ -129,7 +125,7 @@
     cached: int = 0
     queued_work: float = 0.0
     urgency: int = 0
-    decode_slots_full: bool = False
+    queue_seconds: float = 0.0
     places: Places = Places()
 
     @property
@@ -154,6 +150,7 @@
     cached: int
     queued_work: float
     urgency: int
+    queue_seconds: float
 
 
 def request_hash_fraction(request_id):
@@ -290,7 +287,16 @@
             cost = wait - queue + weight * prefill_seconds
             if instance is document_owner:
                 cost -= self._owner_preference(prompt, pool)
-            details = wait, instance, work, prefill_seconds, cached, ahead, urgency
+            details = (
+                wait,
+                instance,
+                work,
+                prefill_seconds,
+                cached,
+                ahead,
+                urgency,
+                queue,
+            )
             rows.append((queue, cost, details))
         unreported = utilization * pool.report_delay * len(instances)
         level = fill_level([queue for queue, _, _ in rows], unreported)
@@ -334,13 +340,10 @@
         seconds = [self._running_seconds(i, pool) for i in pool.decoders]
         return fill_level(seconds, unreported)
 
-    def _decode_seconds(
-        self, instance, pool, transferred_tokens=0, source=None, level=0.0
-    ):
-        """Return the seconds from the handoff to the first token.
+    def _decode_seconds(self, instance, pool, transferred_tokens=0, source=None):
+        """Return the seconds from the handoff to the first token at a free place.
 
         :param transferred_tokens: tokens whose KV cache comes from ``source``.
-        :param level: seconds up to which other VMs fill the decode engines.
         """
         load = pool.load(instance)
         transfer = transferred_tokens * pool.transfer_seconds_per_token
@@ -349,10 +352,8 @@
                 source.record.data_centre, instance.record.data_centre
             )
         in_place = pool.cost.seconds(load.prefill_tokens) / IN_PLACE_SPEED_RATIO
-        running = max(level, self._running_seconds(instance, pool))
         return (
-            running
-            + in_place * INTERLEAVED_PREFILL_SHARE
+            in_place * INTERLEAVED_PREFILL_SHARE
             + transfer
             + self._hop_seconds(instance)
         )
@@ -370,11 +371,7 @@
         _, _, plan = min(
             rows, key=lambda row: (*row[:2], rank(hash_fraction, row[2].target.id))
         )
-        return attrs.evolve(
-            plan,
-            decode_slots_full=not any(map(pool.has_free_slot, pool.decoders)),
-            places=Places.from_pool(pool),
-        )
+        return attrs.evolve(plan, places=Places.from_pool(pool))
 
     def _cheaper(self, prompt, route, pool, hash_fraction):
         """Return the plan of lower cost: in place, or with a handoff.
@@ -409,10 +406,9 @@
         for option in options:
             running = max(level, self._running_seconds(option.instance, pool))
             order = rank(hash_fraction, option.instance.id)
-            rows.append((option.cost + running, order, option, running))
-        cost, _, best, running = min(rows, key=lambda row: row[:2])
-        wait = best.wait + running
-        plan = Plan(best.instance, None, best.work, wait, best.prefill_seconds)
+            rows.append((option.cost + running, order, option))
+        cost, _, best = min(rows, key=lambda row: row[:2])
+        plan = Plan(best.instance, None, best.work, best.wait, best.prefill_seconds)
         return cost, self._with_details(plan, best)
 
     def _handoff(self, prompt, route, hash_fraction, pool):
@@ -424,10 +420,11 @@
         target = self.choose_decoder(pool, prompt.tokens, best.instance, hash_fraction)
         after = self._decode_seconds(target, pool, prompt.tokens, best.instance)
         after += HANDOFF_SECONDS
+        running = self._running_seconds(target, pool)
         plan = Plan(
             target, best.instance, best.work, best.wait + after, best.prefill_seconds
         )
-        return best.cost + after, self._with_details(plan, best)
+        return best.cost + after + running, self._with_details(plan, best)
 
     def _with_details(self, plan, option):
         return attrs.evolve(
@@ -435,6 +432,7 @@
             cached=option.cached,
             queued_work=option.queued_work,
             urgency=option.urgency,
+            queue_seconds=option.queue_seconds,
         )
 
     def choose_decoder(self, pool, transferred_tokens, source, hash_fraction=1.0):
@@ -447,9 +445,8 @@
         level = self._running_level(pool)
 
         def key(instance):
-            seconds = self._decode_seconds(
-                instance, pool, transferred_tokens, source, level
-            )
-            return seconds, rank(hash_fraction, instance.id)
+            seconds = self._decode_seconds(instance, pool, transferred_tokens, source)
+            running = max(level, self._running_seconds(instance, pool))
+            return running + seconds, rank(hash_fraction, instance.id)
 
         return min(pool.decoders, key=key, default=None)
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -10,40 +10,25 @@
 from loguru import logger
 
 from .placement import request_hash_fraction
-from .refusal import refuse
-from .room.admission import Ask, decide
+from .room.admission import CallerTime, ExpectedWork, decide
 
 
 def ask_for_room(lifecycle, plan, now):
-    """Return why a request is refused before its first send, None to attempt it.
+    """Return why a request is refused before a send, None to attempt it.
 
-    Only a request without an earlier attempt is refused. Where no team has a priority,
-    nobody competes for a queue beyond the places, and it would only make all late.
+    A request that an instance may have run can no longer be refused.
 
     :param plan: the :class:`~mulberrydock.placement.Plan` of the attempt.
     :returns: a :class:`~mulberrydock.refusal.Refusal` or None.
     """
-    if lifecycle.sends.made or lifecycle.prefills.made:
-        return None
     request, route, service = lifecycle.request, lifecycle.route, lifecycle.service
-    if not request.prompt.tokens:
+    if lifecycle.may_have_run or not request.prompt.tokens:
         return None
-    fleet = lifecycle.fleet
-    ask = Ask(
-        route,
-        request.deadline - request.arrived,
-        lifecycle.seconds_left(now),
-        request_hash_fraction(request.id),
-        fleet.routes.shortest_objective(service),
-    )
-    place_wait = fleet.place_wait(service, route, plan.places, now)
-    most_urgent = route.is_taken_up or fleet.routes.is_most_urgent(
-        route.priority, service
+    time = CallerTime.from_route(
+        route, lifecycle.seconds_left(now), now - request.arrived
     )
-    if fleet.routes.scale.orders_teams:
-        refused = decide(ask, plan, place_wait, most_urgent)
-    else:
-        refused = refuse(plan, route.client_idle_timeout, most_urgent, ask.left)
+    work = expected_work(lifecycle, plan, now)
+    refused = decide(time, work, request_hash_fraction(request.id))
     if refused is not None:
         lifecycle.relay.metrics.room_refusals.labels(service, route.name).inc()
         logger.info(
@@ -51,18 +36,30 @@
             request=request.id,
             reason=refused.reason,
             urgency=route.urgency,
-            returned=ask.has_returned,
-            wait=round(plan.wait, 3),
-            place_wait=_rounded(place_wait),
+            attempts=lifecycle.sends.made + lifecycle.prefills.made,
+            first_event=_rounded(work.first_event),
+            queue=round(work.queue, 3),
+            place_wait=_rounded(work.place_wait),
+            own=round(work.own, 3),
+            stream=round(work.stream, 3),
             **attrs.asdict(plan.places),
-            left=round(ask.left, 3),
+            patience=round(time.patience, 3),
+            left=round(time.left, 3),
             retry_after=round(refused.retry_after, 3),
         )
     return refused
 
 
+def expected_work(lifecycle, plan, now):
+    """Return the :class:`~mulberrydock.room.admission.ExpectedWork` of an attempt."""
+    fleet, route, service = lifecycle.fleet, lifecycle.route, lifecycle.service
+    return ExpectedWork.from_plan(
+        plan,
+        fleet.place_wait(service, route, plan.places, now),
+        fleet.stream_seconds(service, route, now),
+    )
+
+
 def _rounded(seconds):
-    """Return ``seconds`` for the log, None if they are unknown or infinite."""
-    if seconds is None or math.isinf(seconds):
-        return None
-    return round(seconds, 3)
+    """Return ``seconds`` for the log, None if they are infinite."""
+    return None if math.isinf(seconds) else round(seconds, 3)
--- a/src/mulberrydock/room/admission.py
+++ b/src/mulberrydock/room/admission.py
@@ -1,96 +1,116 @@
-"""Decides whether a request gets room in a pool of engines or is refused at once.
+"""Decides whether a request can be served in its caller's time or is refused at once.
 
-Answers loads beyond the pool: bursts, and engines that were lost. The least urgent
-requests are refused first, while there are still places for more urgent ones; those
-too, if they would be late by waiting. A client that was refused returns when the burst
-is over, and its request then gets room if it can be served at all.
+A request that can't be served in time only delays others, and its caller learns late
+that it has to go elsewhere. Two things decide: the time that the caller has, and the
+work that is left, both the request's own and that of requests before it. A client's
+retry is decided like a first try: it has less time left, and nothing else tells it
+apart.
 """
 
 import math
 
 import attrs
 
-from ..refusal import RETRY_SHARE, Refusal, refuse
-
-#: Share of the requests of each kind that get room however short it is: all who return
-#: get it, but a kind whose clients never return would be down for its callers.
-FLOOR_SHARE = 0.1
-#: Share of its route's timeout of which a request has less left when it counts as one
-#: that came back: clients' own limits differ from the timeout by up to a fifth, and a
-#: refused client waits for up to a third of its time.
-RETURNED_LEFT_SHARE = 0.75
-#: Share that a refused client has left at most when it returns, if it waits so long.
-RETURN_LEFT_SHARE = 0.74
+from ..refusal import RETRY_SPREAD, Refusal
 
 
 @attrs.define(frozen=True)
-class Ask:
-    """One request for room.
+class CallerTime:
+    """The time that a request's caller has, in seconds from now.
 
-    ``route`` is its :class:`~mulberrydock.request.Route`, ``arrival_left`` the seconds
-    that it had left when it arrived, ``left`` those now, ``lot`` a number in [0, 1)
-    that differs from request to request. ``shortest_objective`` is that of its pool's
-    routes: a queue in which one waits for longer makes the most hurried requests late.
+    ``patience`` is the time until the caller gives up unless a first event has come,
+    ``left`` the time until the request's deadline.
     """
 
-    route: object
-    arrival_left: float
+    patience: float
     left: float
-    lot: float
-    shortest_objective: float
+
+    @classmethod
+    def from_route(cls, route, left, waited):
+        """Return the time of a caller without an event yet.
+
+        :param route: the request's :class:`~mulberrydock.request.Route`.
+        :param left: seconds until the request's deadline.
+        :param waited: seconds since the request arrived.
+        """
+        return cls(min(route.client_idle_timeout - waited, left), left)
+
+
+@attrs.define(frozen=True)
+class ExpectedWork:
+    """What is expected to lie before a request's first event and its end, in seconds.
+
+    ``queue`` is the time until its prompt is prefilled next, ``place_wait`` the time
+    until a decode engine has a place for it, infinity if more urgent requests ask for
+    all places. ``own`` is the time that its first event takes once nothing is before
+    it, ``stream`` the time from the first event to the end, 0 if unknown. A request
+    that is prefilled ``in_place`` needs its place from the start of the prefill.
+    """
+
+    queue: float
+    place_wait: float
+    own: float
+    stream: float = 0.0
+    in_place: bool = False
+
+    @classmethod
+    def from_plan(cls, plan, place_wait, stream):
+        """Return the work of a request with this plan.
+
+        :param plan: its :class:`~mulberrydock.placement.Plan`.
+        :param place_wait: seconds until there is a place for it.
+        :param stream: seconds from its first event to its end, 0 if unknown.
+        """
+        own = max(0.0, plan.wait - plan.queue_seconds)
+        return cls(plan.queue_seconds, place_wait, own, stream, plan.prefill is None)
 
     @property
-    def has_returned(self):
-        """Whether its client has waited already, so that it was refused before."""
-        return self.arrival_left < RETURNED_LEFT_SHARE * self.route.timeout
+    def room(self):
+        """Seconds until the request, begun then, would wait for no other one."""
+        place_needed = 0.0 if self.in_place else self.own
+        return max(self.queue, self.place_wait - place_needed)
 
     @property
-    def patience(self):
-        """Seconds that it may wait for a first event.
+    def first_event(self):
+        """Seconds until the first event."""
+        return self.room + self.own
+
+    @property
+    def end(self):
+        """Seconds until the end of the response."""
+        return self.first_event + self.stream
 
-        A client gives up earlier than its deadline, but one that came back had better
-        wait than be refused again, as most clients come back once.
-        """
-        if self.has_returned:
-            return self.left
-        return min(self.route.client_idle_timeout, self.left)
 
+def decide(time, work, lot):
+    """Return why a request is refused, None if it gets room.
 
-def decide(ask, plan, place_wait, most_urgent):
-    """Return why a request is refused before its first send, None if it gets room.
+    The length of a stream counts only while it waits for a place: with a free place
+    it delays nobody, and it may be shorter than others were.
 
-    :param plan: its :class:`~mulberrydock.placement.Plan`.
-    :param place_wait: seconds until there is a place for it, None if unknown.
-    :param most_urgent: True when no other request of the service is more urgent.
+    :param time: the :class:`CallerTime`.
+    :param work: the :class:`ExpectedWork`.
+    :param lot: number in [0, 1) that differs from request to request.
     :returns: a :class:`~mulberrydock.refusal.Refusal` or None.
     """
-    reason = _reason(ask, plan, place_wait, most_urgent)
-    return Refusal(reason, return_after(ask)) if reason else None
-
-
-def _reason(ask, plan, place_wait, most_urgent):
-    """Return why a request is refused, empty if it gets room."""
-    # Before any stream has ended, the least that is known is whether places are free.
-    ignores_places = most_urgent or place_wait is not None
-    refused = refuse(plan, ask.patience, ignores_places, ask.left)
-    if refused is not None:
-        return refused.reason
-    if place_wait is None or ask.has_returned or ask.lot < FLOOR_SHARE:
-        return ""
-    if place_wait <= ask.shortest_objective:
-        return ""
-    if math.isinf(place_wait):
-        return "more urgent requests ask for all places"
-    return f"expected to wait {place_wait:.1f} s for a place"
-
-
-def return_after(ask):
+    if work.first_event > time.patience:
+        reason = "first event expected after its caller gives up"
+    elif work.place_wait > 0 and work.end > time.left:
+        reason = "end expected after its deadline"
+    else:
+        return None
+    if math.isinf(work.place_wait):
+        reason = "more urgent requests ask for all places"
+    return Refusal(reason, return_after(time, work, lot))
+
+
+def return_after(time, work, lot):
     """Return the seconds after which a refused client should return.
 
-    It returns with so little time left that it isn't taken for a first attempt. Those
-    refused at the same moment return one after the other, as their lots tell.
+    That is when room is expected. Where the rest of its time wouldn't be enough then,
+    it is the end of that time or later: an earlier return would be refused as well.
+    Those refused in one moment return one after the other, as their lots tell.
     """
-    last = max(0.0, ask.left) * RETRY_SHARE
-    first = max(ask.left - RETURN_LEFT_SHARE * ask.route.timeout, ask.patience / 2)
-    first = min(first, last)
-    return first + ask.lot * (last - first)
+    room = work.room * (1 + RETRY_SPREAD * lot)
+    if room + work.own + work.stream <= time.left:
+        return room
+    return time.left if math.isinf(room) else max(room, time.left)
--- a/src/mulberrydock/room/places.py
+++ b/src/mulberrydock/room/places.py
@@ -14,9 +14,9 @@
 #: Weight of the latest stream in the average time of a place. A VM of a large fleet
 #: sees a few streams of a route a second; ten of them cover about the time of one.
 STREAM_WEIGHT = 0.1
-#: Share of the places that may be reserved at most: less urgent requests aren't refused
-#: while half of the places are free.
-MAX_RESERVED_SHARE = 0.5
+#: Seconds for which an average counts without a further stream. While it keeps all
+#: requests out, no stream would correct it.
+STREAM_EXPIRY_SECONDS = 30.0
 
 
 @attrs.define(frozen=True)
@@ -24,12 +24,14 @@
     """The decode places of a pool, and the streams sent to it, waiting ones included.
 
     ``total`` is 0 if the engines don't state how many they have. ``report_delay`` is
-    the number of seconds for which sends of other VMs may not be counted yet.
+    the number of seconds for which sends of other VMs may not be counted yet,
+    ``arrivals`` the number of requests that all VMs get a second.
     """
 
     total: int = 0
     streams: int = 0
     report_delay: float = 0.0
+    arrivals: float = 0.0
 
     @classmethod
     def from_pool(cls, pool):
@@ -38,70 +40,95 @@
             sum(engine.record.slots for engine in pool.decoders),
             sum(pool.load(engine).running for engine in pool.decoders),
             pool.report_delay,
+            pool.streams,
         )
 
-    @property
-    def has_ample(self):
-        """Whether places are free that are never reserved.
 
-        Also true where their number isn't stated.
-        """
-        return self.streams < self.total * (1 - MAX_RESERVED_SHARE) or not self.total
+@attrs.define
+class StreamSeconds:
+    """The average time for which streams held their places; the last ended at ``at``.
+
+    Seconds, and monotonic seconds.
+    """
+
+    average: float
+    at: float
+
+    def record(self, seconds, now):
+        """Record one more stream that ended at ``now``."""
+        self.average += STREAM_WEIGHT * (seconds - self.average)
+        self.at = now
 
 
 class PlaceUse:
     """How many places the streams of each urgency ask for, as seen by one VM.
 
-    ``rates`` holds the requests a second and ``seconds`` the average time that one
-    holds its place, by urgency.
+    ``rates`` holds the requests a second and ``streams`` the :class:`StreamSeconds`, by
+    urgency.
     """
 
     def __init__(self):
         self.rates = {}
-        self.seconds = {}
+        self.streams = {}
 
     def record_arrival(self, urgency, now):
         """Record a client's request, whether it is served or not."""
         self.rates.setdefault(urgency, Rate()).record(1.0, now)
 
-    def record_stream(self, urgency, seconds):
+    def record_stream(self, urgency, seconds, now):
         """Record a complete stream that held its place for ``seconds``."""
-        known = self.seconds.setdefault(urgency, seconds)
-        self.seconds[urgency] = known + STREAM_WEIGHT * (seconds - known)
-
-    def wait(self, urgency, places, streams_a_second, now):
+        known = self.streams.get(urgency)
+        if known is None or now - known.at > STREAM_EXPIRY_SECONDS:
+            self.streams[urgency] = StreamSeconds(seconds, now)
+        else:
+            known.record(seconds, now)
+
+    def stream_seconds(self, urgency, now):
+        """Return for how long a stream of ``urgency`` holds its place, 0 if unknown."""
+        return self._known(now).get(urgency, 0.0)
+
+    def _known(self, now):
+        """Return the average seconds of a stream, by urgency."""
+        return {
+            urgency: stream.average
+            for urgency, stream in self.streams.items()
+            if now - stream.at <= STREAM_EXPIRY_SECONDS
+        }
+
+    def wait(self, urgency, places, longest, now):
         """Return the seconds until there is a place for a stream of ``urgency``.
 
         More urgent requests that arrive until then go first, and so do those that other
         VMs have sent but not reported yet.
 
         :param places: the :class:`Places` of the pool.
-        :param streams_a_second: the requests that all VMs get a second.
-        :returns: 0 if there is room now, infinity if the more urgent requests ask for
-            the whole pool, None before any stream has ended.
+        :param longest: the seconds for which a stream may hold a place. It counts while
+            no stream has ended.
+        :returns: 0 if there is room now or the engines don't state their places,
+            infinity if the more urgent requests ask for the whole pool.
         """
-        if places.has_ample:
+        if not places.total:
             return 0.0
-        if not self.seconds:
-            return None
-        seconds = sum(self.seconds.values()) / len(self.seconds)
-        rate, asked = self._more_urgent(urgency, seconds, streams_a_second, now)
-        reserve = min(rate * places.report_delay, MAX_RESERVED_SHARE * places.total)
-        ahead = places.streams + reserve + 1 - places.total
+        known = self._known(now)
+        seconds = sum(known.values()) / len(known) if known else longest
+        rate, asked = self._more_urgent(urgency, known, seconds, places.arrivals, now)
+        ahead = places.streams + rate * places.report_delay + 1 - places.total
         if ahead <= 0:
             return 0.0
         free = places.total - asked
         return ahead * seconds / free if free > 0 else math.inf
 
-    def _more_urgent(self, urgency, seconds, streams_a_second, now):
+    def _more_urgent(self, urgency, known, seconds, arrivals, now):
         """Return the more urgent requests a second, and the places that they ask for.
 
         Clients are spread over the VMs, so the mix here is that of all of them.
 
+        :param known: the average seconds of a stream, by urgency.
         :param seconds: for which those hold a place of which that isn't known.
+        :param arrivals: the requests that all VMs get a second.
         """
         rates = {u: rate.average(now) for u, rate in self.rates.items()}
-        factor = streams_a_second / (sum(rates.values()) or 1.0)
+        factor = arrivals / (sum(rates.values()) or 1.0)
         rows = [(u, rate * factor) for u, rate in rates.items() if u < urgency]
-        asked = sum(rate * self.seconds.get(u, seconds) for u, rate in rows)
+        asked = sum(rate * known.get(u, seconds) for u, rate in rows)
         return sum(rate for _, rate in rows), asked
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -26,7 +26,6 @@
         self.teams: TeamDirectory | None = None
         self.most_urgent = {}
         self.scale = UrgencyScale()
-        self.objectives = {}
         self.random = random.Random(seed)
 
     @property
@@ -50,7 +49,6 @@
             self.teams = TeamDirectory.from_teams(config.teams)
         self.most_urgent = _most_urgent(config)
         self.scale = UrgencyScale.from_config(config)
-        self.objectives = _shortest_objectives(config)
         return True
 
     def match(self, host, path):
@@ -85,10 +83,6 @@
         """Return whether no request to ``service`` can have priority over this one."""
         return priority <= self.most_urgent.get(service, priority)
 
-    def shortest_objective(self, service):
-        """Return the shortest latency objective of a service's routes in seconds."""
-        return self.objectives.get(service, math.inf)
-
     def service_for(self, route):
         """Return the service's name for one request, chosen at random by weight."""
         if len(route.splits) == 1:
@@ -112,13 +106,3 @@
             known = most_urgent.get(split.service, override)
             most_urgent[split.service] = min(known, route.priority)
     return most_urgent
-
-
-def _shortest_objectives(config):
-    """Return the shortest latency objective of the routes to each service."""
-    shortest = {}
-    for route in config.routes:
-        for split in route.splits:
-            known = shortest.get(split.service, math.inf)
-            shortest[split.service] = min(known, route.latency_objective)
-    return shortest
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -401,7 +401,7 @@
         estimates = self.fleet.estimates.pool(self.service)
         estimates.record_stream(now - self.stream.first_event_at)
         estimates.place_use.record_stream(
-            self.route.urgency, now - self.stream.first_event_at
+            self.route.urgency, now - self.stream.first_event_at, now
         )
         metrics = self.relay.metrics
         metrics.token_seconds.labels(self.service).set(estimates.cost_model.cost.token)
