Retry-After names when an instance is expected to take the request

What callers saw: a request that every instance had refused, or for which there was none, was told to return after 0.5 s or 3 s, cut to three tenths of its time; often nothing was free by then, and it was refused again. Plain calls weren't asked for room at all: at a full service each waited until its time was over.

Change: final responses and admission use the same estimate. Room is there when the queue and the wait for a place are over, when an instance's pause ends or this VM no longer avoids it for a refusal, and, without any instance, when the outage is expected to end: as long as earlier ones here (outages.py), and as long again once it has lasted longer. What other VMs can serve now (unknown key, stopping VM) is told 0. Plain calls get the same decision, by the time for which their places are held. The own time of a prompt counts only at a measured speed, so that a wrong prior can't keep prompts out.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -4,9 +4,9 @@
 returns the :class:`~mulberrydock.exceptions.ResultCode`.
 """
 
-from . import refusal
 from .exceptions import ResultCode
-from .placement import request_hash_fraction
+from .refusal import FUTILE_RETRY_SECONDS, OTHER_VM_RETRY_SECONDS
+from .request_room import return_seconds
 
 
 def give_up(lifecycle, now):
@@ -24,23 +24,20 @@
         retry_after = lifecycle.quarantine.retry_seconds(now)
         _reject(lifecycle, 503, lifecycle.cause, retry_after)
         return ResultCode.QUARANTINED
-    retry_after = refusal.retry_after(
-        bool(lifecycle.tried),
-        lifecycle.fleet.pause_seconds(lifecycle.service, now),
-        lifecycle.seconds_left(now),
-        request_hash_fraction(lifecycle.request.id),
-    )
-    _reject(lifecycle, 503, lifecycle.cause, retry_after)
+    _reject(lifecycle, 503, lifecycle.cause, return_seconds(lifecycle, now))
     return ResultCode.NO_UPSTREAM
 
 
-def refuse_unknown_version(lifecycle, final):
+def refuse_unknown_version(lifecycle, final, now):
     """Refuse to go on with a stream of which nobody knows the version.
 
-    :param final: False if a peer that hasn't answered may know it.
+    :param final: False if a peer that hasn't answered may know it; it is asked again
+        once it has reported to this VM.
     """
     lifecycle.cause = "the version that began the stream isn't known"
-    retry_after = refusal.FUTILE_RETRY_SECONDS if final else refusal.RETRY_AFTER_SECONDS
+    retry_after = lifecycle.fleet.loads.report_delay(now)
+    if final:
+        retry_after = FUTILE_RETRY_SECONDS
     _reject(lifecycle, 503, lifecycle.cause, retry_after)
     return ResultCode.UNKNOWN_VERSION
 
@@ -55,7 +52,7 @@
     return ResultCode.SHED
 
 
-def expire(lifecycle):
+def expire(lifecycle, now):
     """Give the final response at the deadline, while an attempt is in progress.
 
     A request that the stop of this VM ends has time left, at any other VM.
@@ -68,9 +65,9 @@
         _reject(lifecycle, 504, reason)
         return ResultCode.OUTCOME_UNKNOWN
     if lifecycle.is_stopped:
-        _reject(lifecycle, 503, reason, 0.0)
+        _reject(lifecycle, 503, reason, OTHER_VM_RETRY_SECONDS)
         return ResultCode.DRAINING
-    _reject(lifecycle, 503, reason, refusal.RETRY_AFTER_SECONDS)
+    _reject(lifecycle, 503, reason, return_seconds(lifecycle, now))
     return ResultCode.SHED
 
 
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -10,6 +10,7 @@
 from .exceptions import CallWithheld
 from .instances import InstanceRegistry, Stage
 from .links import Links
+from .outages import Outages
 from .peer_loads import LoadTracker
 from .placement import (
     Placement,
@@ -24,6 +25,7 @@
 from .regions import Distances
 from .regions.distances import REMOTE_TRANSFER_FACTOR
 from .rendezvous import rank
+from .room.places import Places
 from .route_table import RouteTable
 from .stages import MAX_DECODE_UTILIZATION, StageNeeds, sustainable_streams
 from .suspicion import Suspicion
@@ -80,6 +82,7 @@
         self.links = Links(self.instances)
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
+        self.outages = Outages()
         self.quarantine = Quarantine()
         self.distances = Distances(data_centre, regions)
         self.placement = Placement(data_centre, self.distances)
@@ -186,6 +189,16 @@
         ]
         return min(pauses, default=0.0)
 
+    def avoided_seconds(self, service, now):
+        """Return the seconds until this VM no longer avoids an instance of a service.
+
+        It is 0 when one isn't, or when there is no instance.
+        """
+        serving = self.instances.serving(service)
+        return min(
+            (self.suspicion.seconds_left(i.id, now) for i in serving), default=0.0
+        )
+
     def avoided(self, now):
         """Return the ids of the instances that peers had better avoid as well.
 
@@ -397,7 +410,9 @@
             healthy = self._healthy(candidates, now)
             if not healthy:
                 return None
-            return Plan(self.placement.least_loaded(healthy, self.loads.total(now)))
+            loads = self.loads.total(now)
+            target = self.placement.least_loaded(healthy, loads)
+            return Plan(target, places=Places.from_instances(healthy, loads))
         pool = self._pool(service, tried, now, accepts)
         pool = self._isolate_suspect(pool, request)
         return self.placement.plan(
--- a/src/mulberrydock/prefill_cost.py
+++ b/src/mulberrydock/prefill_cost.py
@@ -124,6 +124,12 @@
             self.cost = self._fit()
             self.fitted_at = now
 
+    def is_measured(self, now):
+        """Return whether the cost rests on a recent sample."""
+        return (
+            bool(self.samples) and now - self.samples[-1].at <= MAX_SAMPLE_AGE_SECONDS
+        )
+
     def apply_update(self, peer, cost):
         """Record the cost that a peer fitted; ignore one that isn't finite."""
         if not all(map(math.isfinite, attrs.astuple(cost))):
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -8,6 +8,7 @@
 
 from .connections import BufferedResponse, ConnectionPool
 from .crash_probe import CrashProbe
+from .defaults import STORE_RETRY_SECONDS
 from .exceptions import (
     CallRefused,
     CallWithheld,
@@ -20,7 +21,7 @@
 from .link_monitor import LinkMonitor
 from .moves import Mover
 from .origin_exchange import OriginExchange
-from .refusal import RETRY_AFTER_SECONDS
+from .refusal import OTHER_VM_RETRY_SECONDS
 from .serving import RequestLifecycle
 from .stopping import RequestsInProgress
 from .teams import KeyProblem
@@ -106,7 +107,7 @@
         routes = self.fleet.routes
         if routes.config is None:
             reason = "no configuration yet"
-            self.reject(request, sink, 503, reason, RETRY_AFTER_SECONDS)
+            self.reject(request, sink, 503, reason, STORE_RETRY_SECONDS)
             return
         route = routes.match(request.host, request.path)
         if route is None:
@@ -191,7 +192,7 @@
         """
         if problem is KeyProblem.UNKNOWN and not self.fleet.configuration_current:
             reason = "API key not known here, configuration may be outdated"
-            self.reject(request, sink, 503, reason, RETRY_AFTER_SECONDS)
+            self.reject(request, sink, 503, reason, OTHER_VM_RETRY_SECONDS)
         else:
             self.reject(request, sink, 401, problem.value)
 
--- a/src/mulberrydock/request_quarantine.py
+++ b/src/mulberrydock/request_quarantine.py
@@ -2,7 +2,7 @@
 
 import time
 
-from .refusal import RETRY_AFTER_SECONDS
+from .defaults import STORE_RETRY_SECONDS
 
 
 class RequestQuarantine:
@@ -55,7 +55,8 @@
         seconds = self._pause_seconds(now)
         if works:
             seconds = self.quarantine.trial_seconds(works, now)
-        return max(RETRY_AFTER_SECONDS, seconds)
+        # A trial that is due now is claimed in the store, by this or another VM.
+        return max(STORE_RETRY_SECONDS, seconds)
 
     async def claim_trial(self, now):
         """Claim the trial of the request's quarantined work, if one is due."""
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from .placement import request_hash_fraction
-from .room.admission import CallerTime, ExpectedWork, decide
+from .room.admission import CallerTime, ExpectedWork, decide, return_after
 
 
 def ask_for_room(lifecycle, plan, now):
@@ -22,11 +22,9 @@
     :returns: a :class:`~mulberrydock.refusal.Refusal` or None.
     """
     request, route, service = lifecycle.request, lifecycle.route, lifecycle.service
-    if lifecycle.may_have_run or not request.prompt.tokens:
+    if lifecycle.may_have_run:
         return None
-    time = CallerTime.from_route(
-        route, lifecycle.seconds_left(now), now - request.arrived
-    )
+    time = _caller_time(lifecycle, now)
     work = expected_work(lifecycle, plan, now)
     refused = decide(time, work, request_hash_fraction(request.id))
     if refused is not None:
@@ -57,9 +55,39 @@
         plan,
         fleet.place_wait(service, route, plan.places, now),
         fleet.stream_seconds(service, route, now),
+        fleet.estimates.pool(service).cost_model.is_measured(now),
     )
 
 
+def return_seconds(lifecycle, now):
+    """Return the seconds after which the client of a refused request should return.
+
+    That is when an instance is expected to take it: once one is back or ends its pause,
+    is no longer avoided because it refused, and has room.
+    """
+    fleet, route, service = lifecycle.fleet, lifecycle.route, lifecycle.service
+    plan = fleet.plan(
+        lifecycle.request, route, service, set(), now, lifecycle.version.fixed
+    )
+    if plan is None or fleet.links.is_lost(service):
+        seconds = fleet.pause_seconds(service, now)
+        seconds = seconds or fleet.outages.seconds_left(service, now)
+        stream = fleet.stream_seconds(service, route, now)
+        work = ExpectedWork(0.0, seconds, 0.0, stream, in_place=True)
+    else:
+        work = expected_work(lifecycle, plan, now)
+        place_wait = max(work.place_wait, fleet.avoided_seconds(service, now))
+        work = attrs.evolve(work, place_wait=place_wait)
+    lot = request_hash_fraction(lifecycle.request.id)
+    return return_after(_caller_time(lifecycle, now), work, lot)
+
+
+def _caller_time(lifecycle, now):
+    """Return the :class:`~mulberrydock.room.admission.CallerTime` of a request."""
+    left, waited = lifecycle.seconds_left(now), now - lifecycle.request.arrived
+    return CallerTime.from_route(lifecycle.route, left, waited)
+
+
 def _rounded(seconds):
     """Return ``seconds`` for the log, None if they are infinite."""
     return None if math.isinf(seconds) else round(seconds, 3)
--- a/src/mulberrydock/room/admission.py
+++ b/src/mulberrydock/room/admission.py
@@ -43,8 +43,9 @@
     ``queue`` is the time until its prompt is prefilled next, ``place_wait`` the time
     until a decode engine has a place for it, infinity if more urgent requests ask for
     all places. ``own`` is the time that its first event takes once nothing is before
-    it, ``stream`` the time from the first event to the end, 0 if unknown. A request
-    that is prefilled ``in_place`` needs its place from the start of the prefill.
+    it, ``stream`` the time from the first event to the end, each 0 if unknown. A
+    request that is prefilled ``in_place`` needs its place from the start of the
+    prefill.
     """
 
     queue: float
@@ -54,14 +55,15 @@
     in_place: bool = False
 
     @classmethod
-    def from_plan(cls, plan, place_wait, stream):
+    def from_plan(cls, plan, place_wait, stream, own_is_known=True):
         """Return the work of a request with this plan.
 
         :param plan: its :class:`~mulberrydock.placement.Plan`.
         :param place_wait: seconds until there is a place for it.
         :param stream: seconds from its first event to its end, 0 if unknown.
+        :param own_is_known: whether the speed of the engines was measured.
         """
-        own = max(0.0, plan.wait - plan.queue_seconds)
+        own = max(0.0, plan.wait - plan.queue_seconds) if own_is_known else 0.0
         return cls(plan.queue_seconds, place_wait, own, stream, plan.prefill is None)
 
     @property
--- a/src/mulberrydock/room/places.py
+++ b/src/mulberrydock/room/places.py
@@ -21,7 +21,7 @@
 
 @attrs.define(frozen=True)
 class Places:
-    """The decode places of a pool, and the streams sent to it, waiting ones included.
+    """The places of a pool, and the requests sent to it, waiting ones included.
 
     ``total`` is 0 if the engines don't state how many they have. ``report_delay`` is
     the number of seconds for which sends of other VMs may not be counted yet,
@@ -35,14 +35,21 @@
 
     @classmethod
     def from_pool(cls, pool):
-        """Count the places of a :class:`~mulberrydock.placement.Pool`."""
-        return cls(
-            sum(engine.record.slots for engine in pool.decoders),
-            sum(pool.load(engine).running for engine in pool.decoders),
-            pool.report_delay,
-            pool.streams,
+        """Count the decode places of a :class:`~mulberrydock.placement.Pool`."""
+        places = cls.from_instances(pool.decoders, pool.loads)
+        return attrs.evolve(
+            places, report_delay=pool.report_delay, arrivals=pool.streams
         )
 
+    @classmethod
+    def from_instances(cls, instances, loads):
+        """Count the places of instances.
+
+        :param loads: their :class:`~mulberrydock.load_sum.Load` by id.
+        """
+        running = (loads[i.id].running for i in instances if i.id in loads)
+        return cls(sum(i.record.slots for i in instances), sum(running))
+
 
 @attrs.define
 class StreamSeconds:
--- a/src/mulberrydock/suspicion.py
+++ b/src/mulberrydock/suspicion.py
@@ -100,6 +100,11 @@
         """Return the ids of the instances that are avoided because of failures."""
         return {i for i, s in self.health_by_id.items() if s.suspect_until > now}
 
+    def seconds_left(self, instance_id, now):
+        """Return the seconds until an instance is no longer avoided."""
+        health = self.health(instance_id)
+        return max(0.0, max(health.suspect_until, health.no_slot_until) - now)
+
     def record_no_slot(self, instance_id, now):
         """Record that the instance refused a request for lack of a slot."""
         self.health(instance_id).no_slot_until = now + NO_SLOT_SECONDS
--- a/tests/test_room_admission.py
+++ b/tests/test_room_admission.py
@@ -13,6 +13,7 @@
 import pytest
 
 from mulberrydock.placement import Plan
+from mulberrydock.prefill_cost import PrefillCostModel
 from mulberrydock.request import Kind, Route, Split
 from mulberrydock.room.admission import CallerTime, ExpectedWork, decide
 from mulberrydock.room.places import STREAM_EXPIRY_SECONDS, Places, PlaceUse
@@ -149,6 +150,33 @@
     assert found.end == pytest.approx(1.7)
 
 
+# Guards against plain calls that wait at a full service though it is known that their
+# time will be over, and against ones refused for a slow answer while a place is free.
+@pytest.mark.parametrize(
+    ("place_wait", "left", "refused"),
+    [(0.0, 0.05, False), (0.4, 0.45, True), (0.4, 0.55, False), (1.2, 1.0, True)],
+)
+def test_plain_call_waits_only_if_its_time_allows(place_wait, left, refused):
+    route = attrs.evolve(QUESTION, kind=Kind.IDEMPOTENT, client_idle_timeout=math.inf)
+    time = CallerTime.from_route(route, left, 0.0)
+    expected = ExpectedWork.from_plan(Plan("instance"), place_wait, 0.1)
+    assert (decide(time, expected, 0.0) is not None) is refused
+
+
+# Guards against a long prompt that is refused for a speed that nobody has measured:
+# while all are refused, nothing would show that the engines are faster.
+@pytest.mark.parametrize(
+    ("measured_at", "refused"), [(None, False), (NOW - 31, False), (NOW - 1, True)]
+)
+def test_own_prefill_counts_only_at_a_measured_speed(measured_at, refused):
+    model = PrefillCostModel()
+    if measured_at is not None:
+        model.record(10_000, 0, 1.0, measured_at)
+    plan = Plan(None, "prefill", wait=3.0)
+    expected = ExpectedWork.from_plan(plan, 0.0, 0.0, model.is_measured(NOW))
+    assert (decide(caller(), expected, 0.0) is not None) is refused
+
+
 SECONDS = st.floats(0, 60)
 WAITS = SECONDS | st.just(math.inf)
 LOTS = st.floats(0, 1, exclude_max=True)
