Prompts are ordered by priority and work, not by target latency

What callers saw: a prompt that takes 0.16 s to prefill was sent with priority 3, 3, 2, 2, 1 as its route's target latency was 0.2, 0.3, 0.5, 0.6, 1.0 s: who declared a shorter target had its long prompts sent to the back, behind routes of lower priority too. Of the long prompts whose clients would give up half were raised by lot, above their own priority; the other half waited in vain.

Whether a decode engine may prefill hung on the target as well.

Change: the ten urgencies of an engine are divided among the declared priorities, so that no prompt goes behind a lower priority. Within one, urgency falls with each doubling of the average work of that priority. Every prompt whose client would give up otherwise, counting those that come meanwhile, gets the first urgency of its priority. A decode engine prefills what takes no longer, with the prompts before it there, than the pause that the route allows its streams.

--- a/src/mulberrydock/estimates.py
+++ b/src/mulberrydock/estimates.py
@@ -7,6 +7,7 @@
 from .prefill_cost import PrefillCost, PrefillCostModel
 from .prefix_cache import PrefixCacheIndex
 from .room.places import PlaceUse
+from .room.urgency import PromptSizes
 
 #: Number of samples from which a VM reports its fit to its peers.
 MIN_REPORTED_SAMPLES = 4
@@ -29,6 +30,7 @@
     demand: DemandMeter = attrs.field(factory=DemandMeter)
     stream_seconds: float | None = None
     place_use: PlaceUse = attrs.field(factory=PlaceUse)
+    prompt_sizes: PromptSizes = attrs.field(factory=PromptSizes)
     logged_token_seconds: float = 0.0
 
     def record_stream(self, seconds):
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -1,5 +1,6 @@
 """The state of the fleet as one entry VM knows it, and decisions based on it."""
 
+import functools
 import math
 
 import attrs
@@ -25,6 +26,7 @@
 from .regions import Distances
 from .regions.distances import REMOTE_TRANSFER_FACTOR
 from .rendezvous import rank
+from .room.admission import CallerTime
 from .room.places import Places
 from .route_table import RouteTable
 from .stages import MAX_DECODE_UTILIZATION, StageNeeds, sustainable_streams
@@ -282,6 +284,7 @@
             self._decode_utilization(estimates, demand, spec, len(decoders)),
             demand.streams,
             self.loads.report_delay(now),
+            functools.partial(estimates.prompt_sizes.doublings, now=now),
         )
 
     def _decode_utilization(self, estimates, demand, spec, count):
@@ -362,9 +365,11 @@
         )
         cost = self.estimates.pool(service).cost_model.cost
         work = cost.work(prompt.tokens - cached, cached)
-        short = is_short(cost.seconds(work), route.latency_objective)
+        short = is_short(cost.seconds(work), route.gap_objective)
         self.estimates.record_demand(service, prompt, work, short, now)
-        self.estimates.pool(service).place_use.record_arrival(route.urgency, now)
+        estimates = self.estimates.pool(service)
+        estimates.place_use.record_arrival(route.urgency, now)
+        estimates.prompt_sizes.record(route.urgency, work, now)
 
     def place_wait(self, service, route, places, now):
         """Return the seconds until there is a place for a request.
@@ -415,6 +420,12 @@
             return Plan(target, places=Places.from_instances(healthy, loads))
         pool = self._pool(service, tried, now, accepts)
         pool = self._isolate_suspect(pool, request)
+        left = min(request.deadline, request.arrived + route.timeout) - now
+        time = CallerTime.from_route(route, left, now - request.arrived)
         return self.placement.plan(
-            request.prompt, route, pool, request_hash_fraction(request.id)
+            request.prompt,
+            route,
+            pool,
+            request_hash_fraction(request.id),
+            time.patience,
         )
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -6,6 +6,9 @@
 engine prefills a short prompt itself when that is quicker.
 """
 
+import math
+import typing as t
+
 import attrs
 
 from .fill_level import fill_level
@@ -13,7 +16,6 @@
 from .prefill_cost import IN_PLACE_SPEED_RATIO
 from .regions import Distances
 from .rendezvous import rank
-from .request import PRIORITY_MAX
 from .room.places import Places
 
 #: Seconds that a handoff adds to the prefill and the KV cache transfer: two more
@@ -31,17 +33,6 @@
 #: Cost in seconds of each request beyond an engine's slots: the engine preempts
 #: another request, whose prompt has to be prefilled again.
 PREEMPTION_SECONDS = 0.1
-#: Shares of a request's latency objective. A prompt is one step less urgent for each
-#: share that its prefill alone exceeds; beyond the last one, the objective, it is late
-#: wherever it is prefilled.
-URGENCY_STEPS = (0.25, 0.5, 1.0)
-#: Share of the long prompts whose priority is raised instead if they would wait too
-#: long. Boosting all of them would make the short ones late.
-BOOSTED_SHARE = 0.5
-#: Share of the client's idle timeout that the expected wait may take before a prompt
-#: is boosted. More urgent prompts that arrive later are prefilled first and aren't in
-#: the estimate.
-BOOST_WAIT_SHARE = 0.5
 #: Share of the prefill work queued at a decode engine by which the first token of a
 #: stream is delayed: prompts are prefilled in chunks between decode steps.
 INTERLEAVED_PREFILL_SHARE = 0.1
@@ -68,6 +59,8 @@
     ``prefill_utilization`` and ``decode_utilization`` are those of the two stages,
     ``streams`` is the number of requests a second. ``report_delay`` is the number of
     seconds for which sends of other VMs may not have been reported yet.
+    ``size_doublings`` returns by how many doublings the work of a prompt exceeds the
+    average of its urgency.
     """
 
     prefills: list
@@ -80,6 +73,7 @@
     decode_utilization: float = 1.0
     streams: float = 0.0
     report_delay: float = 0.0
+    size_doublings: t.Callable = lambda urgency, work: 0
 
     def by_version(self):
         """Return this pool as one :class:`Pool` for each software version.
@@ -158,42 +152,41 @@
     return int.from_bytes(rank("lot", request_id)) / 2**64
 
 
-def prefill_urgency(prefill_seconds, route, hash_fraction, load, cost):
-    """Return the priority of a prefill: the longer it takes, the less urgent it is.
+def prefill_urgency(work, route, patience, load, pool):
+    """Return the priority of a prefill among those of its route's priority.
 
-    A long prefill delays several short ones that could still meet their objective.
-    Under a load that exceeds the pool, long prompts would never be prefilled, so a
-    share of them gets a priority above the rest of their route if they would otherwise
-    wait until the client times out.
+    One with less work goes first. One whose client would give up while such ones go
+    before it, those that come later included, has the first urgency of its priority.
 
-    :param prefill_seconds: time that the engine takes to prefill the prompt.
-    :param hash_fraction: the request's :func:`request_hash_fraction`.
+    :param work: the prefill work of the prompt at the engine.
+    :param patience: seconds until its client gives up without an event.
     :param load: the :class:`Load` of the engine.
-    :param cost: the pool's :class:`~mulberrydock.prefill_cost.PrefillCost`.
+    :param pool: the :class:`Pool` of the engine.
     """
-    priority = route.urgency
-    if route.is_taken_up:
-        return priority
-    size = sum(
-        prefill_seconds > step * route.latency_objective for step in URGENCY_STEPS
-    )
-    urgency = min(PRIORITY_MAX, priority + size)
-    if urgency == priority or hash_fraction >= BOOSTED_SHARE:
-        return urgency
-    wait = cost.seconds(load.tokens_ahead(urgency)) + prefill_seconds
-    if wait <= BOOST_WAIT_SHARE * route.client_idle_timeout:
+    if route.is_taken_up or route.urgencies is None:
+        return route.urgency
+    urgency = route.urgencies.of_size(pool.size_doublings(route.urgency, work))
+    if urgency == route.urgency:
         return urgency
-    # At the route's own priority it would still lose to prompts with shorter prefills.
-    return max(0, priority - 1)
+    queue = pool.cost.seconds(load.tokens_ahead(urgency))
+    # While the queue is prefilled, as much work arrives as the engines are asked for.
+    overtaken = queue * (1 + pool.prefill_utilization)
+    if overtaken + pool.cost.seconds(work) > patience:
+        return route.urgency
+    return urgency
 
 
-def is_short(prefill_seconds, objective):
+def is_short(prefill_seconds, gap_objective, queue_seconds=0.0):
     """Return whether a decode engine may prefill a prompt without delaying its streams.
 
+    Even if they stood still until it is prefilled, none would pause for longer than
+    its route allows.
+
     :param prefill_seconds: time that a prefill engine takes for it.
-    :param objective: the route's latency objective in seconds.
+    :param gap_objective: the longest pause between two events in seconds.
+    :param queue_seconds: time that the decode engine takes for the prompts before it.
     """
-    return prefill_seconds / IN_PLACE_SPEED_RATIO <= URGENCY_STEPS[0] * objective
+    return queue_seconds + prefill_seconds / IN_PLACE_SPEED_RATIO <= gap_objective
 
 
 def owner(key, instances):
@@ -250,7 +243,7 @@
         self,
         prompt,
         route,
-        hash_fraction,
+        patience,
         instances,
         pool,
         utilization,
@@ -258,7 +251,7 @@
     ):
         """Return an :class:`Option` for each instance.
 
-        :param hash_fraction: the request's :func:`request_hash_fraction`.
+        :param patience: seconds until the client gives up without an event.
         :param utilization: that of the instances' stage.
         :param speed_ratio: prefill speed of these engines over a prefill engine's.
         """
@@ -273,9 +266,7 @@
             load = pool.load(instance)
             urgency = route.urgency
             if speed_ratio == 1.0:
-                urgency = prefill_urgency(
-                    prefill_seconds, route, hash_fraction, load, pool.cost
-                )
+                urgency = prefill_urgency(work, route, patience, load, pool)
             ahead = load.tokens_ahead(urgency)
             queue = pool.cost.seconds(ahead) / speed_ratio
             wait = (
@@ -358,14 +349,21 @@
             + self._hop_seconds(instance)
         )
 
-    def plan(self, prompt, route, pool, hash_fraction=1.0):
+    def plan(self, prompt, route, pool, hash_fraction=1.0, patience=None):
         """Return a :class:`Plan` for a prompt, None without a decode engine.
 
         :param hash_fraction: the request's :func:`request_hash_fraction`.
+        :param patience: seconds until its client gives up without an event, None for
+            one that has just arrived.
         :param pool: the :class:`Pool` to choose from.
         """
+        if patience is None:
+            patience = route.client_idle_timeout
         pools = [part for part in pool.by_version() if part.decoders]
-        rows = [self._cheaper(prompt, route, part, hash_fraction) for part in pools]
+        rows = [
+            self._cheaper(prompt, route, part, hash_fraction, patience)
+            for part in pools
+        ]
         if not rows:
             return None
         _, _, plan = min(
@@ -373,7 +371,7 @@
         )
         return attrs.evolve(plan, places=Places.from_pool(pool))
 
-    def _cheaper(self, prompt, route, pool, hash_fraction):
+    def _cheaper(self, prompt, route, pool, hash_fraction, patience):
         """Return the plan of lower cost: in place, or with a handoff.
 
         :returns: whether it delays the streams of a decode engine, its cost, and the
@@ -381,11 +379,13 @@
         """
         in_place_cost, in_place = self._in_place(prompt, route, hash_fraction, pool)
         short = is_short(
-            in_place.prefill_seconds * IN_PLACE_SPEED_RATIO, route.latency_objective
+            in_place.prefill_seconds * IN_PLACE_SPEED_RATIO,
+            route.gap_objective,
+            in_place.queue_seconds,
         )
         if not pool.prefills:
             return not short, in_place_cost, in_place
-        cost, handoff = self._handoff(prompt, route, hash_fraction, pool)
+        cost, handoff = self._handoff(prompt, route, hash_fraction, pool, patience)
         if short and in_place_cost < cost:
             return False, in_place_cost, in_place
         return False, cost, handoff
@@ -395,7 +395,7 @@
         options = self._options(
             prompt,
             route,
-            1.0,
+            math.inf,
             pool.decoders,
             pool,
             pool.decode_utilization,
@@ -411,10 +411,10 @@
         plan = Plan(best.instance, None, best.work, best.wait, best.prefill_seconds)
         return cost, self._with_details(plan, best)
 
-    def _handoff(self, prompt, route, hash_fraction, pool):
+    def _handoff(self, prompt, route, hash_fraction, pool, patience):
         """Return (cost, :class:`Plan`) of the prefill by a prefill engine."""
         options = self._options(
-            prompt, route, hash_fraction, pool.prefills, pool, pool.prefill_utilization
+            prompt, route, patience, pool.prefills, pool, pool.prefill_utilization
         )
         best = min(options, key=lambda o: (o.cost, rank(hash_fraction, o.instance.id)))
         target = self.choose_decoder(pool, prompt.tokens, best.instance, hash_fraction)
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -46,8 +46,9 @@
     ``client_idle_timeout`` is the time, in seconds without an event, after which
     clients give a stream up; ``priority`` is 0 for the most urgent; ``max_attempts``
     bounds the instances that one request may be sent to. A ``public`` route requires no
-    API key. ``ranked_urgency`` is the place of ``priority`` among those of all teams
-    and routes, None where it is the priority itself. ``is_taken_up`` is True for a
+    API key. ``urgencies`` is the :class:`~mulberrydock.room.urgency.Urgencies` of
+    ``priority`` among those of all teams and routes, None where its only urgency is the
+    priority itself. ``is_taken_up`` is True for a
     request that goes on with a stream of which its client has a part.
     """
 
@@ -64,18 +65,21 @@
     resumable: bool
     client_idle_timeout: float = math.inf
     public: bool = False
-    ranked_urgency: int | None = None
+    urgencies: object = None
     is_taken_up: bool = False
 
     @property
     def urgency(self):
-        """The priority of its requests at an engine, 0 for the most urgent."""
+        """The priority of its requests at an engine, 0 for the most urgent.
+
+        A long prompt that can wait has a lower one while it is prefilled.
+        """
         if self.is_taken_up:
             # Without the rest, what its client has is lost, and the work for it.
             return 0
-        if self.ranked_urgency is None:
+        if self.urgencies is None:
             return min(PRIORITY_MAX, self.priority)
-        return self.ranked_urgency
+        return self.urgencies.first
 
     @property
     def retryable(self):
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -76,8 +76,8 @@
         """
         if priority is None:
             priority = route.priority
-        urgency = self.scale.urgency(priority, route.priority)
-        return attrs.evolve(route, priority=priority, ranked_urgency=urgency)
+        urgencies = self.scale.urgencies(priority, route.priority)
+        return attrs.evolve(route, priority=priority, urgencies=urgencies)
 
     def is_most_urgent(self, priority, service):
         """Return whether no request to ``service`` can have priority over this one."""
--- a/tests/engine_pool.py
+++ b/tests/engine_pool.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import functools
 import heapq
 import itertools
 import random
@@ -20,6 +21,7 @@
 from mulberrydock.prefill_cost import IN_PLACE_SPEED_RATIO, PrefillCost
 from mulberrydock.prefix_cache import PrefixCacheIndex
 from mulberrydock.room.admission import CallerTime, ExpectedWork, decide
+from mulberrydock.room.urgency import PromptSizes
 
 #: Seconds between two updates of a VM to its peers in a small fleet.
 UPDATE_SECONDS = 0.2
@@ -130,6 +132,7 @@
     ):
         self.update_seconds = update_seconds
         self.demand = DemandMeter()
+        self.prompt_sizes = PromptSizes()
         self.cost = cost or PrefillCost(0.01, 2e-5, 4e-10)
         self.memory = memory
         self.events = []
@@ -202,10 +205,14 @@
             decode_utilization=0.1,
             streams=demand.streams,
             report_delay=vm.loads.report_delay(self.now),
+            size_doublings=functools.partial(self.prompt_sizes.doublings, now=self.now),
         )
 
     def arrive(self, job, vm):
         """Plan a request as its VM does: refuse it, or send its prompt."""
+        cached = max(vm.cache.cached_tokens(name, job.prompt) for name in self.engines)
+        work = self.cost.work(job.prompt.tokens - cached, cached)
+        self.prompt_sizes.record(job.route.urgency, work, self.now)
         pool = self.known_to(vm)
         job.vm = vm
         job.plan = vm.placement.plan(
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -13,6 +13,7 @@
 
 from mulberrydock.prefill_cost import PrefillCost
 from mulberrydock.request import Kind, Prompt, PromptPart, Route, Split
+from mulberrydock.room.urgency import Urgencies
 
 SECONDS = 30.0
 SEEDS = range(1, 6)
@@ -23,6 +24,10 @@
 COST = PrefillCost(0.07, 1 / 85_000, 3.2e-5 / 92_100)
 
 
+#: The urgencies of three priorities.
+URGENCIES = (Urgencies(0, 3), Urgencies(3, 3), Urgencies(6, 4))
+
+
 def route(name, objective, priority):
     """Return a streaming route."""
     splits = (Split("llm", 1),)
@@ -39,6 +44,7 @@
         2,
         True,
         CLIENT_IDLE_TIMEOUT,
+        urgencies=URGENCIES[priority],
     )
 
 
