--- a/src/mulberrydock/estimates.py
+++ b/src/mulberrydock/estimates.py
@@ -23,7 +23,9 @@
 
     ``stream_seconds`` is the average time from a stream's first event to its end, None
     before the first; ``place_use`` is the :class:`~mulberrydock.room.places.PlaceUse`
-    of the streams; ``logged_token_seconds`` is the time a token that was last logged.
+    of the requests, ``prompt_sizes`` the
+    :class:`~mulberrydock.room.urgency.PromptSizes`; ``logged_token_seconds`` is the
+    time a token that was last logged.
     """
 
     cost_model: PrefillCostModel = attrs.field(factory=PrefillCostModel)
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -379,9 +379,9 @@
         place_use = self.estimates.pool(service).place_use
         return place_use.wait(route.urgency, places, route.timeout, now)
 
-    def stream_seconds(self, service, route, now):
-        """Return for how long a stream of a route holds its place, 0 if unknown."""
-        return self.estimates.pool(service).place_use.stream_seconds(route.urgency, now)
+    def held_seconds(self, service, route, now):
+        """Return for how long a request holds its place, 0 if unknown."""
+        return self.estimates.pool(service).place_use.held_seconds(route.urgency, now)
 
     def stage_needs(self, spec, now):
         """Return the :class:`StageNeeds` of a pool, from the demand of all VMs.
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -54,7 +54,7 @@
     return ExpectedWork.from_plan(
         plan,
         fleet.place_wait(service, route, plan.places, now),
-        fleet.stream_seconds(service, route, now),
+        fleet.held_seconds(service, route, now),
         fleet.estimates.pool(service).cost_model.is_measured(now),
     )
 
@@ -72,7 +72,7 @@
     if plan is None or fleet.links.is_lost(service):
         seconds = fleet.pause_seconds(service, now)
         seconds = seconds or fleet.outages.seconds_left(service, now)
-        stream = fleet.stream_seconds(service, route, now)
+        stream = fleet.held_seconds(service, route, now)
         work = ExpectedWork(0.0, seconds, 0.0, stream, in_place=True)
     else:
         work = expected_work(lifecycle, plan, now)
--- a/src/mulberrydock/room/admission.py
+++ b/src/mulberrydock/room/admission.py
@@ -115,4 +115,4 @@
     room = work.room * (1 + RETRY_SPREAD * lot)
     if room + work.own + work.stream <= time.left:
         return room
-    return time.left if math.isinf(room) else max(room, time.left)
+    return max(0.0, time.left if math.isinf(room) else max(room, time.left))
--- a/src/mulberrydock/room/places.py
+++ b/src/mulberrydock/room/places.py
@@ -14,9 +14,9 @@
 #: Weight of the latest stream in the average time of a place. A VM of a large fleet
 #: sees a few streams of a route a second; ten of them cover about the time of one.
 STREAM_WEIGHT = 0.1
-#: Seconds for which an average counts without a further stream. While it keeps all
-#: requests out, no stream would correct it.
-STREAM_EXPIRY_SECONDS = 30.0
+#: Seconds for which an average counts without a further response. While it keeps all
+#: requests out, no response would correct it.
+HELD_EXPIRY_SECONDS = 30.0
 
 
 @attrs.define(frozen=True)
@@ -52,7 +52,7 @@
 
 
 @attrs.define
-class StreamSeconds:
+class HeldSeconds:
     """The average time for which streams held their places; the last ended at ``at``.
 
     Seconds, and monotonic seconds.
@@ -70,7 +70,7 @@
 class PlaceUse:
     """How many places the streams of each urgency ask for, as seen by one VM.
 
-    ``rates`` holds the requests a second and ``streams`` the :class:`StreamSeconds`, by
+    ``rates`` holds the requests a second and ``streams`` the :class:`HeldSeconds`, by
     urgency.
     """
 
@@ -82,16 +82,16 @@
         """Record a client's request, whether it is served or not."""
         self.rates.setdefault(urgency, Rate()).record(1.0, now)
 
-    def record_stream(self, urgency, seconds, now):
-        """Record a complete stream that held its place for ``seconds``."""
+    def record_end(self, urgency, seconds, now):
+        """Record a complete response that held its place for ``seconds``."""
         known = self.streams.get(urgency)
-        if known is None or now - known.at > STREAM_EXPIRY_SECONDS:
-            self.streams[urgency] = StreamSeconds(seconds, now)
+        if known is None or now - known.at > HELD_EXPIRY_SECONDS:
+            self.streams[urgency] = HeldSeconds(seconds, now)
         else:
             known.record(seconds, now)
 
-    def stream_seconds(self, urgency, now):
-        """Return for how long a stream of ``urgency`` holds its place, 0 if unknown."""
+    def held_seconds(self, urgency, now):
+        """Return for how long such a request holds its place, 0 if unknown."""
         return self._known(now).get(urgency, 0.0)
 
     def _known(self, now):
@@ -99,7 +99,7 @@
         return {
             urgency: stream.average
             for urgency, stream in self.streams.items()
-            if now - stream.at <= STREAM_EXPIRY_SECONDS
+            if now - stream.at <= HELD_EXPIRY_SECONDS
         }
 
     def wait(self, urgency, places, longest, now):
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -325,7 +325,7 @@
             idle_timeout = self.route.client_idle_timeout
             gap = attempt_time.event_gap_seconds(idle_timeout, left, attempts)
         else:
-            usual = self.fleet.stream_seconds(self.service, self.route, now)
+            usual = self.fleet.held_seconds(self.service, self.route, now)
             first = gap = attempt_time.response_seconds(left, usual, attempts)
         return ProgressTimeouts(first, gap, self._may_abandon)
 
@@ -350,7 +350,7 @@
         places = plan.places
         if response.status < 300 and places.streams < places.total:
             place_use = self.fleet.estimates.pool(self.service).place_use
-            place_use.record_stream(self.route.urgency, now - sent_at, now)
+            place_use.record_end(self.route.urgency, now - sent_at, now)
 
     async def _attempt_stream(self, plan):
         """Run a streamed request once; return whether the client was answered."""
@@ -412,7 +412,7 @@
             return
         estimates = self.fleet.estimates.pool(self.service)
         estimates.record_stream(now - self.stream.first_event_at)
-        estimates.place_use.record_stream(
+        estimates.place_use.record_end(
             self.route.urgency, now - self.stream.first_event_at, now
         )
         metrics = self.relay.metrics
--- a/tests/test_room_admission.py
+++ b/tests/test_room_admission.py
@@ -16,7 +16,7 @@
 from mulberrydock.prefill_cost import PrefillCostModel
 from mulberrydock.request import Kind, Route, Split
 from mulberrydock.room.admission import CallerTime, ExpectedWork, decide
-from mulberrydock.room.places import STREAM_EXPIRY_SECONDS, Places, PlaceUse
+from mulberrydock.room.places import HELD_EXPIRY_SECONDS, Places, PlaceUse
 
 QUESTION = Route(
     "question",
@@ -45,7 +45,7 @@
     """Return what a VM has learnt after a while of ``mix``."""
     use = PlaceUse()
     for urgency, (rate, seconds) in mix.items():
-        use.record_stream(urgency, seconds, NOW)
+        use.record_end(urgency, seconds, NOW)
         for n in range(int(rate * 4)):
             use.record_arrival(urgency, n / rate)
     return use
@@ -100,9 +100,9 @@
     """Guards against a pool that refuses all requests because its streams once took
     long: as none begins, none could show that they no longer do."""
     use, places = place_use({0: (6.0, 60.0)}), Places(10, 10, 0.0, 6.0)
-    later = NOW + STREAM_EXPIRY_SECONDS + 0.1
-    assert use.stream_seconds(0, NOW) == 60.0
-    assert use.stream_seconds(0, later) == 0.0
+    later = NOW + HELD_EXPIRY_SECONDS + 0.1
+    assert use.held_seconds(0, NOW) == 60.0
+    assert use.held_seconds(0, later) == 0.0
     assert wait(use, 0, places, later) < wait(use, 0, places)
 
 
@@ -206,12 +206,15 @@
         assert work.first_event <= time.patience
 
 
-@hypothesis.given(work=WORKS, left=SECONDS, lot=LOTS)
+@hypothesis.given(work=WORKS, left=st.floats(-1, 60), lot=LOTS)
 def test_return_is_when_room_is_expected_or_beyond_the_callers_time(work, left, lot):
     """Guards against a ``Retry-After`` that invites to a second refusal: if nothing
     else arrives, a client that honours it is let in, unless its time is over."""
     refusal = decide(caller(left), work, lot)
-    if refusal is None or refusal.retry_after >= left:
+    if refusal is None:
+        return
+    assert 0 <= refusal.retry_after < math.inf
+    if refusal.retry_after >= left:
         return
     passed = refusal.retry_after
     later = attrs.evolve(
--- a/tests/test_room_fleet.py
+++ b/tests/test_room_fleet.py
@@ -78,7 +78,12 @@
     it waits."""
     with contextlib.ExitStack() as stack:
         fill(fleet, stack, waiting=2)
-        short = [(limit, ask(fleet, f"new-{limit}", limit)) for limit in ("900", "600")]
+        short = [
+            (limit, ask(fleet, f"{name}-{limit}", limit))
+            for limit in ("900", "600")
+            # A retry with the same time left is treated as the first try is.
+            for name in ("new", "again")
+        ]
         ample = ask(fleet, "new-ample", "6000")
     for limit, refused in short:
         assert refused.status == 503
@@ -86,7 +91,8 @@
         assert float(refused.headers["Retry-After"]) >= int(limit) / 1000 - 0.1
     assert event_ids(ample.content) == [1, 2, 3, 4]
     refusals = fleet.log_records("room refused")
-    assert [record["request"] for record in refusals] == ["new-900", "new-600"]
+    asked = ["new-900", "again-900", "new-600", "again-600"]
+    assert [record["request"] for record in refusals] == asked
 
 
 def test_refused_request_is_served_when_it_returns_as_it_was_told(fleet):
