A prompt isn't abandoned in a queue that moves

A prompt that was expected to wait 1.0 s was abandoned after 1.2 s and queued again elsewhere, though a wait is known only to a factor of two.

Change: the time is divided among as many attempts as could each wait twice as long as expected.

--- a/src/mulberrydock/attempt_time.py
+++ b/src/mulberrydock/attempt_time.py
@@ -9,6 +9,9 @@
 #: Multiple of the usual time of a plain service after which an answer counts as lost.
 #: Few answers take so long, and each that does costs a retry.
 SLOW_RESPONSE_FACTOR = 10.0
+#: Factor by which a wait at a sound engine may exceed its estimate: requests that other
+#: VMs have sent meanwhile aren't in it.
+WAIT_ERROR = 2.0
 
 
 def share(seconds, attempts):
@@ -19,15 +22,16 @@
 def first_event_seconds(patience, wait, attempts):
     """Return the seconds for the first event of a stream, or for a prefill.
 
-    The time is divided among as many attempts as could each last as long as expected:
-    to abandon a prompt in a queue for one that comes too late gains nothing.
+    The time is divided among as many attempts as could each wait for their turn: a
+    prompt that is abandoned in a queue has to queue again elsewhere, and gains nothing
+    if it comes too late there.
 
     :param patience: seconds until the caller gives up without an event.
     :param wait: the estimate of seconds to the first event.
     :param attempts: the number of attempts left, this one included.
     """
     if wait > 0:
-        attempts = max(1, int(min(attempts, patience / wait)))
+        attempts = max(1, int(min(attempts, patience / (WAIT_ERROR * wait))))
     return max(wait, share(patience, attempts))
 
 
