A prompt under way counts for the half that is left of it

Cause: the queue counted the whole of the longest less urgent prompt at the engine. That is a weight for the choice between engines; on average half of what is under way is done.

Change: the expected wait, from which refusal and times of silence follow, counts half of it; the choice of the engine doesn't change.

Test: test_expected_queue_counts_half_of_a_prompt_under_way fails before.

--- a/src/mulberrydock/load_sum.py
+++ b/src/mulberrydock/load_sum.py
@@ -36,10 +36,22 @@
         begun, so a short urgent prompt waits for a long one under way. Which prompt
         that is isn't known here, so the longest one counts.
         """
-        later = sum(self.prefill[urgency + 1 :])
-        under_way = min(self.longest, later) * LONGEST_SHARE
+        under_way = self._under_way(urgency) * LONGEST_SHARE
         return sum(self.prefill[: urgency + 1]) + under_way
 
+    def expected_tokens_ahead(self, urgency):
+        """Return the work that is expected to be prefilled before such a prompt.
+
+        A less urgent prompt under way is half done on average. Unlike
+        :meth:`tokens_ahead`, which weighs engines against each other, this is no
+        reason to avoid the engine.
+        """
+        return sum(self.prefill[: urgency + 1]) + self._under_way(urgency) / 2
+
+    def _under_way(self, urgency):
+        """Return the work of the less urgent prompt that may be under way."""
+        return min(self.longest, sum(self.prefill[urgency + 1 :]))
+
 
 def combined(loads):
     """Return the sum of several VMs' :class:`Load` at one instance.
--- a/src/mulberrydock/placement.py
+++ b/src/mulberrydock/placement.py
@@ -278,15 +278,17 @@
             cost = wait - queue + weight * prefill_seconds
             if instance is document_owner:
                 cost -= self._owner_preference(prompt, pool)
+            expected = pool.cost.seconds(load.expected_tokens_ahead(urgency))
+            expected /= speed_ratio
             details = (
-                wait,
+                wait - queue + expected,
                 instance,
                 work,
                 prefill_seconds,
                 cached,
                 ahead,
                 urgency,
-                queue,
+                expected,
             )
             rows.append((queue, cost, details))
         unreported = utilization * pool.report_delay * len(instances)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -311,6 +311,22 @@
     assert places == Places(128, sum(running), 0.4, 5.0)
 
 
+# Guards against an urgent request that is refused for the whole of a long prompt,
+# though the engine has prefilled a part of that already.
+@pytest.mark.parametrize(
+    ("longest", "expected"), [(0, 10_000), (46_000, 33_000), (90_000, 50_000)]
+)
+def test_expected_queue_counts_half_of_a_prompt_under_way(longest, expected):
+    load = Load(3, (10_000, 0, 0, 80_000 if longest else 0), longest)
+    assert load.expected_tokens_ahead(0) == expected
+    loads = {"prefill0": load}
+    known = pool(engines(P, 1), engines(D, 1), loads)
+    route = attrs.evolve(ROUTE, gap_objective=0.001)
+    plan = Placement("dc1").plan(long_prompt(1), route, known)
+    assert plan.queue_seconds == pytest.approx(expected * COST.token)
+    assert plan.wait > plan.queue_seconds
+
+
 # Guards against a wait that counts the streams beside a request, which delay its later
 # events, as if they delayed the first one.
 @pytest.mark.parametrize("prefills", [0, 1])
