An answer of a very quick service isn't lost after some milliseconds

What callers would see: a service that answers in 2 ms would count as silent after 20 ms, so a pause of the VM or the network would cost a second send of each idempotent call.

Cause: ten times the usual time had no lower bound.

Change: no answer counts as lost within 0.25 s, or the request's share of its time if that is less.

Test: rows "very-quick" and "quick-no-time"; the first fails before.

--- a/src/mulberrydock/attempt_time.py
+++ b/src/mulberrydock/attempt_time.py
@@ -9,6 +9,9 @@
 #: Multiple of the usual time of a plain service after which an answer counts as lost.
 #: Few answers take so long, and each that does costs a retry.
 SLOW_RESPONSE_FACTOR = 10.0
+#: Seconds for which an answer doesn't count as lost, however quick the service is: the
+#: network or a busy machine may hold it up for as long.
+MIN_SLOW_SECONDS = 0.25
 #: Factor by which a wait at a sound engine may exceed its estimate: requests that other
 #: VMs have sent meanwhile aren't in it.
 WAIT_ERROR = 2.0
@@ -51,4 +54,6 @@
     :param usual: seconds that its responses take on average, 0 if unknown.
     """
     seconds = share(left, attempts)
-    return min(seconds, SLOW_RESPONSE_FACTOR * usual) if usual else seconds
+    if not usual:
+        return seconds
+    return min(seconds, max(MIN_SLOW_SECONDS, SLOW_RESPONSE_FACTOR * usual))
--- a/tests/test_attempt_time.py
+++ b/tests/test_attempt_time.py
@@ -47,6 +47,8 @@
         pytest.param(response_seconds(1.0, 0.0, 2), 0.5, id="nothing-known"),
         pytest.param(response_seconds(30.0, 0.045, 2), 0.45, id="usually-quick"),
         pytest.param(response_seconds(1.0, 0.2, 2), 0.5, id="usually-slow"),
+        pytest.param(response_seconds(30.0, 0.002, 2), 0.25, id="very-quick"),
+        pytest.param(response_seconds(0.3, 0.002, 2), 0.15, id="quick-no-time"),
     ],
 )
 def test_time_to_further_events_and_plain_responses(found, seconds):
