--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,11 +10,21 @@
 import gc
 import pathlib
 
+import hypothesis
 import pytest
 from peer_fleet import PeerFleet
 
 from mulberrydock.fleet import LocalFleet
 
+# A busy machine may stop a test for seconds: how fast examples are drawn and run decides
+# nothing.
+hypothesis.settings.register_profile(
+    "untimed",
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile("untimed")
+
 
 @pytest.fixture
 def local_fleet(tmp_path):
