--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,8 +16,8 @@
 
 from mulberrydock.fleet import LocalFleet
 
-# A busy machine may stop a test for seconds: how fast examples are drawn and run decides
-# nothing.
+# A busy machine may stop a test for seconds: how fast examples are drawn and run
+# decides nothing.
 hypothesis.settings.register_profile(
     "untimed",
     deadline=None,
