The caller's time is computed in one place

Cause: the end of a request's time (its deadline or its route's timeout) was written twice, in the lifecycle and in the plan of an attempt, and so was what follows from it; one branch set a value only to replace it, one look-up of a pool was made twice.

Change: request.served_until() and CallerTime.from_request() are called instead. No behaviour changes.

Result: 325 tests of the decisions, takeovers, budgets, moves and forwarded messages passed, 4 of test_room_fleet.py and 28 of test_platform_daemon.py (those of refusals, retries, deadlines and prefills); the linter is clean. All tests weren't run again.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -35,9 +35,8 @@
         once it has reported to this VM.
     """
     lifecycle.cause = "the version that began the stream isn't known"
-    retry_after = lifecycle.fleet.loads.report_delay(now)
-    if final:
-        retry_after = FUTILE_RETRY_SECONDS
+    report_delay = lifecycle.fleet.loads.report_delay(now)
+    retry_after = FUTILE_RETRY_SECONDS if final else report_delay
     _reject(lifecycle, 503, lifecycle.cause, retry_after)
     return ResultCode.UNKNOWN_VERSION
 
--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -363,11 +363,11 @@
             (self.estimates.cache.cached_tokens(e.id, prompt) for e in engines),
             default=0,
         )
-        cost = self.estimates.pool(service).cost_model.cost
+        estimates = self.estimates.pool(service)
+        cost = estimates.cost_model.cost
         work = cost.work(prompt.tokens - cached, cached)
         short = is_short(cost.seconds(work), route.gap_objective)
         self.estimates.record_demand(service, prompt, work, short, now)
-        estimates = self.estimates.pool(service)
         estimates.place_use.record_arrival(route.urgency, now)
         estimates.prompt_sizes.record(route.urgency, work, now)
 
@@ -420,8 +420,7 @@
             return Plan(target, places=Places.from_instances(healthy, loads))
         pool = self._pool(service, tried, now, accepts)
         pool = self._isolate_suspect(pool, request)
-        left = min(request.deadline, request.arrived + route.timeout) - now
-        time = CallerTime.from_route(route, left, now - request.arrived)
+        time = CallerTime.from_request(request, route, now)
         return self.placement.plan(
             request.prompt,
             route,
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -254,6 +254,14 @@
         return self.target.partition("?")[0]
 
 
+def served_until(request, route):
+    """Return until when a request may be served on a route, monotonic seconds.
+
+    The earlier one of its client's deadline and the route's timeout counts.
+    """
+    return min(request.deadline, request.arrived + route.timeout)
+
+
 @attrs.define(frozen=True)
 class SendOptions:
     """What this system adds to one send to an upstream instance."""
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -84,8 +84,7 @@
 
 def caller_time(lifecycle, now):
     """Return the :class:`~mulberrydock.room.admission.CallerTime` of a request."""
-    left, waited = lifecycle.seconds_left(now), now - lifecycle.request.arrived
-    return CallerTime.from_route(lifecycle.route, left, waited)
+    return CallerTime.from_request(lifecycle.request, lifecycle.route, now)
 
 
 def _rounded(seconds):
--- a/src/mulberrydock/room/admission.py
+++ b/src/mulberrydock/room/admission.py
@@ -12,6 +12,7 @@
 import attrs
 
 from ..refusal import RETRY_SPREAD, Refusal
+from ..request import served_until
 
 
 @attrs.define(frozen=True)
@@ -35,6 +36,15 @@
         """
         return cls(min(route.client_idle_timeout - waited, left), left)
 
+    @classmethod
+    def from_request(cls, request, route, now):
+        """Return the time of a request's caller without an event yet.
+
+        :param now: monotonic seconds.
+        """
+        left = served_until(request, route) - now
+        return cls.from_route(route, left, now - request.arrived)
+
 
 @attrs.define(frozen=True)
 class ExpectedWork:
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -22,7 +22,7 @@
 from .incarnation_check import IncarnationCheck
 from .moves import StreamMove, StreamMoved
 from .prefill import PrefillCall
-from .request import Kind, SendOptions
+from .request import Kind, SendOptions, served_until
 from .request_begin import RequestBegin
 from .request_quarantine import RequestQuarantine
 from .request_retries import RequestRetries
@@ -70,7 +70,7 @@
         self.route = route
         self.service = service
         self.sink = sink
-        self.deadline = min(request.deadline, request.arrived + route.timeout)
+        self.deadline = served_until(request, route)
         self.stream = ClientStream(
             relay.wire,
             sink,
