--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import resource
 import subprocess
 import sys
 import threading
@@ -100,7 +101,8 @@
     """A store and instances on an event loop in a thread, and daemons as processes.
 
     ``engines`` holds the stand-ins of all instances by id, those of plain services
-    included. ``extra_settings`` is TOML text added to each daemon's settings.
+    included. ``extra_settings`` is TOML text added to each daemon's settings, and
+    ``max_descriptors`` limits the descriptors of each daemon, None for this process's.
 
     :param directory: where the daemons' settings files and logs are written.
     """
@@ -116,6 +118,7 @@
         self.daemons = {}
         self.settings = {}
         self.extra_settings = ""
+        self.max_descriptors = None
 
     def call_on_loop(self, function, *args):
         """Run ``function`` on the stand-ins' event loop and return its result."""
@@ -189,6 +192,9 @@
             stderr=subprocess.STDOUT,
         )
         log.close()
+        if self.max_descriptors is not None:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.prlimit(self.daemons[name].pid, resource.RLIMIT_NOFILE, limits)
         return name
 
     def is_ready(self, name="entry-1"):
