All requests that a VM is receiving share one budget of memory

Cause: each server ran with the HTTP library's limits for one request (100 MB a body, 64 KB a head), and nothing counted what all connections of the process hold together. A whole body was kept twice, joined and in parts.

An ordinary request beside the many-field heads got 503 or 504, as they were parsed first.

Change: `inbound` makes all servers of a process. A connection's bytes are counted as they are read from its socket, a parsed head by its elements, until its request ends or it is closed. One turn of the event loop reads a bounded amount, and in busy turns a little of each head, so that large heads hold up neither the memory nor a small head. Receive buffers of the kernel are small where there are many connections. The parts of a body are dropped once it is joined.

Why it works: what is counted is what grows with the clients, from the first byte on, over all ports; a small or new request costs least and is never the one that is closed while a crowd holds more. A connection that was closed for room never runs its request, also if its last bytes had been read, as its client may send it again.

--- a/src/mulberrydock/_serve_model.py
+++ b/src/mulberrydock/_serve_model.py
@@ -34,6 +34,14 @@
     usage_due_seconds: float = attrs.field(default=60.0)
 
 
+@attrs.define(kw_only=True)
+class Machine:
+    """Memory and descriptors that the process may take on its VM."""
+
+    memory_megabytes: float = attrs.field(default=300.0)
+    max_descriptors: int = attrs.field(default=4100)
+
+
 @attrs.define(kw_only=True)
 class Timing:
     """Limits that the platform sets, in seconds unless the name says otherwise."""
@@ -63,10 +71,12 @@
     store: PlatformStoreSettings = attrs.field()
     timing: Timing = attrs.field()
     duties: Duties = attrs.field(factory=Duties)
+    machine: Machine = attrs.field(factory=Machine)
 
 
 attrs.resolve_types(Listen)
 attrs.resolve_types(PlatformStoreSettings)
 attrs.resolve_types(Duties)
+attrs.resolve_types(Machine)
 attrs.resolve_types(Timing)
 attrs.resolve_types(ServeSettings)
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -83,16 +83,21 @@
         self.chunks.append(chunk)
 
     def finish(self):
+        body = b"".join(self.chunks)
+        # This object lives until the response is sent, and the body with the request.
+        self.chunks.clear()
         self.task = self.front.start(
             self.start_line,
             self.headers,
-            b"".join(self.chunks),
+            body,
             self.front.make_sink(self.connection),
         )
         self.connection.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self):
-        # The client has left: all work for it stops.
+        # The client has left: all work for it stops, and its bytes are freed at once,
+        # as this object may be part of a reference cycle.
+        self.chunks.clear()
         if self.task is not None:
             self.task.cancel()
 
--- /dev/null
+++ b/src/mulberrydock/inbound/__init__.py
@@ -0,0 +1,14 @@
+"""The servers of a process, and what all their connections hold together."""
+
+from .bounds import RequestBounds
+from .connections import CloseReason, InboundConnections
+from .limits import ConnectionLimits
+from .server import InboundServer
+
+__all__ = [
+    "CloseReason",
+    "ConnectionLimits",
+    "InboundConnections",
+    "InboundServer",
+    "RequestBounds",
+]
--- /dev/null
+++ b/src/mulberrydock/inbound/bounded_request.py
@@ -0,0 +1,126 @@
+"""Passes a request on to its server while it stays within its bounds."""
+
+import tornado.httputil
+from loguru import logger
+
+from ..refusal import OTHER_VM_RETRY_SECONDS
+from .connection import Phase
+
+#: Seconds for which the rest of a refused request is read. Closing a connection with
+#: unread bytes resets it, and its client might not receive the refusal.
+LINGER_SECONDS = 2.0
+#: Memory of a parsed header field, of an element of its value or of a query argument,
+#: besides its text: fields of a few bytes take many times their size.
+ELEMENT_BYTES = 250
+#: Bytes that no body has.
+NO_LIMIT = 2**63
+#: Digits of a number that is larger; longer ones can't be converted at all.
+MAX_LENGTH_DIGITS = 20
+#: Status codes of refusals, and their reason phrases.
+REASONS = {
+    503: "Service Unavailable",
+}
+
+
+class BoundedRequest(tornado.httputil.HTTPMessageDelegate):
+    """One request on a connection, before the delegate that serves it.
+
+    :param connection: its
+        :class:`~mulberrydock.inbound.connection.InboundConnection`.
+    :param http: the HTTP connection that answers it.
+    :param delegate: receives the request.
+    :param on_refuse: called with the status code of a refusal.
+    """
+
+    def __init__(self, connection, http, delegate, on_refuse):
+        self.connection = connection
+        self.http = http
+        self.delegate = delegate
+        self.on_refuse = on_refuse
+        self.table = connection.table
+        self.bounds = connection.bounds
+        self.headers = None
+        self.passed_on = False
+        self.refused = False
+        self.body_bytes = 0
+
+    def headers_received(self, start_line, headers):
+        if self.connection.closed:
+            return None
+        now = self.table.clock()
+        self.headers = headers
+        self.connection.enter(Phase.BODY, now, self.bounds.body_timeout(headers))
+        self.connection.add_parsed(ELEMENT_BYTES * _elements(start_line, headers))
+        if self.connection.closed:
+            return None
+        # The limit of this object replaces that of the HTTP connection, which answers
+        # with another status.
+        self.http.set_max_body_size(NO_LIMIT)
+        self.passed_on = True
+        return self.delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk):
+        if self.refused:
+            self.connection.drop_received()
+            return None
+        if self.connection.closed:
+            return None
+        self.body_bytes += len(chunk)
+        return self.delegate.data_received(chunk)
+
+    def finish(self):
+        if self.refused:
+            self.http.close()
+            return
+        if self.connection.closed:
+            # Its last bytes were read before it was closed for room. Its client may
+            # send it again, so it must not run here.
+            self.on_connection_close()
+            return
+        if self.table.admit_whole(self.connection, self.table.clock()):
+            self.delegate.finish()
+            return
+        self._refuse(503, OTHER_VM_RETRY_SECONDS)
+        self.http.finish()
+
+    def on_connection_close(self):
+        if self.passed_on:
+            self.delegate.on_connection_close()
+
+    def _refuse(self, status, retry_after):
+        """Answer with an error; the rest of the request is read and dropped."""
+        logger.warning(
+            "request refused",
+            request=self.bounds.request_id(self.headers),
+            status=status,
+            body_bytes=max(self.body_bytes, _announced_bytes(self.headers)),
+            held_bytes=self.table.held,
+        )
+        self.on_refuse(status)
+        self.refused = True
+        # The client must not be asked to send what is refused.
+        self.headers.pop("Expect", None)
+        fields = tornado.httputil.HTTPHeaders({"Content-Length": "0"})
+        fields["Retry-After"] = f"{retry_after:.1f}"
+        start = tornado.httputil.ResponseStartLine("HTTP/1.1", status, REASONS[status])
+        self.http.write_headers(start, fields)
+        now = self.table.clock()
+        self.connection.enter(Phase.REFUSED, now, LINGER_SECONDS)
+        self.connection.drop_received()
+        if self.passed_on:
+            self.passed_on = False
+            self.delegate.on_connection_close()
+
+
+def _elements(start_line, headers):
+    """Return how many elements the parsed head has."""
+    fields = sum(1 + value.count(",") for _, value in headers.get_all())
+    return fields + start_line.path.count("&")
+
+
+def _announced_bytes(headers):
+    """Return the length of the body that a request announces, 0 if it is invalid."""
+    value = headers.get("Content-Length", "0")
+    if not (value.isascii() and value.isdecimal()):
+        return 0
+    return int(value) if len(value) < MAX_LENGTH_DIGITS else NO_LIMIT
--- /dev/null
+++ b/src/mulberrydock/inbound/connection.py
@@ -0,0 +1,120 @@
+"""The state of one inbound connection."""
+
+import enum
+
+import attrs
+
+#: Memory that a connection takes besides the bytes that it holds.
+CONNECTION_BYTES = 12 * 1024
+#: Memory that a whole request takes while it waits for its response, besides its bytes.
+REQUEST_BYTES = 24 * 1024
+#: Seconds added to an age, so that bytes that have just arrived count as well.
+MIN_AGE_SECONDS = 0.1
+
+
+class Phase(enum.Enum):
+    """What a connection does.
+
+    - ``IDLE``: it carries no request.
+    - ``HEAD``, ``BODY``: that part of a request arrives.
+    - ``WHOLE``: its whole request waits for the response, or the response is sent.
+    - ``REFUSED``: its request is refused; the rest of it is read and dropped.
+    - ``CLOSED``: it is closed.
+    """
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    WHOLE = "whole"
+    REFUSED = "refused"
+    CLOSED = "closed"
+
+
+@attrs.define(eq=False)
+class InboundConnection:
+    """One inbound connection; what it holds is part of the process's total.
+
+    ``since`` is when its phase began and ``ends_at`` when it is closed unless its phase
+    changes, both in monotonic seconds. ``received`` counts the bytes of its present
+    request, and ``whole`` is its size while it is whole.
+
+    :param table: the :class:`~mulberrydock.inbound.connections.InboundConnections`.
+    :param bounds: the :class:`~mulberrydock.inbound.bounds.RequestBounds` that hold.
+    """
+
+    table: object
+    bounds: object
+    since: float
+    ends_at: float
+    phase: Phase = Phase.IDLE
+    received: int = 0
+    counted: int = 0
+    whole: int = 0
+    stream: object = None
+
+    @property
+    def closed(self):
+        """Whether it is closed."""
+        return self.phase is Phase.CLOSED
+
+    @property
+    def held(self):
+        """The memory that it takes, in bytes."""
+        whole = REQUEST_BYTES if self.phase is Phase.WHOLE else 0
+        return CONNECTION_BYTES + whole + self.received
+
+    @property
+    def may_be_closed(self):
+        """Whether closing it ends no request that may run."""
+        return self.phase is not Phase.WHOLE
+
+    def cost(self, now):
+        """Return the bytes that it holds, times the seconds since when."""
+        return self.held * (now - self.since + MIN_AGE_SECONDS)
+
+    def read_allowance(self):
+        """Return how many bytes it may read in this turn of the event loop."""
+        return self.table.turns.allowance(self)
+
+    def add_received(self, count):
+        """Count bytes that have arrived; this may close it or others."""
+        now = self.table.clock()
+        self.table.turns.record(self, count)
+        if self.phase is Phase.IDLE:
+            self.enter(Phase.HEAD, now, self.bounds.header_timeout(now))
+        if self.phase is not Phase.REFUSED:
+            self.received += count
+        self.table.recount(self)
+        self.table.make_room(now)
+
+    def add_parsed(self, count):
+        """Count memory that the parsed head takes; this may close it or others."""
+        self.received += count
+        self.table.recount(self)
+        self.table.make_room(self.table.clock())
+
+    def enter(self, phase, now, seconds):
+        """Enter ``phase``, which may last some seconds, unless it is closed."""
+        if self.closed:
+            return
+        self.phase = phase
+        self.since = now
+        self.ends_at = now + seconds
+        self.table.recount(self)
+
+    def begin_request(self, now):
+        """Wait for the next request; its first bytes may have arrived already."""
+        if self.closed:
+            return
+        if self.phase is Phase.WHOLE:
+            self.table.leave_whole(self)
+        self.received = self.stream.buffered_bytes()
+        if self.received:
+            self.enter(Phase.HEAD, now, self.bounds.header_timeout(now))
+        else:
+            self.enter(Phase.IDLE, now, self.bounds.idle_timeout(now))
+
+    def drop_received(self):
+        """Count the bytes of its present request as freed."""
+        self.received = 0
+        self.table.recount(self)
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -6,6 +6,8 @@
 
 import prometheus_client
 
+from .inbound.metrics import ConnectionMetrics
+
 #: Bounds of the latency buckets in seconds, from a status lookup to a long stream.
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64)
 
@@ -198,6 +200,7 @@
             "Log lines dropped since the start for volume or a full pipe.",
             registry=self.registry,
         )
+        self.inbound = ConnectionMetrics(self.registry)
 
     def render(self):
         """Return the metrics in the text exposition format."""
--- a/src/mulberrydock/platform/documents.py
+++ b/src/mulberrydock/platform/documents.py
@@ -142,11 +142,14 @@
 
 
 def _limits(row):
-    return RequestLimits(
-        max_header_bytes=int(row.get("max_header_bytes", 16384)),
-        max_body_bytes=int(row.get("max_body_bytes", 4194304)),
-        idle_timeout=row.get("idle_timeout_ms", 15000) / 1000,
-    )
+    # A limit that isn't stated, or is 0, has the default.
+    limits = {
+        "max_header_bytes": int(row.get("max_header_bytes", 0)),
+        "max_body_bytes": int(row.get("max_body_bytes", 0)),
+        "header_timeout": row.get("header_timeout_ms", 0) / 1000,
+        "idle_timeout": row.get("idle_timeout_ms", 0) / 1000,
+    }
+    return RequestLimits(**{name: limit for name, limit in limits.items() if limit > 0})
 
 
 def instance_id(key):
--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -100,20 +100,26 @@
 
     def read_request(self, start_line, headers, body, now):
         return Request(
-            id=headers.get(ATTEMPT_ID, ""),
+            id=self.read_id(headers),
             method=start_line.method,
             target=start_line.path,
             host=headers.get("Host", ""),
             headers=_end_to_end(headers, SEPARATE_HEADERS),
             body=body,
             arrived=now,
-            deadline=now + _quantity(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000,
+            deadline=now + self.read_time_limit(headers),
             prompt=_prompt(headers),
             last_event_id=int(_quantity(headers.get(LAST_EVENT_ID), 0)),
             authorization=tuple(headers.get_list(AUTHORIZATION)),
             resumes=headers.get(RESUMES, ""),
         )
 
+    def read_id(self, headers):
+        return headers.get(ATTEMPT_ID, "")
+
+    def read_time_limit(self, headers):
+        return _quantity(headers.get(DEADLINE), DEFAULT_DEADLINE_MS) / 1000
+
     def upstream_headers(self, request, options):
         headers = tornado.httputil.HTTPHeaders()
         headers["Host"] = request.host
--- a/src/mulberrydock/ports.py
+++ b/src/mulberrydock/ports.py
@@ -18,6 +18,14 @@
         :raises BadRequest: when the request can't be one of a client.
         """
 
+    @abc.abstractmethod
+    def read_id(self, headers):
+        """Return the id of a client's request, empty if it has none."""
+
+    @abc.abstractmethod
+    def read_time_limit(self, headers):
+        """Return the seconds that a client waits for the answer to its request."""
+
     @abc.abstractmethod
     def upstream_headers(self, request, options):
         """Return the headers of one send.
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -118,11 +118,16 @@
 
 @attrs.define(frozen=True)
 class RequestLimits:
-    """Limits on what a client may send; sizes in bytes, ``idle_timeout`` in seconds."""
+    """Limits on what a client may send: sizes in bytes, times in seconds.
 
-    max_header_bytes: int
-    max_body_bytes: int
-    idle_timeout: float
+    ``header_timeout`` is the time from the first byte of a head to its end, and
+    ``idle_timeout`` that for which a connection may carry no request.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
 
 
 @attrs.define(frozen=True)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -11,11 +11,9 @@
 import time
 
 import attrs
-import tornado.httpserver
 from loguru import logger
 
 from . import defaults, platform, records
-from ._http import split_address
 from .clock import boot_seconds
 from .directory import Directory
 from .duties import Duties
@@ -25,19 +23,20 @@
 from .forwarding import Forwarding
 from .front import Front
 from .handover import LeaderHandover
+from .inbound import ConnectionLimits, InboundConnections
 from .instance_feed import MAX_LOGGED_CHARACTERS, InstanceFeed
 from .lease import LeaderLease
 from .membership import Membership
 from .metrics import ServeMetrics
 from .origin_exchange import OriginExchange
 from .origin_records import OriginRecords
-from .pages import make_pages
 from .peer_groups import PeerGroups
 from .peers import PeerLink
 from .quarantine_sync import QuarantineSync
 from .rate_limits import RateLimits
 from .relay import Relay
 from .serve_settings import load_serve_settings
+from .servers import Servers
 from .stage_controller import StageController
 from .stopping import Stop, StopPlan
 from .store_calls import call_purpose
@@ -64,9 +63,6 @@
 #: Seconds beyond the watch's pause until the next VM in turn has seen that the lease
 #: was acquired: covers four calls to the store and a busy VM.
 TAKEOVER_MARGIN_SECONDS = 0.3
-#: Seconds after which an idle client connection is closed; far above the configured
-#: limit, so that no client sends a request on a connection that is being closed.
-CLIENT_IDLE_TIMEOUT_SECONDS = 120
 #: Bytes of the key that signs requests forwarded to this VM, as long as a SHA-256 hash.
 FORWARD_KEY_BYTES = 32
 #: Seconds between two sweeps of instances and distances that have expired.
@@ -149,6 +145,9 @@
         )
         self.relay.forwarding = Forwarding(self.groups)
         self.forward_front = ForwardFront(self.relay, forward_key, time.monotonic)
+        self.connections = InboundConnections(self._connection_limits(), time.monotonic)
+        self.metrics.inbound.observe(self.connections)
+        self.servers = Servers.from_daemon(self, wire)
         self.directory = Directory(self.groups, settings.listen.front)
         self.lease = LeaderLease(
             store,
@@ -264,6 +263,7 @@
             return
         if config is None or not self.fleet.routes.accept(config):
             return
+        self.servers.apply_limits(config.limits, time.monotonic())
         self.metrics.config_version.set(config.version)
         logger.info(
             "configuration in force",
@@ -384,26 +384,14 @@
             now = time.monotonic()
             self.fleet.instances.sweep(now)
             self.fleet.distances.expire(now)
+            self.connections.sweep()
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
-    def _listen(self):
-        listen = self.settings.listen
-        self.front_server = tornado.httpserver.HTTPServer(
-            self.front, idle_connection_timeout=CLIENT_IDLE_TIMEOUT_SECONDS
+    def _connection_limits(self):
+        machine = self.settings.machine
+        return ConnectionLimits.from_machine(
+            machine.memory_megabytes, machine.max_descriptors
         )
-        host, port = split_address(listen.front)
-        self.front_server.listen(port, address=host)
-        forward_server = tornado.httpserver.HTTPServer(
-            self.forward_front, idle_connection_timeout=CLIENT_IDLE_TIMEOUT_SECONDS
-        )
-        forward_server.listen(listen.peer_ports[0], address=self.settings.ip)
-        pages = make_pages(self)
-        server = tornado.httpserver.HTTPServer(pages)
-        for address in {listen.ready, listen.directory}:
-            host, port = split_address(address)
-            server.listen(port, address=host)
-        if listen.metrics_port:
-            server.listen(listen.metrics_port, address=self.settings.ip)
 
     async def run(self):
         """Serve until SIGTERM or SIGINT, then drain and return.
@@ -415,7 +403,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
-        self._listen()
+        self.servers.listen()
         await self.peers.open(self.settings.ip, self.settings.listen.peer_ports[0])
         tasks = [
             asyncio.ensure_future(self.watch.run()),
@@ -447,14 +435,16 @@
         self.stop.set()
 
     def _on_hangup(self):
-        """Reload the ``[timing]`` settings; changes of addresses need a restart."""
+        """Reload ``[timing]`` and ``[machine]``; other changes need a restart."""
         try:
             settings = load_serve_settings(os.environ[platform.SETTINGS_VARIABLE])
         except (SettingsError, OSError, KeyError) as error:
             logger.error("reload refused", error=str(error))
             return
         self.settings.timing = settings.timing
+        self.settings.machine = settings.machine
         self.fleet.timing = settings.timing
+        self.connections.limits = self._connection_limits()
         logger.info("reloaded")
 
     async def _leave(self):
@@ -464,7 +454,7 @@
     def _refuse(self):
         for front in (self.front, self.forward_front):
             front.refusing = True
-        self.front_server.stop()
+        self.servers.front.stop()
 
     def _record_last(self):
         """Write the crashes that the last requests revealed."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,6 +8,7 @@
 
 import http.client
 import json
+import signal
 import time
 
 import attrs
@@ -19,6 +20,7 @@
     NON_IDEMPOTENT_PATH,
     PlatformFleet,
     config,
+    wait_until,
 )
 
 from mulberrydock.fleet import LocalFleet
@@ -28,6 +30,8 @@
 VM = "entry-1"
 #: Memory of a small VM of the platform, in MB.
 MAX_MEGABYTES = 300
+#: Memory of the smallest VMs of the platform, in MB.
+LESS_MEGABYTES = 200
 #: Descriptors of a small VM of the platform.
 MAX_DESCRIPTORS = 4_100
 #: Lowered limit of descriptors, for a crowd that holds nothing but connections.
@@ -166,22 +170,24 @@
     connection.close()
 
 
-def check_bounds(fleet, measured, max_descriptors=MAX_DESCRIPTORS):
+def check_bounds(
+    fleet, measured, max_descriptors=MAX_DESCRIPTORS, max_megabytes=MAX_MEGABYTES
+):
     """Check that the VM lives, and what it has held at most."""
     assert fleet.daemons[VM].poll() is None
     print(measured.figures())
-    assert measured.peak_megabytes() < MAX_MEGABYTES
+    assert measured.peak_megabytes() < max_megabytes
     assert measured.descriptors < max_descriptors
 
 
-def meet(fleet, port_name, crowd, max_descriptors=MAX_DESCRIPTORS):
+def meet(fleet, port_name, crowd, **bounds):
     """Let a crowd connect and send; check the VM while it is there and afterwards."""
     with meter(fleet).running() as measured:
         with crowd:
             crowd.connect().send()
             check_ordinary(fleet, port_name)
         check_ordinary(fleet, port_name)
-    check_bounds(fleet, measured, max_descriptors)
+    check_bounds(fleet, measured, **bounds)
 
 
 # Guards against a VM that runs out of memory by what many clients have sent together,
@@ -195,13 +201,25 @@
     meet(fleet, port_name, Crowd(port, case.count, case.payload(*case.args)))
 
 
+# Guards against limits that don't follow the machine's own memory.
+@pytest.mark.parametrize(
+    "name", ["chunked-inside-the-limit", "announced-inside-the-limit", "heads"]
+)
+def test_crowd_at_a_vm_of_less_memory(fleet, name):
+    fleet.extra_settings = f"[machine]\nmemory_megabytes = {LESS_MEGABYTES}\n"
+    start(fleet)
+    case = CROWDS[name]
+    crowd = Crowd(fleet.settings[VM]["front"], case.count, case.payload(*case.args))
+    meet(fleet, "front", crowd, max_megabytes=LESS_MEGABYTES)
+
+
 # Guards against a VM that can't accept, or doesn't rest, once clients that send nothing
 # hold all its descriptors.
 @pytest.mark.parametrize("port_name", PORTS)
 def test_crowd_of_silent_connections(fleet, port_name):
     start(fleet, FEW_DESCRIPTORS)
     crowd = Crowd(fleet.settings[VM][port_name], 400, b"")
-    meet(fleet, port_name, crowd, FEW_DESCRIPTORS + 1)
+    meet(fleet, port_name, crowd, max_descriptors=FEW_DESCRIPTORS + 1)
 
 
 # Guards against a VM that runs out of memory by whole requests that wait for an answer.
@@ -308,6 +326,30 @@
     check_ordinary(fleet, "front")
 
 
+# Guards against a VM that doesn't end since clients keep their connections open.
+def test_vm_stops_while_a_crowd_is_connected(fleet):
+    start(fleet)
+    process = fleet.daemons[VM]
+    port = fleet.settings[VM]["front"]
+    silent, unfinished = Crowd(port, 50, b""), Crowd(port, 50, chunked(1_000, 90_000))
+    with silent, unfinished:
+        silent.connect()
+        unfinished.connect().send()
+        process.terminate()
+        assert process.wait(60) == 0
+
+
+# Guards against a VM that keeps the limits of the machine that it had at its start.
+def test_limits_follow_the_settings_at_a_hangup(fleet):
+    start(fleet)
+    settings = fleet.directory / f"{VM}.toml"
+    settings.write_text(settings.read_text() + "[machine]\nmemory_megabytes = 200\n")
+    fleet.daemons[VM].send_signal(signal.SIGHUP)
+    wait_until(lambda: fleet.log_records("reloaded", VM))
+    _, metrics = fleet.get(fleet.settings[VM]["metrics"], "/metrics")
+    assert b'mulberrydock_inbound_limit{limit="held_bytes"} 4e+07' in metrics
+
+
 OWN_PATH = "/v1/completions"
 OWN_BODY = {"prompt": "hi", "model": "pass-letters-7b", "max_tokens": 2}
 
