A VM accepts connections at its last descriptor, and rests

What callers saw: while clients that send nothing held all descriptors of a process, a new connection got no answer within 15 s, and the process took a core in full.

Cause: nothing bounded the number of connections. Without a descriptor, accept() fails, the listener stays readable, and the event loop calls it again at once; the process's own connections to the store and the instances fail too.

For a new one beyond that, and when accept() finds no descriptor, the connection is closed that has carried no whole request for longest; if none can be closed, nothing is accepted for half a second.

--- a/src/mulberrydock/inbound/connection.py
+++ b/src/mulberrydock/inbound/connection.py
@@ -101,6 +101,7 @@
         self.since = now
         self.ends_at = now + seconds
         self.table.recount(self)
+        self.table.reorder(self)
 
     def begin_request(self, now):
         """Wait for the next request; its first bytes may have arrived already."""
--- a/src/mulberrydock/inbound/connections.py
+++ b/src/mulberrydock/inbound/connections.py
@@ -24,9 +24,11 @@
     """Why this process closes an inbound connection.
 
     - ``MEMORY``: all connections together hold too many bytes.
+    - ``CONNECTIONS``: there are too many connections.
     """
 
     MEMORY = "memory"
+    CONNECTIONS = "connections"
 
 
 class InboundConnections:
@@ -44,6 +46,8 @@
         self.limits = limits
         self.clock = clock
         self.open = set()
+        #: Connections that may be closed for a new one, the oldest first.
+        self.closable = collections.OrderedDict()
         self.waiting = 0
         self.held = 0
         self.whole = 0
@@ -52,15 +56,30 @@
         self.on_close = lambda reason: None
 
     def add(self, bounds, now):
-        """Add a connection that a server has accepted.
+        """Add a connection that a server has accepted; close another one if need be.
 
-        :returns: its :class:`InboundConnection`.
+        :returns: its :class:`InboundConnection`, None if there is no room for it.
         """
+        while len(self.open) >= self.limits.connections:
+            if not self.close_oldest():
+                self._record_close(CloseReason.CONNECTIONS)
+                return None
         connection = InboundConnection(self, bounds, now, math.inf)
         self.open.add(connection)
         connection.enter(Phase.IDLE, now, bounds.idle_timeout(now))
         return connection
 
+    def close_oldest(self):
+        """Close the connection that has carried no whole request for longest.
+
+        :returns: whether there was one.
+        """
+        oldest = next(iter(self.closable), None)
+        if oldest is None:
+            return False
+        self.close(oldest, CloseReason.CONNECTIONS)
+        return True
+
     def remove(self, connection):
         """Forget a connection that has been closed; idempotent."""
         if connection.closed:
@@ -71,6 +90,7 @@
         self.held -= connection.counted
         connection.counted = 0
         self.open.discard(connection)
+        self.closable.pop(connection, None)
         connection.stream = None
 
     def close(self, connection, reason):
@@ -93,6 +113,12 @@
         self.held += held - connection.counted
         connection.counted = held
 
+    def reorder(self, connection):
+        """Place a connection among those that may be closed, by its phase."""
+        self.closable.pop(connection, None)
+        if connection.phase not in (Phase.WHOLE, Phase.CLOSED):
+            self.closable[connection] = None
+
     def make_room(self, now):
         """Close the connections that cost most, if all hold too many bytes."""
         if self.held <= self.limits.held_bytes:
--- a/src/mulberrydock/inbound/server.py
+++ b/src/mulberrydock/inbound/server.py
@@ -17,6 +17,9 @@
 BACKLOG = 1024
 #: Connections that are accepted in one turn of the event loop.
 ACCEPTS_PER_TURN = 128
+#: Seconds for which no connection is accepted once the process has no descriptor for
+#: one and none to close.
+ACCEPT_PAUSE_SECONDS = 0.5
 #: Bytes of the kernel's receive buffer of a connection, and of one that is accepted
 #: while there are many. The kernel takes twice as much.
 RECEIVE_BYTES = 128 * 1024
@@ -45,6 +48,7 @@
         self.on_refuse = on_refuse
         self.http = tornado.httpserver.HTTPServer(self, chunk_size=READ_CHUNK_BYTES)
         self.sockets = []
+        self.paused = False
 
     def listen(self, port, address):
         """Accept connections on a port of one of this machine's addresses.
@@ -64,22 +68,49 @@
         """Stop accepting connections; those that are open stay."""
         loop = tornado.ioloop.IOLoop.current()
         for sock in self.sockets:
-            loop.remove_handler(sock)
+            if not self.paused:
+                loop.remove_handler(sock)
             sock.close()
         self.sockets = []
 
     def _accept(self, listener, events):
         for _ in range(ACCEPTS_PER_TURN):
-            if not self.sockets:
+            if self.paused or not self.sockets:
                 return
             try:
                 sock, address = listener.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
+            except OSError as error:
+                self._free_descriptor(error)
+                return
             self._serve(sock, address)
 
+    def _free_descriptor(self, error):
+        """Close a connection for the one that waits, or accept none for a while.
+
+        Without a free descriptor the listener stays readable, and the event loop would
+        call again at once.
+        """
+        if self.connections.close_oldest():
+            return
+        logger.warning("accepting paused", error=repr(error))
+        loop = tornado.ioloop.IOLoop.current()
+        self.paused = True
+        for sock in self.sockets:
+            loop.remove_handler(sock)
+        loop.call_later(ACCEPT_PAUSE_SECONDS, self._resume)
+
+    def _resume(self):
+        self.paused = False
+        for sock in self.sockets:
+            self._watch(sock)
+
     def _serve(self, sock, address):
         connection = self.connections.add(self.bounds, self.connections.clock())
+        if connection is None:
+            sock.close()
+            return
         try:
             self._begin(sock, address, connection)
         except OSError as error:
--- a/tests/test_inbound_connections.py
+++ b/tests/test_inbound_connections.py
@@ -65,6 +65,25 @@
         table.remove(connection)
         table.remove(connection)
     assert (table.held, table.whole, table.waiting, len(table.open)) == (0, 0, 0, 0)
+    assert not table.closable
+
+
+def test_oldest_connection_without_a_whole_request_is_closed_for_a_new_one():
+    table = Table()
+    ages = [(Phase.WHOLE, 9), (Phase.IDLE, 5), (Phase.HEAD, 8), (Phase.IDLE, 1)]
+    ages.sort(key=lambda row: -row[1])
+    connections = [table.connect(phase, 10, age) for phase, age in ages]
+    table.connect()
+    assert closed(connections) == [1]
+    assert table.reasons == [CloseReason.CONNECTIONS]
+
+
+# Guards against a new connection for which a request that may run is cut.
+def test_no_connection_is_accepted_while_all_wait_for_responses():
+    table = Table(attrs.evolve(LIMITS, waiting=4))
+    connections = [table.connect(Phase.WHOLE, 10) for _ in range(4)]
+    assert table.add(table.bounds, table.now) is None
+    assert closed(connections) == []
 
 
 # Guards against large whole requests that leave no room for small ones.
@@ -254,3 +273,4 @@
     assert "end" not in delegate.events
     assert ("closed" in delegate.events) is (closed_after != "connect")
     assert (table.held, table.waiting, len(table.open)) == (0, 0, 0)
+    assert not table.closable
