The configuration's limits of a request hold

What callers saw: a body one byte, or 25 MB, over max_body_bytes was served with 200.

Cause: the limits of the configuration were decoded and used nowhere; header_timeout_ms wasn't read. Connections were idle for up to 120 s, for heads and bodies there was no time at all.

Change: a body over the limit, announced or in chunks, gets 413, header fields over theirs 431. The rest of a refused request is read and dropped for two seconds, as a close with unread bytes resets the connection and the refusal may not arrive; then the connection is closed. After a change the wider limits of both versions hold for twice the time in which a version must be in force, also for a body under way. A head may take header_timeout_ms, a body the time that its client has, and idle connections are closed after idle_timeout_ms, each in the second check that finds them late, so that bytes which came while this process stood still are read first.

Why it works: clients inside the limits meet none of them (they reuse connections within four fifths of the idle time), and no byte after a refusal is taken for a request.

--- a/src/mulberrydock/inbound/bounded_request.py
+++ b/src/mulberrydock/inbound/bounded_request.py
@@ -9,6 +9,8 @@
 #: Seconds for which the rest of a refused request is read. Closing a connection with
 #: unread bytes resets it, and its client might not receive the refusal.
 LINGER_SECONDS = 2.0
+#: Bytes of a header line besides its name and value.
+HEADER_LINE_BYTES = 4
 #: Memory of a parsed header field, of an element of its value or of a query argument,
 #: besides its text: fields of a few bytes take many times their size.
 ELEMENT_BYTES = 250
@@ -18,6 +20,8 @@
 MAX_LENGTH_DIGITS = 20
 #: Status codes of refusals, and their reason phrases.
 REASONS = {
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
     503: "Service Unavailable",
 }
 
@@ -43,6 +47,7 @@
         self.passed_on = False
         self.refused = False
         self.body_bytes = 0
+        self.max_body_bytes = 0
 
     def headers_received(self, start_line, headers):
         if self.connection.closed:
@@ -56,8 +61,15 @@
         # The limit of this object replaces that of the HTTP connection, which answers
         # with another status.
         self.http.set_max_body_size(NO_LIMIT)
-        self.passed_on = True
-        return self.delegate.headers_received(start_line, headers)
+        self.max_body_bytes = self.bounds.max_body_bytes(now)
+        if _header_bytes(headers) > self.bounds.max_header_bytes(now):
+            self._refuse(431)
+        elif _announced_bytes(headers) > self.max_body_bytes:
+            self._refuse(413)
+        else:
+            self.passed_on = True
+            return self.delegate.headers_received(start_line, headers)
+        return None
 
     def data_received(self, chunk):
         if self.refused:
@@ -66,8 +78,20 @@
         if self.connection.closed:
             return None
         self.body_bytes += len(chunk)
+        if self.body_bytes > self._max_body_bytes():
+            self._refuse(413)
+            return None
         return self.delegate.data_received(chunk)
 
+    def _max_body_bytes(self):
+        """Return the limit of the body; the configuration may have raised it since."""
+        if self.body_bytes > self.max_body_bytes:
+            now = self.table.clock()
+            self.max_body_bytes = max(
+                self.max_body_bytes, self.bounds.max_body_bytes(now)
+            )
+        return self.max_body_bytes
+
     def finish(self):
         if self.refused:
             self.http.close()
@@ -80,14 +104,14 @@
         if self.table.admit_whole(self.connection, self.table.clock()):
             self.delegate.finish()
             return
-        self._refuse(503, OTHER_VM_RETRY_SECONDS)
+        self._refuse(503, retry_after=OTHER_VM_RETRY_SECONDS)
         self.http.finish()
 
     def on_connection_close(self):
         if self.passed_on:
             self.delegate.on_connection_close()
 
-    def _refuse(self, status, retry_after):
+    def _refuse(self, status, retry_after=None):
         """Answer with an error; the rest of the request is read and dropped."""
         logger.warning(
             "request refused",
@@ -101,7 +125,10 @@
         # The client must not be asked to send what is refused.
         self.headers.pop("Expect", None)
         fields = tornado.httputil.HTTPHeaders({"Content-Length": "0"})
-        fields["Retry-After"] = f"{retry_after:.1f}"
+        if retry_after is None:
+            fields["Connection"] = "close"
+        else:
+            fields["Retry-After"] = f"{retry_after:.1f}"
         start = tornado.httputil.ResponseStartLine("HTTP/1.1", status, REASONS[status])
         self.http.write_headers(start, fields)
         now = self.table.clock()
@@ -112,6 +139,13 @@
             self.delegate.on_connection_close()
 
 
+def _header_bytes(headers):
+    """Return the size of a request's header fields."""
+    return sum(
+        len(name) + len(value) + HEADER_LINE_BYTES for name, value in headers.get_all()
+    )
+
+
 def _elements(start_line, headers):
     """Return how many elements the parsed head has."""
     fields = sum(1 + value.count(",") for _, value in headers.get_all())
--- a/src/mulberrydock/inbound/connections.py
+++ b/src/mulberrydock/inbound/connections.py
@@ -25,10 +25,25 @@
 
     - ``MEMORY``: all connections together hold too many bytes.
     - ``CONNECTIONS``: there are too many connections.
+    - ``HEAD_TIMEOUT``, ``BODY_TIMEOUT``: a part of its request takes too long.
+    - ``IDLE``: it has carried no request for too long.
+    - ``REFUSED``: its request was refused, and it still sends.
     """
 
     MEMORY = "memory"
     CONNECTIONS = "connections"
+    HEAD_TIMEOUT = "head_timeout"
+    BODY_TIMEOUT = "body_timeout"
+    IDLE = "idle"
+    REFUSED = "refused"
+
+
+TIMEOUT_REASONS = {
+    Phase.IDLE: CloseReason.IDLE,
+    Phase.HEAD: CloseReason.HEAD_TIMEOUT,
+    Phase.BODY: CloseReason.BODY_TIMEOUT,
+    Phase.REFUSED: CloseReason.REFUSED,
+}
 
 
 class InboundConnections:
@@ -52,6 +67,7 @@
         self.held = 0
         self.whole = 0
         self.turns = ReadTurns()
+        self.late = set()
         self.closes = collections.Counter()
         self.on_close = lambda reason: None
 
@@ -162,8 +178,16 @@
         self.whole -= connection.whole
         connection.whole = 0
 
-    def sweep(self):
-        """Log the latest closes."""
+    def sweep(self, now):
+        """Close the connections whose phase lasts too long; log the latest closes.
+
+        They are closed in the second sweep that finds them late: after this process has
+        stood still, what their clients have sent meanwhile is read first.
+        """
+        late = {c for c in self.open if now >= c.ends_at}
+        for connection in late & self.late:
+            self.close(connection, TIMEOUT_REASONS[connection.phase])
+        self.late = late
         if not self.closes:
             return
         logger.warning(
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -384,7 +384,7 @@
             now = time.monotonic()
             self.fleet.instances.sweep(now)
             self.fleet.distances.expire(now)
-            self.connections.sweep()
+            self.connections.sweep(now)
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
     def _connection_limits(self):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -326,6 +326,29 @@
     check_ordinary(fleet, "front")
 
 
+# Guards against bytes of a refused body that are taken for a request.
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_rest_of_a_refused_body_is_no_request(fleet, is_chunked):
+    start(fleet)
+    hidden = head("hidden", "Content-Length: 0") + b"\r\n\r\n"
+    body = hidden * (2 * LIMITS["max_body_bytes"] // len(hidden))
+    framing = f"Content-Length: {len(body)}"
+    if is_chunked:
+        framing = "Transfer-Encoding: chunked"
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    payload = head(1, framing) + b"\r\n\r\n" + body
+    with Crowd(fleet.settings[VM]["front"], 1, payload) as crowd:
+        crowd.connect().send()
+        (sock,) = crowd.sockets
+        sock.settimeout(15)
+        answer = b""
+        while part := sock.recv(4096):
+            answer += part
+    assert answer.count(b"HTTP/1.1") == 1 and answer.startswith(b"HTTP/1.1 413")
+    check_ordinary(fleet, "front")
+    assert {run.id for run in fleet.engines["a1"].runs} <= {"first", "ordinary-0"}
+
+
 # Guards against a VM that doesn't end since clients keep their connections open.
 def test_vm_stops_while_a_crowd_is_connected(fleet):
     start(fleet)
--- a/tests/test_inbound_connections.py
+++ b/tests/test_inbound_connections.py
@@ -104,6 +104,37 @@
     assert table.admit_whole(small, table.now) is (table.waiting < 7 or count < 8)
 
 
+@pytest.mark.parametrize(
+    "phase, seconds, reason",
+    [
+        (Phase.IDLE, 15, CloseReason.IDLE),
+        (Phase.HEAD, 3, CloseReason.HEAD_TIMEOUT),
+        (Phase.BODY, 60, CloseReason.BODY_TIMEOUT),
+        (Phase.REFUSED, 2, CloseReason.REFUSED),
+    ],
+)
+def test_phase_that_lasts_too_long_ends_its_connection(phase, seconds, reason):
+    table = Table()
+    connection = table.connect()
+    connection.enter(phase, table.now, seconds)
+    for late in (-0.01, 0.0):
+        table.sweep(table.now + seconds + late)
+        assert not connection.closed
+    table.sweep(table.now + seconds + 0.25)
+    assert connection.closed and table.reasons == [reason]
+
+
+# Guards against clients that are cut off since this process has stood still.
+def test_request_that_goes_on_after_a_standstill_is_read():
+    table = Table()
+    connection = table.connect()
+    connection.enter(Phase.HEAD, table.now, 3)
+    table.sweep(table.now + 5)
+    connection.enter(Phase.BODY, table.now + 5, 60)
+    table.sweep(table.now + 5.25)
+    assert not connection.closed
+
+
 # Guards against bytes of a next request that came early and that nobody counts.
 @pytest.mark.parametrize("buffered, phase", [(0, Phase.IDLE), (700, Phase.HEAD)])
 def test_next_request_begins_with_what_has_arrived(buffered, phase):
@@ -217,6 +248,49 @@
         self.events.append("closed")
 
 
+@pytest.mark.parametrize(
+    "fields, chunks, status, events",
+    [
+        ({"Content-Length": "5000"}, [5_000], None, ["head", 5_000, "end"]),
+        ({"Content-Length": "5001"}, [5_000, 1], 413, []),
+        ({"Transfer-Encoding": "chunked"}, [1, 4_999], None, ["head", 1, 4_999, "end"]),
+        ({}, [5_000, 1, 7], 413, ["head", 5_000, "closed"]),
+        ({"X-Large": "x" * 1_000}, [], 431, []),
+        ({"Content-Length": "none"}, [], None, ["head", "end"]),
+        ({"Content-Length": "9" * 900}, [], 413, []),
+    ],
+)
+def test_request_is_served_inside_its_bounds_only(fields, chunks, status, events):
+    table = Table()
+    connection, http, delegate = table.connect(), FakeHttp(), FakeDelegate()
+    statuses = []
+    request = BoundedRequest(connection, http, delegate, statuses.append)
+    headers = tornado.httputil.HTTPHeaders(fields | {"Expect": "100-continue"})
+    connection.received = 1_000
+    request.headers_received(START_LINE, headers)
+    for chunk in chunks:
+        request.data_received(b"x" * chunk)
+    request.finish()
+    assert delegate.events == events
+    assert http.statuses == statuses == ([status] if status else [])
+    assert http.ended == ("closed" if status else "")
+    assert ("Expect" in headers) is (status is None)
+    if status:
+        assert connection.received == 0
+        assert http.headers[0]["Connection"] == "close"
+
+
+# Guards against a body that the new version allows and that is refused on the way.
+def test_limit_may_rise_while_a_body_arrives():
+    table = Table()
+    delegate = FakeDelegate()
+    request = BoundedRequest(table.connect(), FakeHttp(), delegate, lambda status: None)
+    request.headers_received(START_LINE, tornado.httputil.HTTPHeaders())
+    table.bounds.replace(attrs.evolve(BOUNDS, max_body_bytes=9_000), table.now, 4.0)
+    request.data_received(b"x" * 9_000)
+    assert delegate.events == ["head", 9_000]
+
+
 # Guards against a request that is refused for room, but served later.
 def test_request_without_room_is_refused_as_not_run():
     table = Table()
