Responses that clients don't read share the budget, and so do those that are read

What callers saw: clients that ask for large responses and don't read them fill the memory of a process.

Cause: nothing counted the responses of all requests.

Change: what a connection writes counts as held until all of it is sent, from the last progress on, so that a client that doesn't read is closed first. The responses of instances may take 0.1 of the memory; beyond it large ones aren't read on until others have been passed on, which holds their instances back, and the one that became large first always is. The bytes of a response are dropped when its request ends.

Why it works: both directions of a connection have a sum; a response that waits for room is delivered later, and responses up to 64 KiB never wait.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -106,15 +106,29 @@
 
 @attrs.define
 class HeldChunks:
-    """The bytes of a response that is held until its end, up to ``limit`` bytes."""
+    """The bytes of a response that is held until its end, up to ``limit`` bytes.
+
+    ``share`` is the :class:`~mulberrydock.response_room.ResponseShare` of its request,
+    None for a response to a call of this system.
+    """
 
     limit: int = MAX_HELD_BYTES
+    share: object = None
     chunks: list = attrs.field(factory=list)
     size: int = 0
 
+    def __attrs_post_init__(self):
+        if self.share is not None:
+            self.share.responses.append(self)
+
+    def clear(self):
+        """Drop the bytes that are held."""
+        self.chunks.clear()
+
     def append(self, chunk):
         """Hold a part of the response.
 
+        :returns: None, or an awaitable that delays further reading.
         :raises UpstreamError: when there are too many bytes.
         """
         self.size += len(chunk)
@@ -122,6 +136,7 @@
             self.chunks.clear()
             raise UpstreamError(f"response of more than {self.limit} bytes")
         self.chunks.append(chunk)
+        return None if self.share is None else self.share.add(len(chunk))
 
     def join(self):
         """Return the bytes held so far."""
@@ -141,7 +156,7 @@
         self.headers = headers
 
     def on_data(self, chunk):
-        self.chunks.append(chunk)
+        return self.chunks.append(chunk)
 
     def check(self):
         # Such a response can't be told from one that is cut right after its head.
--- a/src/mulberrydock/inbound/connection.py
+++ b/src/mulberrydock/inbound/connection.py
@@ -34,9 +34,12 @@
 class InboundConnection:
     """One inbound connection; what it holds is part of the process's total.
 
-    ``since`` is when its phase began and ``ends_at`` when it is closed unless its phase
-    changes, both in monotonic seconds. ``received`` counts the bytes of its present
-    request, and ``whole`` is its size while it is whole.
+    ``since`` is when its phase began, or when its client last read a part of the
+    response; ``ends_at`` is when it is closed unless its phase changes. Both are
+    monotonic seconds. ``received`` counts the bytes of its present request and
+    ``unsent`` those of the response that is being sent, as the whole of it stays in
+    memory until its last byte is sent: ``pending`` of them are left. ``whole`` is the
+    size of its request while that is whole.
 
     :param table: the :class:`~mulberrydock.inbound.connections.InboundConnections`.
     :param bounds: the :class:`~mulberrydock.inbound.bounds.RequestBounds` that hold.
@@ -48,6 +51,8 @@
     ends_at: float
     phase: Phase = Phase.IDLE
     received: int = 0
+    unsent: int = 0
+    pending: int = 0
     counted: int = 0
     whole: int = 0
     stream: object = None
@@ -61,12 +66,12 @@
     def held(self):
         """The memory that it takes, in bytes."""
         whole = REQUEST_BYTES if self.phase is Phase.WHOLE else 0
-        return CONNECTION_BYTES + whole + self.received
+        return CONNECTION_BYTES + whole + self.received + self.unsent
 
     @property
     def may_be_closed(self):
         """Whether closing it ends no request that may run."""
-        return self.phase is not Phase.WHOLE
+        return self.phase is not Phase.WHOLE or self.unsent > 0
 
     def cost(self, now):
         """Return the bytes that it holds, times the seconds since when."""
@@ -93,6 +98,26 @@
         self.table.recount(self)
         self.table.make_room(self.table.clock())
 
+    def add_unsent(self, count):
+        """Count bytes of a response that is about to be sent."""
+        self.unsent += count
+        self.pending += count
+
+    def record_sent(self, count):
+        """Count bytes of the response that have been passed to the kernel."""
+        self.pending -= count
+        if self.pending == 0:
+            self.unsent = 0
+        if self.phase is Phase.WHOLE:
+            self.since = self.table.clock()
+        self.table.recount(self)
+
+    def check_unsent(self):
+        """Make room for what couldn't be sent at once; this may close it or others."""
+        if not self.closed and self.unsent:
+            self.table.recount(self)
+            self.table.make_room(self.table.clock())
+
     def enter(self, phase, now, seconds):
         """Enter ``phase``, which may last some seconds, unless it is closed."""
         if self.closed:
--- a/src/mulberrydock/inbound/stream.py
+++ b/src/mulberrydock/inbound/stream.py
@@ -1,4 +1,4 @@
-"""The socket of one inbound connection; counts what arrives."""
+"""The socket of one inbound connection; counts what passes through it."""
 
 import errno
 
@@ -8,7 +8,7 @@
 
 
 class InboundStream(tornado.iostream.IOStream):
-    """Reports received bytes to its connection as they arrive.
+    """Reports received and sent bytes to its connection as they pass.
 
     :param connection: the :class:`~mulberrydock.inbound.connection.InboundConnection`.
     """
@@ -37,3 +37,15 @@
     def close_fd(self):
         super().close_fd()
         self.connection.table.remove(self.connection)
+
+    def write(self, data):
+        self.connection.add_unsent(len(data))
+        future = super().write(data)
+        self.connection.check_unsent()
+        return future
+
+    def write_to_fd(self, data):
+        count = super().write_to_fd(data)
+        if count:
+            self.connection.record_sent(count)
+        return count
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -201,6 +201,11 @@
             registry=self.registry,
         )
         self.inbound = ConnectionMetrics(self.registry)
+        self.response_bytes = prometheus_client.Gauge(
+            "mulberrydock_response_bytes",
+            "Bytes of instances' responses that are held until their ends.",
+            registry=self.registry,
+        )
 
     def render(self):
         """Return the metrics in the text exposition format."""
--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -212,7 +212,11 @@
                 now = time.monotonic()
                 if not self._may_go_on(step, now):
                     continue
-                listener = StreamListener(self.lifecycle.wire, self.lifecycle.stream)
+                listener = StreamListener(
+                    self.lifecycle.wire,
+                    self.lifecycle.stream,
+                    share=self.lifecycle.response_share,
+                )
                 answered = await self._try_step(plan, step, listener, last_event_at)
                 if answered or listener.has_begun:
                     return answered
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 import time
 
 from loguru import logger
@@ -22,6 +23,7 @@
 from .moves import Mover
 from .origin_exchange import OriginExchange
 from .refusal import OTHER_VM_RETRY_SECONDS
+from .response_room import ResponseRoom
 from .serving import RequestLifecycle
 from .stopping import RequestsInProgress
 from .teams import KeyProblem
@@ -47,7 +49,9 @@
     and ``claim_trial``, the
     :meth:`~mulberrydock.quarantine_sync.QuarantineSync.claim_trial` of this VM; and
     ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
-    peers.
+    peers; and ``response_room``, the
+    :class:`~mulberrydock.response_room.ResponseRoom` of this process, without which the
+    sum of all responses has no limit.
     """
 
     def __init__(self, fleet, wire, metrics):
@@ -63,6 +67,7 @@
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
         self.background_tasks = set()
         self.in_progress = RequestsInProgress()
+        self.response_room = ResponseRoom(math.inf)
         self.mover = Mover(self)
         fleet.instances.leave_notices.on_new = self.mover.record_leave
 
@@ -156,6 +161,7 @@
             logger.info("client left", **self._summary(lifecycle))
             raise
         finally:
+            lifecycle.response_share.release()
             lifecycle.quarantine.record_end(lifecycle, time.monotonic())
         logger.info(
             "answered",
--- /dev/null
+++ b/src/mulberrydock/response_room.py
@@ -0,0 +1,89 @@
+"""Memory for the responses of instances that are held until their ends."""
+
+import asyncio
+
+import attrs
+
+#: Share of the process's memory that all held responses may take together.
+RESPONSE_MEMORY_SHARE = 0.1
+#: Size of a response, in bytes, up to which it never waits for room.
+SMALL_RESPONSE_BYTES = 64 * 1024
+
+
+class ResponseRoom:
+    """The responses that a process holds, and how many bytes they may take.
+
+    Beyond the limit, large responses aren't read on until others have been passed on,
+    which holds their instances back. The one that became large first is always read, so
+    that one of them ends.
+
+    :param limit: bytes that all may take together.
+    """
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.held = 0
+        self.large = {}
+        self.waiting = set()
+
+    @classmethod
+    def from_memory(cls, megabytes):
+        """Return the room of a process that may take so much memory."""
+        return cls(int(megabytes * 1e6 * RESPONSE_MEMORY_SHARE))
+
+    def must_wait(self, share):
+        """Return whether ``share`` may not grow at present."""
+        return self.held > self.limit and share is not next(iter(self.large))
+
+    def wake(self):
+        """Let the responses that wait check again."""
+        for future in self.waiting:
+            if not future.done():
+                future.set_result(None)
+        self.waiting.clear()
+
+
+@attrs.define(eq=False)
+class ResponseShare:
+    """What the responses to one request take of a :class:`ResponseRoom`.
+
+    ``responses`` lists the :class:`~mulberrydock.connections.HeldChunks` of them.
+    """
+
+    room: ResponseRoom
+    size: int = 0
+    responses: list = attrs.field(factory=list)
+
+    def add(self, count):
+        """Count bytes that have been read.
+
+        :returns: None, or an awaitable that delays further reading.
+        """
+        self.size += count
+        self.room.held += count
+        if self.size <= SMALL_RESPONSE_BYTES:
+            return None
+        self.room.large.setdefault(self)
+        return self._wait() if self.room.must_wait(self) else None
+
+    async def _wait(self):
+        while self.size and self.room.must_wait(self):
+            future = asyncio.get_running_loop().create_future()
+            self.room.waiting.add(future)
+            try:
+                await future
+            finally:
+                self.room.waiting.discard(future)
+
+    def release(self):
+        """Free the bytes of all responses; idempotent.
+
+        They may be part of a reference cycle, which would keep them for long.
+        """
+        for held in self.responses:
+            held.clear()
+        self.responses.clear()
+        self.room.held -= self.size
+        self.size = 0
+        self.room.large.pop(self, None)
+        self.room.wake()
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -98,6 +98,7 @@
 
     :param stream: the client's :class:`ClientStream`.
     :param on_first_event: called without arguments when the first event arrives.
+    :param share: the :class:`~mulberrydock.response_room.ResponseShare` of the request.
 
     An owner may set ``incarnation_check``, the
     :class:`~mulberrydock.incarnation_check.IncarnationCheck` of the engine, on whose
@@ -108,14 +109,14 @@
     released = None
     woke = None
 
-    def __init__(self, wire, stream, on_first_event=lambda: None):
+    def __init__(self, wire, stream, on_first_event=lambda: None, share=None):
         self.wire = wire
         self.stream = stream
         self.on_first_event = on_first_event
         self.status = 0
         self.headers = None
         self.metadata = None
-        self.chunks = HeldChunks()
+        self.chunks = HeldChunks(share=share)
         # Drop the part of an event that a previous engine has sent.
         stream.splitter.buffer = bytearray()
 
@@ -162,8 +163,7 @@
         if self.released is not None:
             return self._relay_released(chunk)
         if not self.is_signed_stream:
-            self.chunks.append(chunk)
-            return None
+            return self.chunks.append(chunk)
         if self.first_progress_at is None and self.incarnation_check is not None:
             return self._relay_checked(chunk)
         return self._relay(chunk)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -35,6 +35,7 @@
 from .quarantine_sync import QuarantineSync
 from .rate_limits import RateLimits
 from .relay import Relay
+from .response_room import ResponseRoom
 from .serve_settings import load_serve_settings
 from .servers import Servers
 from .stage_controller import StageController
@@ -147,6 +148,10 @@
         self.forward_front = ForwardFront(self.relay, forward_key, time.monotonic)
         self.connections = InboundConnections(self._connection_limits(), time.monotonic)
         self.metrics.inbound.observe(self.connections)
+        self.relay.response_room = ResponseRoom.from_memory(
+            settings.machine.memory_megabytes
+        )
+        self.metrics.response_bytes.set_function(lambda: self.relay.response_room.held)
         self.servers = Servers.from_daemon(self, wire)
         self.directory = Directory(self.groups, settings.listen.front)
         self.lease = LeaderLease(
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from . import attempt_time, final_response
-from .connections import BufferedResponse, ends_with_connection
+from .connections import BufferedResponse, HeldChunks, ends_with_connection
 from .crash_evidence import CRASH_BLAME_SECONDS
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
@@ -27,6 +27,7 @@
 from .request_quarantine import RequestQuarantine
 from .request_retries import RequestRetries
 from .request_room import ask_for_room, caller_time
+from .response_room import ResponseShare
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 from .stream_version import StreamVersion
@@ -100,6 +101,7 @@
         self.is_stopped = False
         self.began_at = None
         self.error_response = None
+        self.response_share = ResponseShare(relay.response_room)
         self.cause = "no instance serves the route"
 
     @property
@@ -331,7 +333,7 @@
 
     async def _attempt_plain(self, plan):
         """Send a plain request once; return whether the client was answered."""
-        response = BufferedResponse()
+        response = BufferedResponse(chunks=HeldChunks(share=self.response_share))
         timeouts = self.attempt_timeouts(plan.wait)
         in_flight_send = self.fleet.loads.begin(plan.target.id, 0)
         sent_at = time.monotonic()
@@ -368,7 +370,7 @@
             plan = self.fleet.decode_plan(
                 self.request, self.service, plan, self.tried, now
             )
-        listener = StreamListener(self.wire, self.stream)
+        listener = StreamListener(self.wire, self.stream, share=self.response_share)
         try:
             if plan is None or self.is_quarantined(time.monotonic()):
                 return False
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -207,7 +207,7 @@
     requests that were never sent would be refused.
     """
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
-    relay = types.SimpleNamespace(fleet=view, wire=None)
+    relay = types.SimpleNamespace(fleet=view, wire=None, response_room=None)
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
     route = types.SimpleNamespace(timeout=5.0)
     lifecycle = RequestLifecycle(relay, request, route, "llm", None)
@@ -222,7 +222,7 @@
 def test_retry_granted_for_a_call_that_was_not_sent_is_reused():
     """Retries that find nobody listening must not each be charged to the budget."""
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
-    relay = types.SimpleNamespace(fleet=view, wire=None)
+    relay = types.SimpleNamespace(fleet=view, wire=None, response_room=None)
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
     lifecycle = RequestLifecycle(
         relay, request, types.SimpleNamespace(timeout=5.0), "llm", None
@@ -241,7 +241,9 @@
 # only made a prefill call, in vain.
 def test_forward_that_only_prefilled_in_vain_gives_no_free_retry():
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
-    relay = types.SimpleNamespace(fleet=view, wire=None, forwarding=None)
+    relay = types.SimpleNamespace(
+        fleet=view, wire=None, response_room=None, forwarding=None
+    )
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
     route = types.SimpleNamespace(timeout=5.0)
     lifecycle = RequestLifecycle(relay, request, route, "llm", None)
@@ -274,7 +276,7 @@
     prefills, accepted, prefill, charged
 ):
     view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
-    relay = types.SimpleNamespace(fleet=view, wire=None)
+    relay = types.SimpleNamespace(fleet=view, wire=None, response_room=None)
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
     route = types.SimpleNamespace(timeout=5.0)
     sender = RequestLifecycle(relay, request, route, "llm", None)
--- a/tests/test_inbound_connections.py
+++ b/tests/test_inbound_connections.py
@@ -62,6 +62,8 @@
     table = Table()
     connections = [table.connect(Phase.WHOLE, 10_000), table.connect(Phase.BODY, 9)]
     for connection in connections:
+        connection.unsent += 50
+        table.recount(connection)
         table.remove(connection)
         table.remove(connection)
     assert (table.held, table.whole, table.waiting, len(table.open)) == (0, 0, 0, 0)
