An entry's clients share the same budget, and parsed bodies aren't kept

What callers saw: `mulberrydock entry` has the same faults as the VM's ports, on its clients' port.

Cause: as there; besides, a parsed JSON body takes up to 30 times its size and was kept until the answer, beside the bytes, their parts and the body that is sent; tornado parses a form before its handler is called.

Change: the entry's server is made by `inbound` too, with `[machine]` in its settings. A completion keeps the bytes and parses them anew where it sends them; a whole request counts three times its body. Forms aren't parsed. Refusals have the result codes 109 TOO_LARGE and 208 NO_ROOM; JSON that is nested too deeply is refused with 100.

Why it works: one body is parsed at a time, and what lasts as long as the request is counted. Test doubles of a completion pass the body's bytes in place of the parsed document; nothing that they check has changed.

--- a/src/mulberrydock/_settings_model.py
+++ b/src/mulberrydock/_settings_model.py
@@ -5,6 +5,14 @@
 import attrs
 
 
+@attrs.define(kw_only=True)
+class Machine:
+    """Memory and descriptors that each process may take on its VM."""
+
+    memory_megabytes: float = attrs.field(default=300.0)
+    max_descriptors: int = attrs.field(default=4100)
+
+
 @attrs.define(kw_only=True)
 class Deployment:
     """Name and timing of the deployment."""
@@ -127,9 +135,11 @@
     control: Control = attrs.field(factory=Control)
     routing: Routing = attrs.field(factory=Routing)
     roles: Roles = attrs.field(factory=Roles)
+    machine: Machine = attrs.field(factory=Machine)
     declared: Declared = attrs.field()
 
 
+attrs.resolve_types(Machine)
 attrs.resolve_types(Deployment)
 attrs.resolve_types(Endpoint)
 attrs.resolve_types(Engine)
--- a/src/mulberrydock/completion.py
+++ b/src/mulberrydock/completion.py
@@ -214,7 +214,8 @@
         daemon,
         klass,
         route,
-        body,
+        content,
+        model,
         work,
         sink,
         arrived,
@@ -224,7 +225,8 @@
         self.daemon = daemon
         self.klass = klass
         self.route = route
-        self.body = body
+        self.content = content
+        self.model = model
         self.work = work
         self.sink = sink
         self.arrived = arrived
@@ -263,7 +265,8 @@
             daemon,
             handler.klass,
             route,
-            body,
+            handler.request.body,
+            body.get("model", ""),
             work,
             sink,
             handler.arrived,
@@ -276,11 +279,6 @@
         """The request's deadline, set by its class, monotonic seconds."""
         return self.arrived + self.klass.deadline_seconds
 
-    @property
-    def model(self):
-        """Model named by the request, empty for any."""
-        return self.body.get("model", "")
-
     def decide_admission(self, now):
         """Decide whether the engine with the shortest wait could answer in time.
 
@@ -450,7 +448,7 @@
             "POST",
             f"/v1/{self.route}",
             headers,
-            json.dumps(self.body | {"stream": streamed}).encode(),
+            self._sent_content(streamed),
             checker.on_chunk,
             checker.on_headers,
             first_byte_timeout=first_byte_timeout,
@@ -458,6 +456,13 @@
             total_timeout=seconds_left,
         )
 
+    def _sent_content(self, streamed):
+        """Return the body to send to an engine.
+
+        It is parsed anew each time: a parsed body may take 30 times its size.
+        """
+        return json.dumps(json.loads(self.content) | {"stream": streamed}).encode()
+
     def _headers(self):
         return {
             "Content-Type": "application/json",
@@ -492,7 +497,7 @@
                 "POST",
                 f"/v1/{self.route}",
                 headers,
-                json.dumps(self.body | {"stream": False}).encode(),
+                self._sent_content(False),
                 chunks.append,
                 first_byte_timeout=idle_timeout + WAIT_TIMEOUT_FACTOR * estimate,
                 idle_timeout=idle_timeout,
--- a/src/mulberrydock/entry.py
+++ b/src/mulberrydock/entry.py
@@ -11,7 +11,6 @@
 import signal
 import time
 
-import tornado.httpserver
 import tornado.web
 from loguru import logger
 
@@ -20,11 +19,19 @@
 from .admission import Admission, RetryBudget
 from .configuration import ConfigFollower, PeerConfigFetcher
 from .crash_guard import CrashGuard
+from .exceptions import ResultCode
 from .idempotency import RecordLeases
+from .inbound import (
+    ConnectionLimits,
+    InboundConnections,
+    InboundServer,
+    PageBounds,
+)
 from .load_report import LoadPoller
 from .membership import Membership, Peer
 from .metrics import EntryMetrics
 from .policies import POLICIES
+from .request import RequestLimits
 from .routing import Router, Upstream
 from .settings import class_by_name
 from .store import StoreClient
@@ -33,6 +40,20 @@
 
 #: Seconds for which a drain waits for records that an outage left unconfirmed.
 BACKGROUND_TASK_TIMEOUT_SECONDS = 5.0
+#: Limits on a client's request.
+REQUEST_LIMITS = RequestLimits(header_timeout=10.0, idle_timeout=30.0)
+#: How often a request's body is in memory: as it came, in its parts, and as it is sent.
+BODY_COPIES = 3
+#: Seconds between two checks for connections whose time is over.
+SWEEP_INTERVAL_SECONDS = 1.0
+
+
+class EntryBounds(PageBounds):
+    """Bounds of clients' requests, whose refusals have a result code."""
+
+    def refusal_fields(self, status):
+        code = ResultCode.NO_ROOM if status == 503 else ResultCode.TOO_LARGE
+        return {defaults.RESULT_HEADER: str(int(code))}
 
 
 class EntryDaemon:
@@ -181,13 +202,31 @@
             ]
         )
 
+    def make_server(self):
+        """Return the server of this entry's clients."""
+        machine = self.settings.machine
+        limits = ConnectionLimits.from_machine(
+            machine.memory_megabytes, machine.max_descriptors
+        )
+        self.connections = InboundConnections(limits, time.monotonic)
+        self.metrics.inbound.observe(self.connections)
+        return InboundServer(
+            self.make_app(),
+            self.connections,
+            EntryBounds(REQUEST_LIMITS, copies=BODY_COPIES),
+            self.metrics.inbound.record_refusal,
+        )
+
+    async def _sweep(self):
+        while True:
+            self.connections.sweep(time.monotonic())
+            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+
     async def run(self):
         """Serve until SIGTERM or SIGINT, then drain and return."""
         host, port = split_address(self.entry.address)
-        server = tornado.httpserver.HTTPServer(
-            self.make_app(), idle_connection_timeout=30
-        )
-        server.listen(port, address=host)
+        server = self.make_server()
+        server.listen(port, host)
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
@@ -204,6 +243,7 @@
             asyncio.ensure_future(self.vm_list.run()),
             asyncio.ensure_future(self.loads.poll_loads()),
             asyncio.ensure_future(self.loads.poll_events()),
+            asyncio.ensure_future(self._sweep()),
         ]
         logger.info("entry serving", address=self.entry.address)
         await stop.wait()
--- a/src/mulberrydock/exceptions.py
+++ b/src/mulberrydock/exceptions.py
@@ -26,6 +26,7 @@
     STALE_FENCING_TOKEN = 106
     NOT_LEADER = 107
     CALLER_GONE = 108
+    TOO_LARGE = 109
     SHED = 200
     DRAINING = 201
     NO_UPSTREAM = 202
@@ -34,6 +35,7 @@
     NOT_READY = 205
     QUARANTINED = 206
     UNKNOWN_VERSION = 207
+    NO_ROOM = 208
     NOT_RUN = 300
     UPSTREAM_FAILED = 301
     OUTCOME_UNKNOWN = 400
--- a/src/mulberrydock/handlers.py
+++ b/src/mulberrydock/handlers.py
@@ -166,10 +166,9 @@
             self.task.cancel()
 
     async def post(self, route):
-        body = self._body()
-        if body is None:
+        completion = self._completion(route)
+        if completion is None:
             return
-        completion = Completion.from_request(self, route, body)
         self.set_header(defaults.REQUEST_ID_HEADER, completion.request_id)
         decision = completion.decide_admission(time.monotonic())
         if not decision.admitted:
@@ -200,16 +199,17 @@
                 retry_after=retry_after,
             )
 
-    def _body(self):
-        """Return the parsed request body, None after refusing a malformed one."""
+    def _completion(self, route):
+        """Return the requested completion, None after refusing a malformed body."""
+        self.request.body = self.request.body or b"{}"
         try:
-            body = json.loads(self.request.body or b"{}")
+            body = json.loads(self.request.body)
             int(body.get("max_tokens", 0))
-        except (ValueError, TypeError, AttributeError):
+        except (ValueError, TypeError, AttributeError, RecursionError):
             self.code = ResultCode.BAD_REQUEST
             self.refuse(400, self.code, "body is not a JSON completion request")
             return None
-        return body
+        return Completion.from_request(self, route, body)
 
 
 class ServiceHandler(_ServingHandler):
--- a/src/mulberrydock/inbound/__init__.py
+++ b/src/mulberrydock/inbound/__init__.py
@@ -1,6 +1,6 @@
 """The servers of a process, and what all their connections hold together."""
 
-from .bounds import RequestBounds
+from .bounds import PageBounds, RequestBounds
 from .connections import CloseReason, InboundConnections
 from .limits import ConnectionLimits
 from .server import InboundServer
@@ -10,5 +10,6 @@
     "ConnectionLimits",
     "InboundConnections",
     "InboundServer",
+    "PageBounds",
     "RequestBounds",
 ]
--- a/src/mulberrydock/inbound/bounded_request.py
+++ b/src/mulberrydock/inbound/bounded_request.py
@@ -68,6 +68,7 @@
             self._refuse(413)
         else:
             self.passed_on = True
+            self.bounds.prepare(headers)
             return self.delegate.headers_received(start_line, headers)
         return None
 
@@ -124,7 +125,8 @@
         self.refused = True
         # The client must not be asked to send what is refused.
         self.headers.pop("Expect", None)
-        fields = tornado.httputil.HTTPHeaders({"Content-Length": "0"})
+        fields = tornado.httputil.HTTPHeaders(self.bounds.refusal_fields(status))
+        fields["Content-Length"] = "0"
         if retry_after is None:
             fields["Connection"] = "close"
         else:
--- a/src/mulberrydock/inbound/bounds.py
+++ b/src/mulberrydock/inbound/bounds.py
@@ -6,6 +6,8 @@
 
 #: Seconds for the body of a request that names no time of its own.
 BODY_SECONDS = 60.0
+#: Content types of forms.
+FORM_TYPES = ("application/x-www-form-urlencoded", "multipart/form-data")
 
 
 @attrs.define
@@ -60,3 +62,22 @@
     def body_timeout(self, headers):
         """Return the seconds for a request's body, by the time that its client has."""
         return BODY_SECONDS
+
+    def prepare(self, headers):
+        """Change the header fields that its server sees."""
+
+    def refusal_fields(self, status):
+        """Return the header fields of a refusal beside those of HTTP."""
+        return {}
+
+
+@attrs.define
+class PageBounds(RequestBounds):
+    """Bounds of requests to a tornado application, none of which takes forms.
+
+    Tornado parses a form before its handler is called, into many times its size.
+    """
+
+    def prepare(self, headers):
+        if headers.get("Content-Type", "").lower().startswith(FORM_TYPES):
+            del headers["Content-Type"]
--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -58,6 +58,7 @@
             "Requests being answered now.",
             registry=self.registry,
         )
+        self.inbound = ConnectionMetrics(self.registry)
 
     def tenant_label(self, tenant):
         """Return the label for ``tenant``; beyond the bound, OTHER_TENANTS_LABEL.
--- a/src/mulberrydock/servers.py
+++ b/src/mulberrydock/servers.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ._http import split_address
-from .inbound import InboundServer, RequestBounds
+from .inbound import InboundServer, PageBounds, RequestBounds
 from .pages import make_pages
 from .request import RequestLimits
 
@@ -54,7 +54,7 @@
             (daemon.front, ClientBounds(limits, wire=wire)),
             # The message that a peer has sent is kept beside the request in it.
             (daemon.forward_front, RequestBounds(_forward_limits(limits), copies=2)),
-            (make_pages(daemon), RequestBounds(page_limits)),
+            (make_pages(daemon), PageBounds(page_limits)),
         )
         on_refuse = daemon.metrics.inbound.record_refusal
         servers = [
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -100,8 +100,9 @@
     name = fingerprint("completions", "tenant", body)
     document = document or {"prompt": body.decode()}
     works = conversation_works("tenant", document)
+    content = json.dumps(document).encode()
     return Completion(
-        daemon, klass, "completions", document, Work(), Sink(), now, name, works
+        daemon, klass, "completions", content, "", Work(), Sink(), now, name, works
     ).run()
 
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,6 +8,7 @@
 
 import http.client
 import json
+import resource
 import signal
 import time
 
@@ -420,6 +421,22 @@
     check_own_bounds(process, measured)
 
 
+# Guards against an entry that can't accept once clients that send nothing hold all its
+# descriptors.
+def test_crowd_of_silent_connections_at_an_entry(own_fleet):
+    address = own_fleet.settings.entries[0].address
+    process = own_fleet.fleet.processes["entry-1"]
+    limits = (FEW_DESCRIPTORS, FEW_DESCRIPTORS)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+    port = int(address.rpartition(":")[2])
+    with Meter(process.pid, (port,)).running() as measured:
+        with Crowd(port, 400, b"") as crowd:
+            crowd.connect().send()
+            check_own_ordinary(address)
+        check_own_ordinary(address)
+    check_own_bounds(process, measured)
+
+
 def nested():
     """Return a whole completion whose body takes many times its size once parsed."""
     filler = "[" + ",".join(["[]"] * 1_000_000) + "]"
