Readiness, directory and metrics need no place among waiting requests

What callers saw: in a trial with 3,000 clients whose requests wait, one of six questions for the metrics got a 503 of the new limit on waiting requests. A VM that answers so on its readiness port would be taken out of service.

Cause: the limit counts the requests of all ports, also of those whose answers wait for nothing.

Change: a request to a server whose responses don't wait is served beyond that limit.

Why it works: such a request is over before the next one is read, so their number needs no bound.

--- a/src/mulberrydock/inbound/bounds.py
+++ b/src/mulberrydock/inbound/bounds.py
@@ -19,10 +19,12 @@
 
     :param limits: the :class:`~mulberrydock.request.RequestLimits` in force.
     :param copies: how often a body is in memory while its whole request is served.
+    :param answered_at_once: whether no request waits for its response.
     """
 
     limits: RequestLimits
     copies: int = 1
+    answered_at_once: bool = False
     previous: RequestLimits | None = None
     previous_until: float = 0.0
 
--- a/src/mulberrydock/inbound/connections.py
+++ b/src/mulberrydock/inbound/connections.py
@@ -161,10 +161,7 @@
         :returns: False if whole requests hold as much as they may.
         """
         size = connection.received * connection.bounds.copies
-        limit = self.limits.whole_bytes
-        if size <= SMALL_REQUEST_BYTES:
-            limit = self.limits.held_bytes
-        if self.waiting >= self.limits.waiting or self.whole + size > limit:
+        if not connection.bounds.answered_at_once and not self._may_wait(size):
             return False
         self.waiting += 1
         self.whole += size
@@ -172,6 +169,13 @@
         connection.enter(Phase.WHOLE, now, math.inf)
         return True
 
+    def _may_wait(self, size):
+        """Return whether one more request of ``size`` bytes may wait."""
+        limit = self.limits.whole_bytes
+        if size <= SMALL_REQUEST_BYTES:
+            limit = self.limits.held_bytes
+        return self.waiting < self.limits.waiting and self.whole + size <= limit
+
     def leave_whole(self, connection):
         """Count the end of a connection's request."""
         self.waiting -= 1
--- a/src/mulberrydock/servers.py
+++ b/src/mulberrydock/servers.py
@@ -54,7 +54,7 @@
             (daemon.front, ClientBounds(limits, wire=wire)),
             # The message that a peer has sent is kept beside the request in it.
             (daemon.forward_front, RequestBounds(_forward_limits(limits), copies=2)),
-            (make_pages(daemon), PageBounds(page_limits)),
+            (make_pages(daemon), PageBounds(page_limits, answered_at_once=True)),
         )
         on_refuse = daemon.metrics.inbound.record_refusal
         servers = [
--- a/tests/test_inbound_connections.py
+++ b/tests/test_inbound_connections.py
@@ -106,6 +106,15 @@
     assert table.admit_whole(small, table.now) is (table.waiting < 7 or count < 8)
 
 
+# Guards against pages that fail while many requests wait.
+def test_request_that_is_answered_at_once_needs_no_place():
+    table = Table()
+    for _ in range(LIMITS.waiting):
+        table.connect(Phase.WHOLE, 10)
+    table.bounds = RequestBounds(BOUNDS, answered_at_once=True)
+    assert table.admit_whole(table.connect(), table.now)
+
+
 @pytest.mark.parametrize(
     "phase, seconds, reason",
     [
