Inbound: a connection names the others it shares the budget with by what they are

Cause: read as a newcomer would, `table` said nothing of what it holds, and the text of `may_be_closed` left out responses that clients don't read.

Change: the attribute is `connections`; the text says both cases. No behaviour changes.

Result: 43 tests of the connections and their model pass, and 15 of slow readers, responses and the entry.

--- a/src/mulberrydock/inbound/bounded_request.py
+++ b/src/mulberrydock/inbound/bounded_request.py
@@ -41,7 +41,7 @@
         self.http = http
         self.delegate = delegate
         self.on_refuse = on_refuse
-        self.table = connection.table
+        self.connections = connection.connections
         self.bounds = connection.bounds
         self.headers = None
         self.passed_on = False
@@ -52,7 +52,7 @@
     def headers_received(self, start_line, headers):
         if self.connection.closed:
             return None
-        now = self.table.clock()
+        now = self.connections.clock()
         self.headers = headers
         self.connection.enter(Phase.BODY, now, self.bounds.body_timeout(headers))
         self.connection.add_parsed(ELEMENT_BYTES * _elements(start_line, headers))
@@ -87,7 +87,7 @@
     def _max_body_bytes(self):
         """Return the limit of the body; the configuration may have raised it since."""
         if self.body_bytes > self.max_body_bytes:
-            now = self.table.clock()
+            now = self.connections.clock()
             self.max_body_bytes = max(
                 self.max_body_bytes, self.bounds.max_body_bytes(now)
             )
@@ -102,7 +102,7 @@
             # send it again, so it must not run here.
             self.on_connection_close()
             return
-        if self.table.admit_whole(self.connection, self.table.clock()):
+        if self.connections.admit_whole(self.connection, self.connections.clock()):
             self.delegate.finish()
             return
         self._refuse(503, retry_after=OTHER_VM_RETRY_SECONDS)
@@ -119,7 +119,7 @@
             request=self.bounds.request_id(self.headers),
             status=status,
             body_bytes=max(self.body_bytes, _announced_bytes(self.headers)),
-            held_bytes=self.table.held,
+            held_bytes=self.connections.held,
         )
         self.on_refuse(status)
         self.refused = True
@@ -133,7 +133,7 @@
             fields["Retry-After"] = f"{retry_after:.1f}"
         start = tornado.httputil.ResponseStartLine("HTTP/1.1", status, REASONS[status])
         self.http.write_headers(start, fields)
-        now = self.table.clock()
+        now = self.connections.clock()
         self.connection.enter(Phase.REFUSED, now, LINGER_SECONDS)
         self.connection.drop_received()
         if self.passed_on:
--- a/src/mulberrydock/inbound/connection.py
+++ b/src/mulberrydock/inbound/connection.py
@@ -41,11 +41,12 @@
     memory until its last byte is sent: ``pending`` of them are left. ``whole`` is the
     size of its request while that is whole.
 
-    :param table: the :class:`~mulberrydock.inbound.connections.InboundConnections`.
+    :param connections: the
+        :class:`~mulberrydock.inbound.connections.InboundConnections` of the process.
     :param bounds: the :class:`~mulberrydock.inbound.bounds.RequestBounds` that hold.
     """
 
-    table: object
+    connections: object
     bounds: object
     since: float
     ends_at: float
@@ -70,7 +71,10 @@
 
     @property
     def may_be_closed(self):
-        """Whether closing it ends no request that may run."""
+        """Whether it may be closed for room.
+
+        Its request may not run, or its client hasn't read what was written for it.
+        """
         return self.phase is not Phase.WHOLE or self.unsent > 0
 
     def cost(self, now):
@@ -79,24 +83,24 @@
 
     def read_allowance(self):
         """Return how many bytes it may read in this turn of the event loop."""
-        return self.table.turns.allowance(self)
+        return self.connections.turns.allowance(self)
 
     def add_received(self, count):
         """Count bytes that have arrived; this may close it or others."""
-        now = self.table.clock()
-        self.table.turns.record(self, count)
+        now = self.connections.clock()
+        self.connections.turns.record(self, count)
         if self.phase is Phase.IDLE:
             self.enter(Phase.HEAD, now, self.bounds.header_timeout(now))
         if self.phase is not Phase.REFUSED:
             self.received += count
-        self.table.recount(self)
-        self.table.make_room(now)
+        self.connections.recount(self)
+        self.connections.make_room(now)
 
     def add_parsed(self, count):
         """Count memory that the parsed head takes; this may close it or others."""
         self.received += count
-        self.table.recount(self)
-        self.table.make_room(self.table.clock())
+        self.connections.recount(self)
+        self.connections.make_room(self.connections.clock())
 
     def add_unsent(self, count):
         """Count bytes of a response that is about to be sent."""
@@ -109,14 +113,14 @@
         if self.pending == 0:
             self.unsent = 0
         if self.phase is Phase.WHOLE:
-            self.since = self.table.clock()
-        self.table.recount(self)
+            self.since = self.connections.clock()
+        self.connections.recount(self)
 
     def check_unsent(self):
         """Make room for what couldn't be sent at once; this may close it or others."""
         if not self.closed and self.unsent:
-            self.table.recount(self)
-            self.table.make_room(self.table.clock())
+            self.connections.recount(self)
+            self.connections.make_room(self.connections.clock())
 
     def enter(self, phase, now, seconds):
         """Enter ``phase``, which may last some seconds, unless it is closed."""
@@ -125,15 +129,15 @@
         self.phase = phase
         self.since = now
         self.ends_at = now + seconds
-        self.table.recount(self)
-        self.table.reorder(self)
+        self.connections.recount(self)
+        self.connections.reorder(self)
 
     def begin_request(self, now):
         """Wait for the next request; its first bytes may have arrived already."""
         if self.closed:
             return
         if self.phase is Phase.WHOLE:
-            self.table.leave_whole(self)
+            self.connections.leave_whole(self)
         self.received = self.stream.buffered_bytes()
         if self.received:
             self.enter(Phase.HEAD, now, self.bounds.header_timeout(now))
@@ -143,4 +147,4 @@
     def drop_received(self):
         """Count the bytes of its present request as freed."""
         self.received = 0
-        self.table.recount(self)
+        self.connections.recount(self)
--- a/src/mulberrydock/inbound/stream.py
+++ b/src/mulberrydock/inbound/stream.py
@@ -36,7 +36,7 @@
 
     def close_fd(self):
         super().close_fd()
-        self.connection.table.remove(self.connection)
+        self.connection.connections.remove(self.connection)
 
     def write(self, data):
         self.connection.add_unsent(len(data))
