A reload changes the limit of held responses too, and a metric shows it

What an operator saw: after SIGHUP with less memory in `[machine]` the limits of connections followed, that of instances' responses stayed as it was at the start; no metric showed it.

Cause: the memory's share for responses was computed at the start only. Found in a read of the whole change.

Change: ResponseRoom.set_memory() computes it at the start and at a reload, and lets responses that wait check again; mulberrydock_response_limit_bytes shows it.

Result: test_limits_follow_the_settings_at_a_hangup checks the new limit; it fails without the line in the reload and passes with it. 33 selected tests of the daemon, slow readers, quantities and crowds passed, 10 of responses; all tests weren't run again.

--- a/src/mulberrydock/metrics.py
+++ b/src/mulberrydock/metrics.py
@@ -207,6 +207,16 @@
             "Bytes of instances' responses that are held until their ends.",
             registry=self.registry,
         )
+        self.response_limit = prometheus_client.Gauge(
+            "mulberrydock_response_limit_bytes",
+            "Bytes beyond which large responses of instances aren't read on.",
+            registry=self.registry,
+        )
+
+    def observe_responses(self, room):
+        """Show the state of a ``ResponseRoom`` in every sample."""
+        self.response_bytes.set_function(lambda: room.held)
+        self.response_limit.set_function(lambda: room.limit)
 
     def render(self):
         """Return the metrics in the text exposition format."""
--- a/src/mulberrydock/response_room.py
+++ b/src/mulberrydock/response_room.py
@@ -29,7 +29,14 @@
     @classmethod
     def from_memory(cls, megabytes):
         """Return the room of a process that may take so much memory."""
-        return cls(int(megabytes * 1e6 * RESPONSE_MEMORY_SHARE))
+        room = cls(0)
+        room.set_memory(megabytes)
+        return room
+
+    def set_memory(self, megabytes):
+        """Set the limit by the memory that the process may take."""
+        self.limit = int(megabytes * 1e6 * RESPONSE_MEMORY_SHARE)
+        self.wake()
 
     def must_wait(self, share):
         """Return whether ``share`` may not grow at present."""
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -151,7 +151,7 @@
         self.relay.response_room = ResponseRoom.from_memory(
             settings.machine.memory_megabytes
         )
-        self.metrics.response_bytes.set_function(lambda: self.relay.response_room.held)
+        self.metrics.observe_responses(self.relay.response_room)
         self.servers = Servers.from_daemon(self, wire)
         self.directory = Directory(self.groups, settings.listen.front)
         self.lease = LeaderLease(
@@ -450,6 +450,7 @@
         self.settings.machine = settings.machine
         self.fleet.timing = settings.timing
         self.connections.limits = self._connection_limits()
+        self.relay.response_room.set_memory(settings.machine.memory_megabytes)
         logger.info("reloaded")
 
     async def _leave(self):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -377,6 +377,7 @@
     wait_until(lambda: fleet.log_records("reloaded", VM))
     _, metrics = fleet.get(fleet.settings[VM]["metrics"], "/metrics")
     assert b'mulberrydock_inbound_limit{limit="held_bytes"} 4e+07' in metrics
+    assert b"mulberrydock_response_limit_bytes 2e+07" in metrics
 
 
 OWN_PATH = "/v1/completions"
