The log shows how the version of a stream was known, and how old that is

`stream taken up` named the version only. A version that a peer told couldn't be told from one that was concluded from the store, nor a view of the store that is old from a present one, so the hypotheses on streams joined from two versions couldn't be told apart.

It names the source and its age now. No decision changes.

--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -189,6 +189,9 @@
             settings.first_start,
         )
         self.watch = self._watch()
+        self.watch.on_read = lambda: self.fleet.instances.versions.record_read(
+            time.monotonic()
+        )
         self.freshness.on_news = self.watch.wake
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
--- a/src/mulberrydock/stream_origins.py
+++ b/src/mulberrydock/stream_origins.py
@@ -74,6 +74,11 @@
         version, recorded_at = self.origins.get(key, ("", now))
         return version if now - recorded_at <= RETENTION_SECONDS else ""
 
+    def age(self, key, now):
+        """Return the seconds since a stream was recorded, None if it wasn't."""
+        row = self.origins.get(key)
+        return now - row[1] if row else None
+
     def _drop_expired(self, now):
         while self.origins:
             key = next(iter(self.origins))
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -58,26 +58,48 @@
         :returns: whether the result is final; if not, a peer that hasn't answered may
             know the version.
         """
-        final, key = True, self._key
+        final, source = True, ""
         if self.request.resumes:
-            self.fixed, final = await self.relay.origins.find(key, time.monotonic())
-            self.is_known = bool(self.fixed)
+            final, source = await self._find_origin()
         if not self.fixed:
             versions = self.relay.fleet.instances.versions
             self.fixed = versions.sole_version(self.service, time.monotonic())
+            source = "sole version" if self.fixed else ""
         logger.info(
             "stream taken up",
             request=self.request.id,
             resumes=self.request.resumes,
             after_event=self.request.last_event_id,
-            stream=key,
+            stream=self._key,
             version=self.fixed,
             final=final,
+            source=source,
+            age=self._age(source, time.monotonic()),
         )
         known = "yes" if self.fixed else "no"
         self.relay.metrics.streams_taken_up.labels(self.service, known).inc()
         return final
 
+    async def _find_origin(self):
+        """Fix the version that VMs remember for the stream.
+
+        :returns: whether the result is final, and how the version is known.
+        """
+        origins, key, now = self.relay.origins, self._key, time.monotonic()
+        source = "told" if origins.origins.get(key, now) else "asked"
+        self.fixed, final = await origins.find(key, now)
+        self.is_known = bool(self.fixed)
+        return final, source
+
+    def _age(self, source, now):
+        """Return the age in seconds of what the version is known by, for the log."""
+        if source == "sole version":
+            read_at = self.relay.fleet.instances.versions.read_at
+            age = now - read_at if read_at is not None else None
+        else:
+            age = self.relay.origins.origins.age(self._key, now)
+        return None if age is None else round(age, 3)
+
     def record_unknown(self):
         """Record that the instance that was sent to last may have restarted since."""
         self.attempted = UNKNOWN_VERSION
--- a/src/mulberrydock/version_history.py
+++ b/src/mulberrydock/version_history.py
@@ -28,6 +28,7 @@
     the history is complete since ``complete_since``, None before the first observation.
     ``recorded`` maps services to the versions that the store holds of them, None until
     they were read; ``is_recorded`` is False when versions may have been added since.
+    ``read_at`` is when the store last told this VM all changes, None before.
     """
 
     seen_at: dict = attrs.field(factory=dict)
@@ -35,12 +36,17 @@
     observed_at: float | None = None
     recorded: dict | None = None
     is_recorded: bool = False
+    read_at: float | None = None
 
     def restart(self, now):
         """Begin anew, as versions may have been missed up to ``now``."""
         self.complete_since = now
         self.is_recorded = False
 
+    def record_read(self, now):
+        """Record that the store has told this VM all changes."""
+        self.read_at = now
+
     def record(self, service, version, now):
         """Record that an instance of ``version`` is registered."""
         self.seen_at[service, version] = now
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -34,6 +34,8 @@
     :param freshness: the :class:`~mulberrydock.store_freshness.StoreFreshness` that
         says when a poll is due, None to poll all the time.
     :param clock: returns the time that ``freshness`` is asked with.
+
+    An owner may set ``on_read``, called each time the store has told all changes.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self.poll = None
         self.store_answered = True
         self.after_pause = False
+        self.on_read = lambda: None
 
     def _next_poll_seconds(self):
         """Return the seconds for which the next poll waits at the store.
@@ -133,6 +136,7 @@
         self.waited_seconds = self.clock() - started_at
 
     def _record_read(self):
+        self.on_read()
         if self.freshness is not None:
             self.freshness.record_read(self.store.era or 0, self.revision)
 
