Versions seen without a gap are counted anew after a full read of the store

What callers could see: none seen; found by reading for streams joined from two versions. A VM that lost its place in the store's history reads everything again. A version that came and went since is in none of that, yet the VM went on to conclude "the only version" from a minute without a gap.

Change: a full read begins that minute anew. Until it has passed, the record in the store counts too, as after a start.

The new row of test_sole_version_of_a_service fails without it.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -372,6 +372,8 @@
 
     def finish_reload(self, now):
         """End a full read: remove the instances whose records it did not contain."""
+        # Versions may have come and gone since the last read.
+        self.versions.restart(now)
         for instance_id in list(self.instances):
             if instance_id not in self.read_ids:
                 self.remove(instance_id, now)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -8,7 +8,7 @@
 
 from mulberrydock import peer_messages
 from mulberrydock.hash_ring import HashRing
-from mulberrydock.instances import Instance, InstanceRecord
+from mulberrydock.instances import Instance, InstanceRecord, InstanceRegistry
 from mulberrydock.membership import Peer
 from mulberrydock.origin_exchange import TOLD_PEERS, OriginExchange
 from mulberrydock.stream_origins import (
@@ -212,6 +212,7 @@
         ("just started", ""),
         ("frozen", ""),
         ("store silent", ""),
+        ("store read in full", ""),
         ("second version gone", ""),
         ("second version long gone", "v1"),
         ("none stated", ""),
@@ -226,6 +227,11 @@
         now += MAX_GAP_SECONDS + 1
     if case == "store silent":
         history.restart(now)
+    if case == "store read in full":
+        # A version may have come and gone since the changes that are missing.
+        registry = InstanceRegistry()
+        registry.versions = history
+        registry.finish_reload(now)
     if case.startswith("second version"):
         now = observe(history, [*one, instance("v2", 2)], now, 5.0)
         long_gone = case.endswith("long gone")
