A stream's only version is concluded from a current view of the store

What callers saw: during a release, streams begun at engines of the new version were taken up at a VM that was out of step (cut off from the others and the store, or stopped for a second) and went on at an engine of the old version. Besides, after any call that the store left unanswered a VM refused streams that nobody remembered for a minute, although their service had one version.

Cause: where no VM told the version, `StreamVersion.find` took the one that the VM had seen or read on record for the only one, however old that view was. A VM that follows the store through others makes no call that would show it; one with a poll in progress notices a lost link after 1.9 s; a stop of under 2 s left no trace. What a VM hasn't heard was taken for what isn't so. A VM that had read of no peer asked nobody, and took that for the answer of all.

Change: before it concludes the only version, the VM reads the changes in the store (`PrefixWatch.catch_up`, beside the poll in progress; `StoreView` lets requests that come at once share a read that began after they came). With the answer, the record counts again at once, also after an outage. A VM that knows no peer reads the store before it asks.

Why it works: an instance serves a VM's streams only after that VM has read its record in the store, and the client takes a stream up after its first event. So a read that begins after the request came shows every version that the stream can be of. Nothing is read for a stream that a VM remembers, so the cost doesn't grow with the fleet.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -28,15 +28,21 @@
     return ResultCode.NO_UPSTREAM
 
 
-def refuse_unknown_version(lifecycle, final, now):
-    """Refuse to go on with a stream of which nobody knows the version.
+def refuse_unknown_version(lifecycle, search, now):
+    """Refuse to go on with a stream of which this VM doesn't find the version.
 
-    :param final: False if a peer that hasn't answered may know it; it is asked again
-        once it has reported to this VM.
+    A VM that the store doesn't answer sends its client to another one. A peer that
+    hasn't answered is asked again once it has reported to this VM.
+
+    :param search: the :class:`~mulberrydock.stream_version.VersionSearch`.
     """
     lifecycle.cause = "the version that began the stream isn't known"
-    report_delay = lifecycle.fleet.loads.report_delay(now)
-    retry_after = FUTILE_RETRY_SECONDS if final else report_delay
+    if not search.is_current:
+        retry_after = OTHER_VM_RETRY_SECONDS
+    elif not search.is_final:
+        retry_after = lifecycle.fleet.loads.report_delay(now)
+    else:
+        retry_after = FUTILE_RETRY_SECONDS
     _reject(lifecycle, 503, lifecycle.cause, retry_after)
     return ResultCode.UNKNOWN_VERSION
 
--- a/src/mulberrydock/origin_exchange.py
+++ b/src/mulberrydock/origin_exchange.py
@@ -84,6 +84,11 @@
             self._read_peers(now)
         return self.ring.names(key)
 
+    def has_peers(self, now):
+        """Return whether this VM knows of another one."""
+        self.names("", now)
+        return bool(self.peers)
+
     def _are_peers_due(self, now):
         # A VM that starts knows no peer at first, and then all of them at once.
         if not self.peers or self.peers_read_at is None:
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -36,6 +36,11 @@
 ALIVE_TIMEOUT_SECONDS = 2.0
 
 
+async def _no_store():
+    """Return that no store has answered."""
+    return False
+
+
 class Relay:
     """Serves requests on the instances of ``fleet``.
 
@@ -51,7 +56,9 @@
     ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
     peers; and ``response_room``, the
     :class:`~mulberrydock.response_room.ResponseRoom` of this process, without which the
-    sum of all responses has no limit.
+    sum of all responses has no limit; and ``catch_up``, the
+    :meth:`~mulberrydock.store_view.StoreView.catch_up` of this VM, without which its
+    view of the store counts as outdated.
     """
 
     def __init__(self, fleet, wire, metrics):
@@ -62,6 +69,7 @@
         self.forwarding = None
         self.claim_trial = None
         self.origins = OriginExchange()
+        self.catch_up = _no_store
         self.connection_pools = {}
         self.link_monitor = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -43,6 +43,7 @@
 from .store_calls import call_purpose
 from .store_changes import change_urgency
 from .store_freshness import StoreFreshness
+from .store_view import StoreView
 from .usage import UsageLedger
 from .version_records import VersionRecords
 from .watch import PrefixWatch
@@ -192,6 +193,9 @@
         self.watch.on_read = lambda: self.fleet.instances.versions.record_read(
             time.monotonic()
         )
+        self.relay.catch_up = StoreView(
+            self.watch, self.fleet.instances.versions.confirm
+        ).catch_up
         self.freshness.on_news = self.watch.wake
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -127,10 +127,10 @@
             async with asyncio.timeout_at(loop.time() + seconds_left) as limit:
                 self.time_limit = limit
                 if self.version.is_taken_up and not self.version.fixed:
-                    final = await self.version.find()
+                    search = await self.version.find()
                     if not self.version.fixed:
                         now = time.monotonic()
-                        return final_response.refuse_unknown_version(self, final, now)
+                        return final_response.refuse_unknown_version(self, search, now)
                 self.route = self.version.ranked_route()
                 if not self.is_forwarded:
                     await self.quarantine.claim_trial(time.monotonic())
--- /dev/null
+++ b/src/mulberrydock/store_view.py
@@ -0,0 +1,62 @@
+"""Brings this VM's view of the store up to date when a request depends on it.
+
+What this VM hasn't read may have happened all the same: it may have stood still, lost
+its links without a call that shows it, or hear of changes through peers only.
+"""
+
+import asyncio
+import time
+
+from loguru import logger
+
+#: Seconds after which a read is given up. The client of a stream waits for its next
+#: event for two seconds, and an instance needs the rest.
+CATCH_UP_SECONDS = 1.0
+
+
+class StoreView:
+    """What this VM has read of the store.
+
+    :param watch: the :class:`~mulberrydock.watch.PrefixWatch` that reads it.
+    :param on_current: called without arguments after each read that was answered.
+
+    ``reading`` is the task of the read in progress, ``following`` that of the next one.
+    """
+
+    def __init__(self, watch, on_current=lambda: None):
+        self.watch = watch
+        self.on_current = on_current
+        self.reading = None
+        self.following = None
+
+    async def catch_up(self):
+        """Read all changes made before this call.
+
+        A read that has begun may lack the latest of them, so the calls that come
+        meanwhile share the next one.
+
+        :returns: False when the store didn't answer in time.
+        """
+        if self.following is None:
+            self.following = asyncio.ensure_future(self._read_after(self.reading))
+        return await asyncio.shield(self.following)
+
+    async def _read_after(self, former):
+        if former is not None:
+            await asyncio.wait([former])
+        self.reading, self.following = self.following, None
+        started_at, is_current = time.monotonic(), False
+        try:
+            async with asyncio.timeout(CATCH_UP_SECONDS):
+                is_current = await self.watch.catch_up()
+        except TimeoutError:
+            pass
+        if is_current:
+            self.on_current()
+        logger.info(
+            "store read for a request",
+            answered=is_current,
+            revision=self.watch.revision,
+            seconds=round(time.monotonic() - started_at, 3),
+        )
+        return is_current
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -1,14 +1,29 @@
 """Which software version one request's stream goes on at."""
 
+import asyncio
 import time
 
 import attrs
 from loguru import logger
 
+from .origin_exchange import ASK_INTERVAL_SECONDS
 from .request import Kind
 from .stream_origins import UNKNOWN_VERSION, StreamOrigin, origin_key
 
 
+@attrs.define(frozen=True)
+class VersionSearch:
+    """What the search for a stream's version rests on.
+
+    ``is_final`` is False if a peer that hasn't answered may know the version,
+    ``is_current`` is False if the store didn't answer, so that this VM may not know of
+    all versions.
+    """
+
+    is_final: bool
+    is_current: bool
+
+
 @attrs.define
 class StreamVersion:
     """The version of the stream of one request.
@@ -55,13 +70,17 @@
     async def find(self):
         """Fix the version of a stream that the client has taken up, if it is known.
 
-        :returns: whether the result is final; if not, a peer that hasn't answered may
-            know the version.
+        :returns: the :class:`VersionSearch`.
         """
-        final, source = True, ""
-        if self.request.resumes:
-            final, source = await self._find_origin()
-        if not self.fixed:
+        origin = asyncio.ensure_future(self._find_origin())
+        reading = asyncio.ensure_future(self._read_store(origin))
+        try:
+            is_final, source = await origin
+            is_current = bool(self.fixed) or await reading
+        finally:
+            origin.cancel()
+            reading.cancel()
+        if not self.fixed and is_current:
             versions = self.relay.fleet.instances.versions
             self.fixed = versions.sole_version(self.service, time.monotonic())
             source = "sole version" if self.fixed else ""
@@ -72,20 +91,36 @@
             after_event=self.request.last_event_id,
             stream=self._key,
             version=self.fixed,
-            final=final,
+            final=is_final,
+            current=is_current,
             source=source,
             age=self._age(source, time.monotonic()),
         )
         known = "yes" if self.fixed else "no"
         self.relay.metrics.streams_taken_up.labels(self.service, known).inc()
-        return final
+        return VersionSearch(is_final, is_current)
+
+    async def _read_store(self, origin):
+        """Read the store for a version that no VM tells at once.
+
+        :param origin: the task that asks the VMs.
+        :returns: whether the store answered.
+        """
+        await asyncio.wait([origin], timeout=ASK_INTERVAL_SECONDS)
+        return bool(self.fixed) or await self.relay.catch_up()
 
     async def _find_origin(self):
         """Fix the version that VMs remember for the stream.
 
         :returns: whether the result is final, and how the version is known.
         """
-        origins, key, now = self.relay.origins, self._key, time.monotonic()
+        if not self.request.resumes:
+            return True, ""
+        origins, key = self.relay.origins, self._key
+        if not origins.has_peers(time.monotonic()):
+            # A VM that has just started may have peers of which it hasn't read yet.
+            await self.relay.catch_up()
+        now = time.monotonic()
         source = "told" if origins.origins.get(key, now) else "asked"
         self.fixed, final = await origins.find(key, now)
         self.is_known = bool(self.fixed)
--- a/src/mulberrydock/version_history.py
+++ b/src/mulberrydock/version_history.py
@@ -47,6 +47,10 @@
         """Record that the store has told this VM all changes."""
         self.read_at = now
 
+    def confirm(self):
+        """Record that all changes of the store are read, so its record is current."""
+        self.is_recorded = self.recorded is not None
+
     def record(self, service, version, now):
         """Record that an instance of ``version`` is registered."""
         self.seen_at[service, version] = now
@@ -80,7 +84,10 @@
         return self.seen(service) | set((self.recorded or {}).get(service, ()))
 
     def sole_version(self, service, now):
-        """Return the only version that streams of ``service`` can be of, or empty."""
+        """Return the only version that streams of ``service`` can be of, or empty.
+
+        It holds for streams that began before this VM last read the store.
+        """
         versions = self._known(service, now)
         if len(versions) != 1:
             return ""
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -14,6 +14,9 @@
 #: one is lost as well, it must end soon, as changes may be written as soon as the
 #: store is available again.
 RECOVERY_POLL_SECONDS = 0.3
+#: Seconds for which the poll that catches up waits at the store: the least that a poll
+#: can state.
+CATCH_UP_POLL_SECONDS = 0.001
 #: Seconds between two checks whether a poll is due.
 CHECK_INTERVAL_SECONDS = 0.25
 
@@ -63,6 +66,7 @@
         self.waited_seconds = 0.0
         self.revision = 0
         self.loaded = False
+        self.has_loaded = asyncio.Event()
         self.poll = None
         self.store_answered = True
         self.after_pause = False
@@ -106,16 +110,39 @@
         if batch.is_error():
             return False
         if batch.ok.compacted:
-            self.loaded = False
+            self._discard()
             return True
-        for event in batch.ok.events:
-            self.on_item(event.key, event.value, event.revision)
-        self.revision = max(self.revision, batch.ok.revision)
-        self._record_read()
+        self._apply(batch.ok)
         if batch.ok.events:
             await self._pause()
         return True
 
+    def _apply(self, batch):
+        """Apply the changes of a poll, except those that another one has told."""
+        for event in batch.events:
+            if event.revision > self.revision:
+                self.on_item(event.key, event.value, event.revision)
+        self.revision = max(self.revision, batch.revision)
+        self._record_read()
+
+    async def catch_up(self):
+        """Read all changes made before this call, beside the poll in progress.
+
+        :returns: True, or False when the store doesn't answer.
+        """
+        while True:
+            await self.has_loaded.wait()
+            batch = await self.store.watch(
+                self.prefix, self.revision, CATCH_UP_POLL_SECONDS
+            )
+            if batch.is_error():
+                return False
+            if self.loaded and not batch.ok.compacted:
+                self._apply(batch.ok)
+                return True
+            if self.loaded:
+                self.invalidate()
+
     async def _pause(self):
         if self.pause_seconds:
             self.after_pause = True
@@ -159,11 +186,16 @@
         A poll in progress is cancelled: the revision after which it waits may be that
         of another change now.
         """
-        self.loaded = False
+        self._discard()
         self.wake()
         if self.poll is not None:
             self.poll.cancel()
 
+    def _discard(self):
+        """Have the prefix read again before the next poll."""
+        self.loaded = False
+        self.has_loaded.clear()
+
     async def _read_prefix(self):
         era = self.store.era
         read = await self.store.range(self.prefix)
@@ -179,6 +211,7 @@
         self.loaded = True
         self._record_read()
         self.on_loaded()
+        self.has_loaded.set()
         return True
 
     async def run(self):
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -292,6 +292,10 @@
     assert versions.sole_version("llm", 1.0) == sole
 
 
+async def answered():
+    return True
+
+
 # Guards against a request that goes before others because it names an event, although
 # nobody remembers a stream that it goes on with.
 @pytest.mark.parametrize(
@@ -307,6 +311,7 @@
         fleet=types.SimpleNamespace(instances=instances),
         metrics=ServeMetrics(),
         origins=OriginExchange(),
+        catch_up=answered,
     )
     versions.observed_at = versions.complete_since = time.monotonic()
     relay.origins.origins.record(
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -10,11 +10,13 @@
 
 import pytest
 from platform_fleet import wait_until
-from version_fleet import Stream, started_fleet
+from version_fleet import EVENT_INTERVAL_SECONDS, Stream, started_fleet
 
 #: So many that half of them only follow the store through the others.
 VMS = tuple(f"entry-{number}" for number in range(1, 7))
-ONE_VERSION = (("prefill", "v1"), ("decode", "v1"), ("decode", "v1"))
+#: Stages of the engines of each version: no stream is refused for want of a place.
+STAGES = ("prefill",) + ("decode",) * 6
+ONE_VERSION = tuple((stage, "v1") for stage in STAGES)
 #: Streams of each case: the VM isn't told of two fifths of them, of which half are of
 #: the new version.
 STREAMS = 24
@@ -57,18 +59,17 @@
 
 def join(fleet, version, vm):
     """Let engines of a version join; wait until ``vm`` knows them."""
-    names = [f"{stage}-{version}" for stage in ("prefill", "decode")]
-    options = next(iter(fleet.engines.values()))
-    for name in names:
-        stage = name.partition("-")[0]
+    names = []
+    for number, stage in enumerate(STAGES):
+        names.append(f"{stage}-{version}-{number}")
         fleet.add_instance(
-            name,
+            names[-1],
             "llm",
             stage,
             version=version,
-            event_interval_seconds=options.event_interval_seconds,
+            event_interval_seconds=EVENT_INTERVAL_SECONDS,
         )
-    wait_until(lambda: all(fleet._knows(vm, name) for name in names))
+    fleet.wait_ready(vm, names)
 
 
 def begin(fleet, vm):
@@ -109,3 +110,43 @@
             stack.enter_context(stopped(fleet, *others))
         take_up(streams, vm)
     assert mixed(streams) == []
+
+
+def peer_stopped(fleet, vm):
+    return stopped(fleet, next(name for name in VMS if name != vm))
+
+
+def store_silent_before(fleet, vm):
+    """Let the store leave calls unanswered for a while."""
+    fleet.store.silent = True
+    wait_until(lambda: fleet.log_records("store lost", vm))
+    fleet.store.silent = False
+    wait_until(lambda: fleet.log_records("store answers", vm)[1:])
+    return contextlib.nullcontext()
+
+
+def history_compacted(fleet, vm):
+    fleet.call_on_loop(fleet.store.compact_history)
+    return contextlib.nullcontext()
+
+
+# Guards against a VM in touch that refuses streams which no VM remembers, although
+# their service has had one version only.
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        lambda fleet, vm: contextlib.nullcontext(),
+        peer_stopped,
+        store_silent_before,
+        history_compacted,
+    ],
+    ids=["calm", "peer-stopped", "store-silent-before", "history-compacted"],
+)
+@pytest.mark.parametrize("number", [0, 1], ids=["follower", "observer"])
+def test_vm_in_touch_goes_on_with_streams_of_the_only_version(fleet, number, trouble):
+    vm = vms_by_mode(fleet)[number]
+    streams = begin(fleet, next(name for name in VMS if name != vm))
+    with trouble(fleet, vm):
+        for stream in streams[:4]:
+            stream.request(vm, Resumes="forgotten")
+    assert all(stream.complete for stream in streams[:4])
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -9,6 +9,7 @@
 
 from mulberrydock.fleet import free_ports
 from mulberrydock.platform import PlatformStore
+from mulberrydock.standin import platform_store
 from mulberrydock.standin import store as standin_store
 from mulberrydock.store import Event, StoreClient, WatchBatch
 from mulberrydock.watch import RECOVERY_POLL_SECONDS, PrefixWatch
@@ -99,3 +100,75 @@
     store.on_response = answers.append
     assert asyncio.run(store.keepalive(7)).is_error()
     assert answers == [False]
+
+
+async def started_watch(items):
+    """Return a store with one key, and a watch of it that has read it and polls.
+
+    :param items: list to which the watch appends the (key, value) that it is told.
+    """
+    state = platform_store.PlatformStoreState()
+    server = tornado.httpserver.HTTPServer(platform_store.make_app(state))
+    (port,) = free_ports(1)
+    server.listen(port, address="127.0.0.1")
+    state.write("k/0", 0)
+    watch = PrefixWatch(
+        PlatformStore(f"127.0.0.1:{port}"),
+        "k/",
+        lambda key, value, revision: items.append((key, value)),
+        poll_seconds=5.0,
+    )
+    watch.store.on_era_change = watch.invalidate
+    assert await watch.step()
+    return state, server, watch
+
+
+def change(state):
+    pass
+
+
+def compact(state):
+    state.write("k/2", 2)
+    state.compact_history()
+
+
+def restore(state):
+    state.restore(attrs.evolve(state.snapshot(), revision=1))
+    state.write("k/3", 3)
+
+
+# Guards against a view of the store that lacks a change made before it was brought up
+# to date, and against a change that the poll beside that applies again, later.
+@pytest.mark.parametrize("also", [change, compact, restore])
+def test_catching_up_reads_all_changes_made_before(also):
+    async def run():
+        items = []
+        state, server, watch = await started_watch(items)
+        state.write("k/1", 1)
+        also(state)
+        running = asyncio.ensure_future(watch.run())
+        assert await watch.catch_up()
+        read = {key for key, _ in items}
+        assert read == {key for key in state.items}
+        state.write("k/9", 9)
+        while "k/9" not in {key for key, _ in items}:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        server.stop()
+        return items
+
+    items = asyncio.run(run())
+    if also is change:
+        assert [key for key, _ in items] == ["k/0", "k/1", "k/9"]
+
+
+# Guards against a view that counts as current although the store doesn't answer.
+def test_catching_up_fails_where_the_store_is_silent():
+    async def run():
+        state, server, watch = await started_watch([])
+        state.refusing = True
+        answered = await watch.catch_up()
+        server.stop()
+        return answered
+
+    assert asyncio.run(run()) is False
