A VM that knows no instance of a stream's version reads the store before it refuses

What callers saw: a VM that had stood still for 1.2 s, in touch with all, refused streams of a version that had joined meanwhile: "no instance of version v2 can be used". Its peers told it the version; it hadn't read of the instances yet.

Cause: the answer of a peer may be newer than this VM's view of the store, or show a part of the instances (a prefill engine, no decode engine).

Change: where no instance can take up a stream of a known version, the VM reads the changes in the store once and plans again.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -32,6 +32,7 @@
 from .sse import EventSplitter
 from .stream_version import StreamVersion
 from .takeover import SuccessorFailed, TakenOver, Takeover
+from .version_history import is_stated
 
 
 def _ran_past_blame(listener, now):
@@ -131,6 +132,8 @@
                     if not self.version.fixed:
                         now = time.monotonic()
                         return final_response.refuse_unknown_version(self, search, now)
+                if self._lacks_instances(time.monotonic()):
+                    await self.relay.catch_up()
                 self.route = self.version.ranked_route()
                 if not self.is_forwarded:
                     await self.quarantine.claim_trial(time.monotonic())
@@ -144,6 +147,14 @@
             self.begin.record_plain(self.sends)
             self.move.close()
 
+    def _lacks_instances(self, now):
+        """Return whether this VM knows no instance that can take a stream up.
+
+        Its peers may have read earlier of the instances of the stream's version.
+        """
+        version = self.version.fixed
+        return bool(version) and is_stated(version) and self._local_plan(now) is None
+
     def _record_arrival(self):
         """Record a client's request; a forwarded one was recorded by its sender."""
         arrived = self.request.arrived
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -150,3 +150,19 @@
         for stream in streams[:4]:
             stream.request(vm, Resumes="forgotten")
     assert all(stream.complete for stream in streams[:4])
+
+
+# Guards against a VM that is told the version of a stream and refuses to go on, as it
+# hasn't read of the instances that joined while it stood still.
+@pytest.mark.parametrize("number", [0, 1], ids=["follower", "observer"])
+def test_woken_vm_reads_of_the_instances_whose_streams_it_gets(fleet, number):
+    vm = vms_by_mode(fleet)[number]
+    other = next(name for name in VMS if name != vm)
+    with stopped(fleet, vm):
+        join(fleet, "v2", other)
+        streams = begin(fleet, other)
+        assert len(versions(streams)) == 2
+    take_up(streams, vm)
+    assert {row["code"] for row in fleet.log_records("answered", vm)} == {"OK"}
+    assert mixed(streams) == []
+    assert all(stream.complete for stream in streams)
