Streams go on at the service of their route that began them

A forwarded request ran at another service than the one that its sender had chosen.

Cause: the service was drawn at random for each request, also by the peer of a forwarded one. No VM knows a stream under the other service, so the only version of that service was taken for the stream's.

Why the fix works: the service is chosen by weighted rendezvous hashing of the id of the request that began the stream, so all VMs choose the same one, and a shift of weights moves only its share. A forwarded request states its service; one of an earlier release doesn't, and then the peer chooses in the same way.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -135,7 +135,11 @@
         )
         prior = PriorCalls.from_lifecycle(lifecycle)
         forwarded = ForwardedRequest(
-            request, lifecycle.route.priority, prior, self.forwarding.name
+            request,
+            lifecycle.route.priority,
+            prior,
+            self.forwarding.name,
+            lifecycle.service,
         )
         return forward_messages.encode(forwarded, now)
 
--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -77,13 +77,15 @@
 class ForwardedRequest:
     """A client's request that the VM ``sender`` forwards.
 
-    ``priority`` is that of the request's team or route.
+    ``priority`` is that of the request's team or route, ``service`` the one that is to
+    serve it, empty if the sender doesn't state it.
     """
 
     request: Request
     priority: int
     prior: PriorCalls
     sender: str
+    service: str = ""
 
 
 @attrs.define(frozen=True)
@@ -207,6 +209,7 @@
         version=prior.version,
         prefilled=prior.prefilled,
         resumes=request.resumes,
+        service=forwarded.service,
     ).to_bytes()
 
 
@@ -247,4 +250,6 @@
             message.version,
             message.prefilled,
         )
-        return ForwardedRequest(request, message.priority, prior, message.sender)
+        return ForwardedRequest(
+            request, message.priority, prior, message.sender, message.service
+        )
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -124,7 +124,7 @@
         route = self.authenticate(request, route, sink)
         if route is None:
             return
-        service = routes.service_for(route)
+        service = routes.service_for(route, request.stream_id)
         lifecycle = RequestLifecycle(self, request, route, service, sink)
         code = await self._run(lifecycle)
         seconds = time.monotonic() - request.arrived
@@ -140,7 +140,10 @@
         request, routes = forwarded.request, self.fleet.routes
         logger.info("forwarded request", request=request.id, sender=forwarded.sender)
         route = routes.match(request.host, request.path) if routes.config else None
-        service = routes.service_for(route) if route else None
+        service = forwarded.service
+        if route is not None and not service:
+            # A peer of an earlier release doesn't state it.
+            service = routes.service_for(route, request.stream_id)
         if route is None or not self.fleet.links.can_run(service):
             cause = "no links to the instances" if route else "no route"
             self.reject(request, sink, 503, cause)
--- a/src/mulberrydock/request.py
+++ b/src/mulberrydock/request.py
@@ -253,6 +253,11 @@
         """The fingerprints of the whole request and of its prompt's shared parts."""
         return (self.fingerprint, *self.part_works)
 
+    @property
+    def stream_id(self):
+        """The id of the request that began its stream, its own if it begins one."""
+        return self.resumes if self.last_event_id and self.resumes else self.id
+
     @property
     def path(self):
         """The target without its query."""
--- a/src/mulberrydock/route_table.py
+++ b/src/mulberrydock/route_table.py
@@ -1,7 +1,7 @@
 """Routing table: finds a request's route by host and longest path prefix."""
 
+import hashlib
 import math
-import random
 
 import attrs
 from expression import Ok
@@ -10,23 +10,23 @@
 from .room.urgency import UrgencyScale
 from .teams import TeamDirectory
 
+#: Number of the hashes of which a service's score is computed.
+HASH_RANGE = 2**64
+
 
 class RouteTable:
     """The newest routing configuration, indexed by host.
 
     Versions only increase: an older or equal one is ignored, so that a late or
     reordered response of the store never reverts a route.
-
-    :param seed: seeds the choice between a route's services.
     """
 
-    def __init__(self, seed=None):
+    def __init__(self):
         self.config: RoutingConfig | None = None
         self.by_host = {}
         self.teams: TeamDirectory | None = None
         self.most_urgent = {}
         self.scale = UrgencyScale()
-        self.random = random.Random(seed)
 
     @property
     def version(self):
@@ -83,12 +83,29 @@
         """Return whether no request to ``service`` can have priority over this one."""
         return priority <= self.most_urgent.get(service, priority)
 
-    def service_for(self, route):
-        """Return the service's name for one request, chosen at random by weight."""
+    def service_for(self, route, stream_id):
+        """Return the service's name for one request, chosen by weight.
+
+        Every VM chooses the same one for all requests of a stream, which can't go on at
+        another service. If weights change, only the share that they shift moves.
+
+        :param stream_id: the request's :attr:`~mulberrydock.request.Request.stream_id`.
+        """
         if len(route.splits) == 1:
             return route.splits[0].service
-        weights = [split.weight for split in route.splits]
-        return self.random.choices(route.splits, weights)[0].service
+        return max(route.splits, key=lambda split: _score(split, stream_id)).service
+
+
+def _score(split, stream_id):
+    """Return the score of a service for a stream; the highest is chosen.
+
+    This is weighted rendezvous hashing.
+    """
+    if split.weight <= 0:
+        return -math.inf
+    name = f"{stream_id}/{split.service}".encode(errors="replace")
+    number = int.from_bytes(hashlib.blake2b(name, digest_size=8).digest())
+    return math.log((number + 1) / HASH_RANGE) / split.weight
 
 
 def _most_urgent(config):
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -228,4 +228,5 @@
   version @21 :Text;       # at which the stream goes on, empty while any will do
   resumes @22 :Text;       # the request that began the stream, empty if none is named
   prefilled @23 :Bool;     # an engine has accepted one of the prefill calls
+  service @24 :Text;       # that is to serve it, empty from a VM of an earlier release
 }
--- a/tests/test_forward_messages.py
+++ b/tests/test_forward_messages.py
@@ -40,7 +40,7 @@
 def test_forwarded_request_arrives_unchanged(body, headers):
     request = make_request(body=body, headers=headers)
     prior = PriorCalls(2, 1, 3, 1, True, True, "v1.1", True)
-    sent = ForwardedRequest(request, 4, prior, "entry-1")
+    sent = ForwardedRequest(request, 4, prior, "entry-1", "llm-2")
     received = forward_messages.decode(forward_messages.encode(sent, NOW), NOW)
     assert attrs.asdict(received) == attrs.asdict(sent)
 
