A peer that made no call for a forwarded request doesn't get it again

Cause: a peer whose retry budget refused the retry answered 502 and stated that it had made no call. The sender counted neither the attempt nor the refusal, and forwarded the request to the same peer at once.

Other requests may still be forwarded there.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -171,14 +171,19 @@
     def _refused(self, reason):
         """Let neither this request nor others be forwarded to the peer for now."""
         lifecycle, plan = self.lifecycle, self.plan
-        lifecycle.cause = f"{plan.name}: {reason}"
-        lifecycle.refused_by.add(plan.name)
         self.forwarding.avoid(plan.name, lifecycle.service, time.monotonic())
+        self._not_again(f"{plan.name}: {reason}")
+
+    def _not_again(self, cause):
+        """Don't forward this request to the peer again; others may be."""
+        lifecycle, plan = self.lifecycle, self.plan
+        lifecycle.cause = cause
+        lifecycle.refused_by.add(plan.name)
         logger.warning(
             "forward failed",
             request=lifecycle.request.id,
             peer=plan.name,
-            reason=reason,
+            reason=cause,
         )
 
     def _deliver(self, response):
@@ -201,6 +206,9 @@
         if outcome.code in FINAL_REFUSAL_CODES:
             return self._refuse(response)
         lifecycle.may_have_run = True
+        if not outcome.has_calls:
+            # Its retry budget is spent, for one: it would answer the same again.
+            self._not_again(lifecycle.cause)
         passed_on = (
             response.metadata.signed
             and not response.is_signed_stream
--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -101,6 +101,11 @@
     prefills: int = 0
     cause: str = ""
 
+    @property
+    def has_calls(self):
+        """True if the VM has called an instance for the request."""
+        return self.sends > 0 or self.prefills > 0
+
     @classmethod
     def from_lifecycle(cls, lifecycle, code):
         """Build the outcome of a forwarded request.
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,16 +1,33 @@
 """To which peer a VM without links forwards a request."""
 
+import asyncio
 import collections
+import time
 
 import pytest
-
-from mulberrydock.forwarding import AVOID_SECONDS, MAX_REFUSALS, Forwarding
+from move_fleet import DECODERS, ClientSink, on_loop, started_fleet
+from platform_fleet import HOST, RESUMABLE_PATH
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from mulberrydock import forward_messages
+from mulberrydock.exceptions import ResultCode
+from mulberrydock.forward_messages import ForwardOutcome
+from mulberrydock.forwarding import (
+    AVOID_SECONDS,
+    MAX_REFUSALS,
+    Forwarding,
+    ForwardPlan,
+)
 from mulberrydock.membership import Membership, Peer
 from mulberrydock.peer_groups import PeerGroups
 from mulberrydock.peer_loads import Load, LoadTracker, PeerReport
+from mulberrydock.platform import wire
 from mulberrydock.serve import EntryVm
+from mulberrydock.standin.platform_engine import Fault
 
 NOW = 100.0
+#: How a peer without a call for a request answers it.
+CODES = (ResultCode.UPSTREAM_FAILED, ResultCode.NO_UPSTREAM)
 
 
 def make_forwarding(peers, reports, **sums):
@@ -99,3 +116,66 @@
     assert {peers[name] for name in counts} == {"dc2", "dc3"}
     assert not {"dc2-0", "dc2-1"} & counts.keys()
     assert len(counts) == 76
+
+
+class RefusingPeers:
+    """The forwarding to the peers ``a`` and ``b``, which make no call."""
+
+    name = "vm"
+
+    def __init__(self, code):
+        self.outcome = ForwardOutcome(code, cause="retry budget spent")
+        self.attempts = collections.Counter()
+        self.prior = []
+
+    def choose(self, service, request_id, refused, now):
+        names = [name for name in "ab" if name not in refused]
+        return ForwardPlan(names[0], None) if names else None
+
+    def silent_at(self, name):
+        return None
+
+    def avoid(self, name, service, now):
+        """Accept that a peer is to get no requests for a while."""
+
+    async def exchange(self, plan, data, listener):
+        self.attempts[plan.name] += 1
+        self.prior.append(forward_messages.decode(data, time.monotonic()).prior)
+        listener.on_headers(502, HTTPHeaders(dict(self.outcome.headers())))
+        # A peer needs some time; without it a loop would never end.
+        await asyncio.sleep(0.01)
+
+
+async def serve_through(fleet, peers):
+    """Serve a request whose first send fails as the VM loses its links.
+
+    :returns: the client's sink.
+    """
+    for name in DECODERS:
+        fleet.engines[name].faults = [Fault.ERROR]
+    runs = [engine.runs for engine in fleet.engines.values()]
+    fleet.relay.forwarding = peers
+    fleet.view.links.is_lost = lambda service: any(runs)
+    fields = {
+        "Host": HOST,
+        wire.ATTEMPT_ID: "r",
+        wire.DEADLINE: "1500",
+        wire.TOKEN_COUNTS: "100,10",
+        wire.PROMPT_PREFIX: "aa:50,bb:50",
+    }
+    line = RequestStartLine("POST", f"{RESUMABLE_PATH}x", "HTTP/1.1")
+    now, sink = time.monotonic(), ClientSink()
+    request = fleet.relay.wire.read_request(line, HTTPHeaders(fields), b"prompt", now)
+    await fleet.relay.serve(request, sink)
+    return sink
+
+
+# Guards against a request that is forwarded without end to a peer that makes no call
+# for it, such as one whose retry budget is spent.
+@pytest.mark.parametrize("code", CODES)
+@on_loop
+async def test_peer_that_made_no_call_is_asked_once(code):
+    async with started_fleet() as fleet:
+        peers = RefusingPeers(code)
+        await serve_through(fleet, peers)
+    assert peers.attempts == {"a": 1, "b": 1}
