The retry granted for a forwarded attempt goes with the request

Otherwise a forwarded retry was charged twice.

Cause: RequestRetries.reserve takes the granted retry for the attempt that is about to be made, and only what is left is handed over, which is nothing.

Why the fix works: for an attempt through a peer the granted retry is kept and handed over, so the peer uses it for its call. The sender gets it back if the peer has made no call, be it a send or a prefill.

--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -133,6 +133,8 @@
             deadline=lifecycle.deadline,
             last_event_id=lifecycle.stream.splitter.last_id,
         )
+        # The retry that was granted for this attempt is the peer's to use.
+        lifecycle.retries.keep(self.plan)
         prior = PriorCalls.from_lifecycle(lifecycle)
         forwarded = ForwardedRequest(
             request,
@@ -224,7 +226,7 @@
         lifecycle.sends.maybe_received += outcome.sends - 1
         lifecycle.sends.rejected += outcome.rejected
         lifecycle.prefills.maybe_received += outcome.prefills
-        if not outcome.sends:
+        if not outcome.has_calls:
             lifecycle.retries.reserved += int(was_retry)
 
     def _refuse(self, response):
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -18,6 +18,7 @@
 from mulberrydock.fleet_view import RETRY_BUDGET_SHARE, FleetView
 from mulberrydock.forward_attempt import ForwardAttempt
 from mulberrydock.forward_messages import ForwardedRequest, ForwardOutcome, PriorCalls
+from mulberrydock.forwarding import ForwardPlan
 from mulberrydock.instances import InstanceRecord, Stage
 from mulberrydock.membership import Membership, Peer
 from mulberrydock.metrics import ServeMetrics
@@ -256,6 +257,39 @@
     assert lifecycle.retries.reserve(Plan(None), 1.0) and asked == [1]
 
 
+# Guards against a forwarded retry that is charged twice, or that its peer refuses
+# although the budget of the sender has granted it.
+@pytest.mark.parametrize(
+    "outcome, asked_again",
+    [
+        ((0, 0, 0), []),
+        ((1, 0, 0), [1]),
+        ((0, 0, 1), [1]),
+    ],
+)
+def test_granted_retry_goes_with_a_forwarded_request(outcome, asked_again):
+    view = FleetView("dc1", TIMING, lambda: 1, lambda instance: None)
+    relay = types.SimpleNamespace(
+        fleet=view, wire=None, response_room=None, forwarding=None
+    )
+    request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
+    route = types.SimpleNamespace(timeout=5.0, priority=1)
+    lifecycle = RequestLifecycle(relay, request, route, "llm", None)
+    lifecycle.sends.record_call()
+    asked = []
+    view.budget("llm").allow = lambda now, count=1: asked.append(count) or True
+    plan = ForwardPlan("peer", None)
+    assert lifecycle.retries.reserve(plan, 0.0) and asked == [1]
+    attempt = ForwardAttempt(lifecycle, plan)
+    attempt.forwarding = types.SimpleNamespace(name="vm")
+    prior = forward_messages.decode(attempt._encode(0.0), 0.0).prior
+    assert prior.reserved_retries == 1
+    lifecycle.sends.record_call()
+    asked.clear()
+    attempt._count_calls(ForwardOutcome(ResultCode.UPSTREAM_FAILED, *outcome))
+    assert lifecycle.retries.reserve(plan, 1.0) and asked == asked_again
+
+
 # Guards against forwarded requests that are refused a retry which they have: the peer
 # counted the sender's accepted prefill as an arrival.
 @pytest.mark.parametrize(
