--- a/src/mulberrydock/forward_messages.py
+++ b/src/mulberrydock/forward_messages.py
@@ -77,13 +77,15 @@
 class ForwardedRequest:
     """A client's request that the VM ``sender`` forwards.
 
-    ``priority`` is that of the request's team or route.
+    ``priority`` is that of the request's team or route, ``service`` the one that is to
+    serve it, empty if the sender doesn't state it.
     """
 
     request: Request
     priority: int
     prior: PriorCalls
     sender: str
+    service: str = ""
 
 
 @attrs.define(frozen=True)
@@ -99,6 +101,11 @@
     prefills: int = 0
     cause: str = ""
 
+    @property
+    def has_calls(self):
+        """True if the VM has called an instance for the request."""
+        return self.sends > 0 or self.prefills > 0
+
     @classmethod
     def from_lifecycle(cls, lifecycle, code):
         """Build the outcome of a forwarded request.
@@ -207,6 +214,7 @@
         version=prior.version,
         prefilled=prior.prefilled,
         resumes=request.resumes,
+        service=forwarded.service,
     ).to_bytes()
 
 
@@ -247,4 +255,6 @@
             message.version,
             message.prefilled,
         )
-        return ForwardedRequest(request, message.priority, prior, message.sender)
+        return ForwardedRequest(
+            request, message.priority, prior, message.sender, message.service
+        )
