Suspicion: an instance that fails a thousand times in a row is avoided as before

What callers saw: beside clients on a service whose only engine answered without end, connections ended with no answer at all (LOST): 339, 583 and 764 in three trials of 6 s with 120 clients, each after exactly 1,025 answers of 502.

Cause: the seconds for which an instance is avoided were computed as a power of two of its failures in a row, and cut to the maximum afterwards. From 1,024 doublings on the product is no float: `OverflowError('int too large to convert to float')`, logged as `request fault`, at each further failure, and the client's connection was closed without a status. Class: a bound that is applied after what it is to bound.

Evidence: the log of a trial has 262 `request fault` with that error, none before the 1,025th failure.

Change: the number of doublings is bounded, not their result. The other powers in the package have bounded exponents or grow with pauses between them (`quarantine.py`).

An instance that refuses connections doesn't show it (1,300 of 1,300 answered 503, before and after): its requests aren't sent.

--- a/src/mulberrydock/suspicion.py
+++ b/src/mulberrydock/suspicion.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-#: Seconds for which an instance is avoided after its first failure, and the maximum;
-#: each further failure doubles the time, so that an instance that stays away is tried
-#: with one request every few seconds.
+#: Seconds for which an instance is avoided after its first failure, and how often
+#: further failures double them, so that an instance that stays away is tried with one
+#: request every few seconds.
 FIRST_SUSPICION_SECONDS = 1.0
-MAX_SUSPICION_SECONDS = 8.0
+MAX_DOUBLINGS = 3
 #: Failures in a row, without a complete response between them, before an instance is
 #: first avoided: single failures (a lost or invalid response) occur at healthy
 #: instances too.
@@ -67,8 +67,9 @@
         steps = health.failures - tolerated - 1
         if steps < 0:
             return False
-        seconds = min(FIRST_SUSPICION_SECONDS * 2**steps, MAX_SUSPICION_SECONDS)
-        health.suspect_until = now + seconds
+        # The number of failures in a row has no limit.
+        factor = 2 ** min(steps, MAX_DOUBLINGS)
+        health.suspect_until = now + FIRST_SUSPICION_SECONDS * factor
         return True
 
     def record_refusal(self, instance_id, now):
--- a/tests/test_local_state.py
+++ b/tests/test_local_state.py
@@ -19,7 +19,7 @@
 from mulberrydock.route_table import RouteTable
 from mulberrydock.sse import EventSplitter
 from mulberrydock.stage_controller import StageController
-from mulberrydock.suspicion import FIRST_SUSPICION_SECONDS, Suspicion
+from mulberrydock.suspicion import FIRST_SUSPICION_SECONDS, MAX_DOUBLINGS, Suspicion
 
 
 def record(instance_id, draining=False):
@@ -135,6 +135,17 @@
     assert len(suspicion.healthy(pool, 20.1)) == 2
 
 
+# Guards against requests without an answer: the time for which an instance is avoided
+# grows with its failures, beyond the range of a float after a thousand in a row.
+def test_instance_that_fails_for_long_is_still_avoided_for_seconds():
+    suspicion, now = Suspicion(), 0.0
+    for _ in range(5000):
+        now += 0.01
+        assert suspicion.record_failure("a", now, unreachable=True)
+    left = suspicion.seconds_left("a", now)
+    assert left == pytest.approx(FIRST_SUSPICION_SECONDS * 2**MAX_DOUBLINGS)
+
+
 def route(prefix, host="h.example"):
     """Return a route with a path prefix."""
     return Route(
