Responses: the unended event of a stream counts among the bytes that are held

Cause: whole responses share a tenth of the memory (`ResponseRoom`), but the event that a stream hasn't ended counted nowhere: up to 1 MiB for each stream.

Change: a request's share of the room counts its unended event too, whichever engine sends it. Beyond the limit, streams in the middle of an event over 64 KiB aren't read on, as large responses are; the first large one always is, so that one of them ends. Streams whose events are small never wait.

--- a/src/mulberrydock/response_room.py
+++ b/src/mulberrydock/response_room.py
@@ -1,4 +1,4 @@
-"""Memory for the responses of instances that are held until their ends."""
+"""Memory for what is held of the responses of instances until it is whole."""
 
 import asyncio
 
@@ -11,7 +11,7 @@
 
 
 class ResponseRoom:
-    """The responses that a process holds, and how many bytes they may take.
+    """The responses and events that a process holds, and how many bytes they may take.
 
     Beyond the limit, large responses aren't read on until others have been passed on,
     which holds their instances back. The one that became large first is always read, so
@@ -40,7 +40,9 @@
 
     def must_wait(self, share):
         """Return whether ``share`` may not grow at present."""
-        return self.held > self.limit and share is not next(iter(self.large))
+        if self.held <= self.limit or share not in self.large:
+            return False
+        return share is not next(iter(self.large))
 
     def wake(self):
         """Let the responses that wait check again."""
@@ -54,11 +56,13 @@
 class ResponseShare:
     """What the responses to one request take of a :class:`ResponseRoom`.
 
-    ``responses`` lists the :class:`~mulberrydock.connections.HeldChunks` of them.
+    ``responses`` lists the :class:`~mulberrydock.connections.HeldChunks` of them, and
+    ``event_bytes`` are those of the event of its stream that hasn't ended yet.
     """
 
     room: ResponseRoom
     size: int = 0
+    event_bytes: int = 0
     responses: list = attrs.field(factory=list)
 
     def add(self, count):
@@ -66,14 +70,34 @@
 
         :returns: None, or an awaitable that delays further reading.
         """
+        self._take(count)
+        return self.wait() if self.room.must_wait(self) else None
+
+    def _take(self, count):
         self.size += count
         self.room.held += count
+        if self.size > SMALL_RESPONSE_BYTES:
+            self.room.large.setdefault(self)
+
+    def hold_event(self, size):
+        """Count the bytes that are held of an event, in place of those before."""
+        count, self.event_bytes = size - self.event_bytes, size
+        if count > 0:
+            self._take(count)
+        else:
+            self._free(-count)
+
+    def _free(self, count):
+        if not count:
+            return
+        self.size -= count
+        self.room.held -= count
         if self.size <= SMALL_RESPONSE_BYTES:
-            return None
-        self.room.large.setdefault(self)
-        return self._wait() if self.room.must_wait(self) else None
+            self.room.large.pop(self, None)
+        self.room.wake()
 
-    async def _wait(self):
+    async def wait(self):
+        """Wait until it may grow."""
         while self.size and self.room.must_wait(self):
             future = asyncio.get_running_loop().create_future()
             self.room.waiting.add(future)
@@ -90,7 +114,5 @@
         for held in self.responses:
             held.clear()
         self.responses.clear()
-        self.room.held -= self.size
-        self.size = 0
-        self.room.large.pop(self, None)
-        self.room.wake()
+        self.event_bytes = 0
+        self._free(self.size)
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -116,9 +116,11 @@
         self.status = 0
         self.headers = None
         self.metadata = None
+        self.share = share
         self.chunks = HeldChunks(share=share)
         # Drop the part of an event that a previous engine has sent.
         stream.splitter.buffer = bytearray()
+        self._hold_event()
 
     def on_headers(self, status, headers):
         self.status = status
@@ -179,7 +181,20 @@
     def _relay(self, chunk):
         """Pass on the events that ``chunk`` completes."""
         events = self.stream.splitter.feed(chunk)
-        return self.pass_on(events) if events else None
+        written = self.pass_on(events) if events else None
+        return self._await_room(written) if self._hold_event() else written
+
+    def _hold_event(self):
+        """Count the event that hasn't ended yet; return whether it waits for room."""
+        if self.share is None:
+            return False
+        self.share.hold_event(len(self.stream.splitter.buffer))
+        return self.share.room.must_wait(self.share)
+
+    async def _await_room(self, written):
+        if written is not None:
+            await written
+        await self.share.wait()
 
     def pass_on(self, events):
         """Pass whole events on to the client."""
