Responses to prefill calls and those of peers share the room of held responses

What callers saw: none so far; found in an inventory of all that reads from servers. A prefill engine, or a VM to which requests are forwarded, that answers without end could fill the memory of each VM that calls it: 4 MiB for each request, and there may be a thousand of these. On a VM of 300 MB the process ends, and all other requests with it (LOST).

Cause: only responses to requests that this VM sends itself counted in `ResponseRoom`. Class: a bound on one part that says nothing of how many there are.

Change: a forwarded request's response counts in the share of its request, a prefill's in one of its own. A response to a call of the system (a report, a handle, an order's outcome) may be 256 KiB, where it could be 4 MiB: it lists runs of one engine at most.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -56,6 +56,9 @@
 #: Maximum size of a response of an instance that is held until its end: some tens that
 #: don't end fit into the memory of a VM.
 MAX_HELD_BYTES = 4 * 1024 * 1024
+#: Maximum size of a response to a call of this system: a report, a handle, the outcome
+#: of an order. A report lists the runs of an engine, some tens of bytes each.
+MAX_CALL_BYTES = 256 * 1024
 
 CONNECTION_PARAMS = tornado.http1connection.HTTP1ConnectionParameters(
     decompress=False, max_body_size=MAX_BODY_BYTES
@@ -109,7 +112,7 @@
     """The bytes of a response that is held until its end, up to ``limit`` bytes.
 
     ``share`` is the :class:`~mulberrydock.response_room.ResponseShare` of its request,
-    None for a response to a call of this system.
+    None for a response to a call that no request makes.
     """
 
     limit: int = MAX_HELD_BYTES
@@ -145,11 +148,11 @@
 
 @attrs.define
 class BufferedResponse(ResponseListener):
-    """Collects a whole response in memory."""
+    """Collects a whole response in memory, by default that to a call of this system."""
 
     status: int = 0
     headers: tornado.httputil.HTTPHeaders | None = None
-    chunks: HeldChunks = attrs.field(factory=HeldChunks)
+    chunks: HeldChunks = attrs.field(factory=lambda: HeldChunks(MAX_CALL_BYTES))
 
     def on_headers(self, status, headers):
         self.status = status
--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -35,13 +35,14 @@
     headers ``is_whole``, not a stream.
 
     :param on_version: called with the version of the instance that begins a stream.
+    :param share: as of :class:`~mulberrydock.sends.StreamListener`.
     """
 
     outcome: ForwardOutcome | None = None
     is_whole = False
 
-    def __init__(self, wire, stream, on_version):
-        super().__init__(wire, stream)
+    def __init__(self, wire, stream, on_version, share=None):
+        super().__init__(wire, stream, share=share)
         self.on_version = on_version
 
     def on_headers(self, status, headers):
@@ -111,7 +112,10 @@
         )
         lifecycle.relay.metrics.forwards.labels(lifecycle.service).inc()
         listener = ForwardedResponse(
-            lifecycle.wire, lifecycle.stream, self._record_version
+            lifecycle.wire,
+            lifecycle.stream,
+            self._record_version,
+            lifecycle.response_share,
         )
         try:
             exchange = self.forwarding.exchange(plan, data, listener)
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -7,7 +7,12 @@
 from loguru import logger
 
 from .attempt_time import first_event_seconds
-from .connections import CHECK_TIMEOUT_SECONDS, BufferedResponse
+from .connections import (
+    CHECK_TIMEOUT_SECONDS,
+    MAX_CALL_BYTES,
+    BufferedResponse,
+    HeldChunks,
+)
 from .demand import Demand
 from .estimates import PrefillSample
 from .exceptions import (
@@ -19,6 +24,7 @@
 )
 from .incarnation_check import IncarnationCheck
 from .request import SendOptions
+from .response_room import ResponseShare
 
 #: Number of engines among which the caller's time is divided: this one and another. A
 #: prompt that is abandoned in an engine's queue has to queue again elsewhere.
@@ -85,13 +91,22 @@
         return handle
 
     async def _call(self, caller):
+        # Each request may make such a call, so that their responses need a limit in
+        # total.
+        share = ResponseShare(self.relay.response_room)
+        response = BufferedResponse(chunks=HeldChunks(MAX_CALL_BYTES, share))
+        try:
+            return await self._exchange(caller, response)
+        finally:
+            share.release()
+
+    async def _exchange(self, caller, response):
         options = SendOptions(
             instance=self.engine.record.id,
             deadline_ms=int(caller.left * 1000),
             priority=self.plan.urgency,
             prefill_only=True,
         )
-        response = BufferedResponse()
         timeout = first_event_seconds(caller.patience, self.plan.wait, PREFILL_ATTEMPTS)
         check = IncarnationCheck.from_send(self.relay, self.engine, self.request)
         exchange = self.relay.exchange(
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,6 +1,7 @@
 """The retry budget that all entry VMs share, as one of them applies it."""
 
 import asyncio
+import math
 import time
 import types
 
@@ -37,6 +38,7 @@
     ServiceSpec,
     Split,
 )
+from mulberrydock.response_room import ResponseRoom
 from mulberrydock.room.admission import CallerTime
 from mulberrydock.serve import EntryVm
 from mulberrydock.serving import RequestLifecycle
@@ -303,6 +305,7 @@
         self.calls = 0
         self.fleet = FleetView("dc1", TIMING, lambda: VMS, lambda instance: None)
         self.wire = self
+        self.response_room = ResponseRoom(math.inf)
         services = {"llm": ServiceSpec("llm", 100, 1000)}
         self.fleet.routes.accept(RoutingConfig(1, (), services, None))
         for stage in Stage.PREFILL, Stage.DECODE:
