Tests: a forwarded attempt is made of a plan of its own kind

An attempt hands its granted retry over since, which asks the plan whether it prefills apart; the test's stand-in of a plan had no such field. Only the two changes together failed (AttributeError); the check is as it was.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -13,6 +13,7 @@
 from mulberrydock.connections import MAX_CALL_BYTES, MAX_HELD_BYTES
 from mulberrydock.exceptions import UpstreamError
 from mulberrydock.forward_attempt import ForwardAttempt
+from mulberrydock.forwarding import ForwardPlan
 from mulberrydock.placement import Plan
 from mulberrydock.prefill import PrefillCall
 from mulberrydock.request import Prompt, Request
@@ -79,7 +80,7 @@
 async def forward(sender, number):
     route = sender.fleet.routes.match(HOST, RESUMABLE_PATH)
     lifecycle = RequestLifecycle(sender, request(number), route, "llm", None)
-    attempt = ForwardAttempt(lifecycle, types.SimpleNamespace(name="peer"))
+    attempt = ForwardAttempt(lifecycle, ForwardPlan("peer", None))
     assert await attempt.run() is None
     lifecycle.response_share.release()
 
