Daemons that outlive their run keep its ports locked

Cause: a run of the tests that is killed leaves its daemons. The locks of its block of ports ended with it, so a later run took the block, and the daemons' calls reached its engines or its store.

Change: each process of a fleet inherits the locks, which end with the last process that holds them.

Result: test_ports_of_a_killed_run_stay_locked_while_its_daemons_run fails without the inheritance and passes with it.

--- a/src/mulberrydock/fleet.py
+++ b/src/mulberrydock/fleet.py
@@ -59,6 +59,7 @@
             env=env,
             stdout=log,
             stderr=log,
+            pass_fds=port_locks(),
         )
         return self.processes[name]
 
@@ -165,7 +166,8 @@
     An allocated port is bound only later, by another process; two test runs that used
     the same ports would sometimes allocate the same one, and a daemon of one of them
     couldn't listen. So each run locks a block of ports: it binds the first one and
-    locks a file. Both locks end with its process.
+    locks a file. Both locks end with the last process that holds them, so a run passes
+    them on to the processes that it starts: some may outlive it.
     """
 
     def __init__(self):
@@ -251,6 +253,11 @@
     return _port_block().allocate(count)
 
 
+def port_locks():
+    """Return the descriptors of the locks of this run's block of ports."""
+    return tuple(lock.fileno() for lock in _port_block().locks)
+
+
 def settings_text(ports, engines, entries, engine_ports):
     """Render a settings file for a fleet of ``engines`` and ``entries``."""
     lines = [
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -16,7 +16,7 @@
 
 import tornado.httpserver
 
-from mulberrydock.fleet import free_ports
+from mulberrydock.fleet import free_ports, port_locks
 from mulberrydock.platform import SETTINGS_VARIABLE, wire
 from mulberrydock.standin import platform_store
 from mulberrydock.standin.platform_engine import PlatformEngine
@@ -190,6 +190,7 @@
             env=dict(os.environ, **{SETTINGS_VARIABLE: str(path)}),
             stdout=log,
             stderr=subprocess.STDOUT,
+            pass_fds=port_locks(),
         )
         log.close()
         if self.max_descriptors is not None:
--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -1,11 +1,20 @@
 """Port allocation for the local fleets of test runs at the same time."""
 
+import os
 import random
+import signal
 import subprocess
 import sys
 import tempfile
 
-from mulberrydock.fleet import PortBlock, free_ports
+import pytest
+
+from mulberrydock.fleet import (
+    MIN_TEST_PORT,
+    PORTS_PER_BLOCK,
+    PortBlock,
+    free_ports,
+)
 
 #: Approximate number of fleets in one test run, and the ports of each.
 FLEETS = 30
@@ -61,3 +70,37 @@
         blocks.append(PortBlock())
     first, second = (set(block.allocate(PORTS)) for block in blocks)
     assert not first & second
+
+
+ORPHAN_SCRIPT = """
+import subprocess, sys
+from mulberrydock.fleet import free_ports, port_locks
+child = subprocess.Popen(
+    ["sleep", "60"], stdout=subprocess.DEVNULL, pass_fds=port_locks()
+)
+print(child.pid, *free_ports(1), flush=True)
+sys.stdin.read()
+"""
+
+
+# Guards against a run whose stand-ins get the calls of daemons that a run which was
+# killed has left behind, as it takes the same ports.
+def test_ports_of_a_killed_run_stay_locked_while_its_daemons_run(monkeypatch):
+    run = subprocess.Popen(
+        [sys.executable, "-c", ORPHAN_SCRIPT],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    child, port = map(int, run.stdout.readline().split())
+    block = (port - MIN_TEST_PORT) // PORTS_PER_BLOCK
+    monkeypatch.setattr(random, "sample", lambda blocks, count: [block])
+    run.kill()
+    run.wait()
+    run.stdin.close()
+    run.stdout.close()
+    try:
+        with pytest.raises(OSError):
+            PortBlock()
+    finally:
+        os.kill(child, signal.SIGKILL)
