Log: a process that stood still says so, and a refusal for room how long ago that was

`process stood still` is logged, and `room refused` has `since_pause`. Nothing decides by it yet.

Result: tests/test_pauses.py (4 cases) passes; the daemons' tests of room pass.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -12,6 +12,7 @@
 from .instances import InstanceRegistry, Stage
 from .links import Links
 from .outages import Outages
+from .pauses import Pauses
 from .peer_loads import LoadTracker
 from .placement import (
     Placement,
@@ -85,6 +86,7 @@
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
         self.outages = Outages()
+        self.pauses = Pauses()
         self.quarantine = Quarantine()
         self.distances = Distances(data_centre, regions)
         self.placement = Placement(data_centre, self.distances)
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -22,6 +22,7 @@
     :returns: a :class:`~mulberrydock.refusal.Refusal` or None.
     """
     request, route, service = lifecycle.request, lifecycle.route, lifecycle.service
+    fleet = lifecycle.fleet
     if lifecycle.may_have_run:
         return None
     time = caller_time(lifecycle, now)
@@ -44,6 +45,7 @@
             patience=round(time.patience, 3),
             left=round(time.left, 3),
             retry_after=round(refused.retry_after, 3),
+            since_pause=_rounded(now - fleet.pauses.ended_at),
         )
     return refused
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -387,6 +387,7 @@
     async def _sweep(self):
         while True:
             now = time.monotonic()
+            self.fleet.pauses.observe(now, boot_seconds())
             self.fleet.instances.sweep(now)
             self.fleet.distances.expire(now)
             self.connections.sweep(now)
