A VM that stood still reads what came before it takes an instance for silent

What callers saw: answers in progress at a VM that stood still (SIGSTOP, a busy host) for longer than a progress timeout were sent a second time: streams and plain requests to another instance beside the first one, prompts to be prefilled again. That spent the retry budget, counted as failures of instances that had answered in time, which peers then avoid as well, and each second run held a place; streams without another instance in time were refused.

Cause: the timeouts compare the present time with when bytes were last read. After a pause the time has passed and the bytes lie unread, so each answer looked silent. Class: what a VM reads late is taken for what happened late.

Evidence: after 1.4 s, `takeover` of six of six streams 10 ms after `process stood still`, outcome `went on`.

Prefills use the same timeouts as sends.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -7,6 +7,7 @@
 
 from .admission import RetryBudget
 from .backoffs import Backoffs
+from .clock import boot_seconds
 from .estimates import FleetEstimates
 from .exceptions import CallWithheld
 from .instances import InstanceRegistry, Stage
@@ -136,6 +137,10 @@
         else:
             self.suspicion.record_refusal(instance.id, now)
 
+    def catch_up_seconds(self, now):
+        """Return the seconds until this VM has read what came while it stood still."""
+        return self.pauses.catch_up_seconds(now, boot_seconds())
+
     def budget(self, service):
         """Return this VM's retry budget for a service."""
         budget = self.retry_budgets.get(service)
--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -152,6 +152,7 @@
             first,
             timeouts.event_gap_seconds + first,
             timeouts.may_abandon,
+            catch_up_seconds=timeouts.catch_up_seconds,
             silent_at=lambda: self.forwarding.silent_at(self.plan.name),
         )
 
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -1,6 +1,5 @@
 """Prefills a prompt on a prefill engine, which holds its KV cache for decoding."""
 
-import asyncio
 import time
 
 import attrs
@@ -19,6 +18,7 @@
 )
 from .incarnation_check import IncarnationCheck
 from .request import SendOptions
+from .sends import ProgressTimeouts, run_exchange
 
 #: Number of engines among which the caller's time is divided: this one and another. A
 #: prompt that is abandoned in an engine's queue has to queue again elsewhere.
@@ -97,10 +97,13 @@
         exchange = self.relay.exchange(
             self.engine, self.request, options, response, check
         )
-        try:
-            await asyncio.wait_for(exchange, timeout)
-        except asyncio.TimeoutError as error:
-            raise UpstreamError(f"no response within {timeout:.1f} s") from error
+        timeouts = ProgressTimeouts(
+            timeout,
+            timeout,
+            may_abandon=lambda: True,
+            catch_up_seconds=self.fleet.catch_up_seconds,
+        )
+        await run_exchange(exchange, response, timeouts)
         if check is not None:
             # One that has restarted is terminated for this VM from then on.
             await check.result(CHECK_TIMEOUT_SECONDS)
--- a/src/mulberrydock/sends.py
+++ b/src/mulberrydock/sends.py
@@ -26,13 +26,15 @@
     response that may still come. ``take_over`` is asked first if it is set, with the
     listener and the task of the exchange: it lets another instance take over while
     this one may still go on. It returns whether there was one, None if the instance is
-    to be abandoned instead.
+    to be abandoned instead. ``catch_up_seconds`` returns for how long, from a time on,
+    something that came while this process stood still may lie unread.
     """
 
     first_event_seconds: float
     event_gap_seconds: float
     may_abandon: t.Callable
     take_over: t.Callable | None = None
+    catch_up_seconds: t.Callable = lambda now: 0.0
 
     def expires_at(self, started, last_progress_at):
         """Return when the present silence becomes a timeout, monotonic seconds."""
@@ -40,6 +42,14 @@
             return started + self.first_event_seconds
         return last_progress_at + self.event_gap_seconds
 
+    def seconds_left(self, started, last_progress_at, now):
+        """Return the seconds until the present silence becomes a timeout.
+
+        It doesn't while something may lie unread.
+        """
+        left = self.expires_at(started, last_progress_at) - now
+        return left if left > 0 else self.catch_up_seconds(now)
+
 
 async def run_exchange(exchange, listener, timeouts=None):
     """Run ``exchange`` to its end, or abandon an instance that makes no progress.
@@ -69,8 +79,7 @@
 def _wait_seconds(timeouts, started, listener):
     if timeouts is None:
         return None
-    expires_at = timeouts.expires_at(started, listener.last_progress_at)
-    return max(0.0, expires_at - time.monotonic())
+    return timeouts.seconds_left(started, listener.last_progress_at, time.monotonic())
 
 
 async def _check_progress(timeouts, started, listener, task):
@@ -78,7 +87,7 @@
 
     :returns: the timeouts from now on, None when there is no other instance.
     """
-    if time.monotonic() < timeouts.expires_at(started, listener.last_progress_at):
+    if _wait_seconds(timeouts, started, listener) > 0:
         return timeouts
     if timeouts.take_over is not None:
         was_tried = await timeouts.take_over(listener, task)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -329,7 +329,12 @@
         else:
             usual = self.fleet.held_seconds(self.service, self.route, now)
             first = gap = attempt_time.response_seconds(left, usual, attempts)
-        return ProgressTimeouts(first, gap, self._may_abandon)
+        return ProgressTimeouts(
+            first,
+            gap,
+            self._may_abandon,
+            catch_up_seconds=self.fleet.catch_up_seconds,
+        )
 
     async def _attempt_plain(self, plan):
         """Send a plain request once; return whether the client was answered."""
