--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -7,11 +7,13 @@
 
 from .admission import RetryBudget
 from .backoffs import Backoffs
+from .clock import boot_seconds
 from .estimates import FleetEstimates
 from .exceptions import CallWithheld
 from .instances import InstanceRegistry, Stage
 from .links import Links
 from .outages import Outages
+from .pauses import Pauses
 from .peer_loads import LoadTracker
 from .placement import (
     Placement,
@@ -85,6 +87,7 @@
         self.limits = limits or RateLimits()
         self.backoffs = Backoffs()
         self.outages = Outages()
+        self.pauses = Pauses()
         self.quarantine = Quarantine()
         self.distances = Distances(data_centre, regions)
         self.placement = Placement(data_centre, self.distances)
@@ -134,6 +137,10 @@
         else:
             self.suspicion.record_refusal(instance.id, now)
 
+    def catch_up_seconds(self, now):
+        """Return the seconds until this VM has read what came while it stood still."""
+        return self.pauses.catch_up_seconds(now, boot_seconds())
+
     def budget(self, service):
         """Return this VM's retry budget for a service."""
         budget = self.retry_budgets.get(service)
