A stopping VM leaves requests that can't end in time to other VMs

Callers saw: requests that came to a stopping VM, sound otherwise and with other VMs at hand, were passed on; at the end of the grace period streams were cut after some events and plain requests got 504, also such as may not be repeated. The same befell repeats after a failure, streams whose prefill had lasted into the stop, streams taken up there and requests that peers had forwarded.

Cause: the first 0.36 of the grace period accepted whatever came. That bounds when a request arrives, not when it ends, so only services that take less than the rest were safe. Nothing looked at the time left before a later attempt.

Why it works: the end of the finish step is known to the requests in progress. Before each attempt, on arrival and between a prefill and its stream, a request is asked whether its limit, or what this VM has seen of its service, lies within that; otherwise it gets 503 with Retry-After 0 (502 if an earlier attempt may have run), and a forwarded one goes back to its peer.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -19,7 +19,12 @@
         return ResultCode.UPSTREAM_FAILED
     if lifecycle.may_have_run:
         _reject(lifecycle, 502, lifecycle.cause)
+        if lifecycle.is_left_to_others and not lifecycle.has_sent:
+            return ResultCode.DRAINING
         return ResultCode.UPSTREAM_FAILED
+    if lifecycle.is_left_to_others:
+        _reject(lifecycle, 503, lifecycle.cause, OTHER_VM_RETRY_SECONDS)
+        return ResultCode.DRAINING
     if lifecycle.is_quarantined(now):
         retry_after = lifecycle.quarantine.retry_seconds(now)
         _reject(lifecycle, 503, lifecycle.cause, retry_after)
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -163,6 +163,7 @@
         finally:
             lifecycle.response_share.release()
             lifecycle.quarantine.record_end(lifecycle, time.monotonic())
+        self._record_time(lifecycle, code, time.monotonic())
         logger.info(
             "answered",
             **self._summary(lifecycle),
@@ -171,6 +172,12 @@
         )
         return code
 
+    def _record_time(self, lifecycle, code, now):
+        """Record how long a response took, or that it took longer than its limit."""
+        if lifecycle.served or code is ResultCode.OUTCOME_UNKNOWN:
+            seconds = now - lifecycle.request.arrived
+            self.in_progress.record_response(lifecycle.service, seconds, now)
+
     def authenticate(self, request, route, sink):
         """Find the team that sent ``request`` and remove its key.
 
--- a/src/mulberrydock/request_room.py
+++ b/src/mulberrydock/request_room.py
@@ -9,8 +9,10 @@
 import attrs
 from loguru import logger
 
+from .forwarding import ForwardPlan
 from .placement import request_hash_fraction
 from .room.admission import CallerTime, ExpectedWork, decide, return_after
+from .stopping import TimeLeft
 
 
 def ask_for_room(lifecycle, plan, now):
@@ -48,6 +50,38 @@
     return refused
 
 
+def can_end(lifecycle, now, plan=None, seconds=None):
+    """Return whether a request can end at this VM, which may be stopping.
+
+    A stream of which the client has a part can: it goes on for as long as possible.
+
+    :param plan: that of its next attempt, None before there is one.
+    :param seconds: for which it is expected to last, None to expect what responses of
+        its service took.
+    """
+    in_progress = lifecycle.relay.in_progress
+    if not in_progress.is_stopping or lifecycle.stream.has_started:
+        return True
+    service = lifecycle.service
+    planned = 0.0
+    if plan is not None and not isinstance(plan, ForwardPlan):
+        planned = expected_work(lifecycle, plan, now).end
+    time = TimeLeft(
+        in_progress.ends_at - now,
+        lifecycle.seconds_left(now),
+        seconds or in_progress.expected_seconds(service, lifecycle, now),
+        planned,
+    )
+    if not time.is_enough:
+        logger.info(
+            "request can't end before the stop",
+            request=lifecycle.request.id,
+            service=service,
+            **{name: _rounded(value) for name, value in attrs.asdict(time).items()},
+        )
+    return time.is_enough
+
+
 def expected_work(lifecycle, plan, now):
     """Return the :class:`~mulberrydock.room.admission.ExpectedWork` of an attempt."""
     fleet, route, service = lifecycle.fleet, lifecycle.route, lifecycle.service
@@ -88,5 +122,5 @@
 
 
 def _rounded(seconds):
-    """Return ``seconds`` for the log, None if they are infinite."""
-    return None if math.isinf(seconds) else round(seconds, 3)
+    """Return ``seconds`` for the log, None if they are infinite or unknown."""
+    return None if seconds is None or math.isinf(seconds) else round(seconds, 3)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -39,7 +39,7 @@
 from .serve_settings import load_serve_settings
 from .servers import Servers
 from .stage_controller import StageController
-from .stopping import Stop, StopPlan
+from .stopping import Step, Stop, StopPlan
 from .store_calls import call_purpose
 from .store_changes import change_urgency
 from .store_freshness import StoreFreshness
@@ -478,8 +478,10 @@
         logger.info("draining", in_flight=len(self.relay.in_progress.ids()))
         self.peers.send()
         grace = self.settings.timing.grace_seconds
+        plan = StopPlan.from_grace(grace, time.monotonic())
+        self.relay.in_progress.ends_at = plan.ends[Step.FINISH]
         stop = Stop(
-            StopPlan.from_grace(grace, time.monotonic()),
+            plan,
             fronts,
             self.relay.in_progress,
             self.store.pending_calls,
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -26,13 +26,16 @@
 from .request_begin import RequestBegin
 from .request_quarantine import RequestQuarantine
 from .request_retries import RequestRetries
-from .request_room import ask_for_room, caller_time
+from .request_room import ask_for_room, caller_time, can_end
 from .response_room import ResponseShare
 from .sends import ClientStream, ProgressTimeouts, StreamListener, run_exchange
 from .sse import EventSplitter
 from .stream_version import StreamVersion
 from .takeover import SuccessorFailed, TakenOver, Takeover
 
+#: Why a stopping VM leaves a request to the others.
+TOO_LATE_CAUSE = "the VM stops before the request could end"
+
 
 def _ran_past_blame(listener, now):
     """Return whether a response ran for longer than ``CRASH_BLAME_SECONDS``."""
@@ -55,7 +58,8 @@
     ``served`` is True once an instance has answered with success, ``began_at`` when it
     began to write its answer, None if unknown.
     ``is_answered`` is True once the client was sent an instance's whole response.
-    ``is_stopped`` is True once the stop of this VM ends it before its deadline.
+    ``is_stopped`` is True once the stop of this VM ends it before its deadline,
+    ``is_left_to_others`` once an attempt is left out as it couldn't end before that.
     ``forwards`` counts the attempts through peers, ``refused_by`` names the peers that
     didn't take the request.
 
@@ -99,6 +103,7 @@
         self.served = False
         self.is_answered = False
         self.is_stopped = False
+        self.is_left_to_others = False
         self.began_at = None
         self.error_response = None
         self.response_share = ResponseShare(relay.response_room)
@@ -114,6 +119,11 @@
         """That of its prefill calls."""
         return self.retries.prefills
 
+    @property
+    def has_sent(self):
+        """True once an instance may have received a send of this VM."""
+        return self.sends.maybe_received > self.prior.sends
+
     async def run(self):
         """Answer the request.
 
@@ -126,6 +136,9 @@
         try:
             async with asyncio.timeout_at(loop.time() + seconds_left) as limit:
                 self.time_limit = limit
+                now = time.monotonic()
+                if not self._can_end(now):
+                    return final_response.give_up(self, now)
                 if self.version.is_taken_up and not self.version.fixed:
                     final = await self.version.find()
                     if not self.version.fixed:
@@ -203,13 +216,23 @@
         plan = self._plan(now)
         self._record_outage(plan, now)
         self.planned_at = now
-        if plan is None:
+        if plan is None or not self._can_end(now, plan):
             return None
         if not self.retries.reserve(plan, now):
             self.cause += "; retry budget spent"
             return None
         return plan
 
+    def _can_end(self, now, plan=None, seconds=None):
+        """Return whether the stop of this VM leaves time for an attempt.
+
+        The parameters are those of :func:`~mulberrydock.request_room.can_end`.
+        """
+        if can_end(self, now, plan, seconds):
+            return True
+        self.is_left_to_others, self.cause = True, TOO_LATE_CAUSE
+        return False
+
     def _record_outage(self, plan, now):
         """Record whether any request could be sent to the service now.
 
@@ -367,9 +390,12 @@
             # busy or leaving by now, and an engine that is leaving must get no new work
             # from a moment after its notice.
             now = time.monotonic()
+            stream_seconds = self.fleet.held_seconds(self.service, self.route, now)
+            has_time = self._can_end(now, seconds=stream_seconds)
             plan = self.fleet.decode_plan(
                 self.request, self.service, plan, self.tried, now
             )
+            plan = plan if has_time else None
         listener = StreamListener(self.wire, self.stream, share=self.response_share)
         try:
             if plan is None or self.is_quarantined(time.monotonic()):
--- a/src/mulberrydock/standin/platform_engine.py
+++ b/src/mulberrydock/standin/platform_engine.py
@@ -102,6 +102,7 @@
     :param stage: "prefill" or "decode", empty for a plain service.
     :param events: number of events in a complete stream; their ids start at 1.
     :param event_interval_seconds: seconds between two events.
+    :param response_seconds: seconds before each unstreamed response.
     :param prefill_gate: prefill calls are answered only once this event is set.
     :param prefill_refusals: for each element one prefill call is refused; several
         engines may share the list, so that whichever is called first refuses.
@@ -138,6 +139,7 @@
     data_centre: str = "dc1"
     events: int = 4
     event_interval_seconds: float = 0.0
+    response_seconds: float = 0.0
     prefill_gate: asyncio.Event | None = None
     prefill_refusals: list = attrs.field(factory=list)
     faults: list = attrs.field(factory=list)
@@ -378,6 +380,8 @@
     async def _run(self, reader, run, fault):
         if fault is Fault.HANG:
             await asyncio.sleep(3600)
+        if not self.stage:
+            await asyncio.sleep(self.response_seconds)
         if fault is Fault.CRASH_BEFORE_ANSWER:
             reader.close()
         elif fault is Fault.ERROR:
--- a/src/mulberrydock/stopping/__init__.py
+++ b/src/mulberrydock/stopping/__init__.py
@@ -8,5 +8,6 @@
 from .plan import Step, StopPlan
 from .requests import RequestsInProgress
 from .stop import Stop
+from .time_left import TimeLeft
 
-__all__ = ["RequestsInProgress", "Step", "Stop", "StopPlan"]
+__all__ = ["RequestsInProgress", "Step", "Stop", "StopPlan", "TimeLeft"]
--- a/src/mulberrydock/stopping/plan.py
+++ b/src/mulberrydock/stopping/plan.py
@@ -22,7 +22,8 @@
 class Step(enum.Enum):
     """A step of a stop, in order.
 
-    - ``ACCEPT``: new requests are served, as clients keep an outdated list of VMs.
+    - ``ACCEPT``: new requests that can end in time are served, as clients keep an
+      outdated list of VMs.
     - ``FINISH``: later requests are refused, those in progress end.
     - ``ANSWER``: what can't be finished gets its final response.
     - ``RECORD``: what the requests showed is written to the store.
