Responses: a turn of the event loop ends, whatever has arrived from servers

What callers saw: ordinary requests to a sound service wait for seconds, or get 504, beside clients on an engine that answers without end.

Cause: tornado reads on as long as bytes are there, up to 256 KiB or 256 chunks of each connection in a turn of the event loop. With 120 connections one turn took some hundred ms, and an ordinary request takes some ten turns. Class: a bound on one connection that says nothing of how many there are.

Change: connections to servers (engines, peers, the store, the platform) share `ResponseTurns`. Parts are 16 KiB instead of 64, which also bounds what one of them takes to parse, and what each connection holds.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -24,6 +24,7 @@
 from .connect_reason import ConnectReason
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 from .request import UpstreamCall
+from .response_turns import ResponseTurns, TurnUse
 
 #: Seconds for a new connection: an address two data centres away answers in 2 ms, a VM
 #: without power never does.
@@ -60,8 +61,12 @@
 #: of an order. A report lists the runs of an engine, some tens of bytes each.
 MAX_CALL_BYTES = 256 * 1024
 
+#: Bytes of one read: what is read of each of many responses takes memory, and time to
+#: parse in one piece.
+READ_CHUNK_BYTES = 16 * 1024
+
 CONNECTION_PARAMS = tornado.http1connection.HTTP1ConnectionParameters(
-    decompress=False, max_body_size=MAX_BODY_BYTES
+    decompress=False, max_body_size=MAX_BODY_BYTES, chunk_size=READ_CHUNK_BYTES
 )
 
 
@@ -174,6 +179,37 @@
 
 
 class _Stream(tornado.iostream.IOStream):
+    """The socket of a connection; what arrives waits for a turn to be processed."""
+
+    def __init__(self, sock):
+        super().__init__(sock, read_chunk_size=READ_CHUNK_BYTES)
+        self.turns = ResponseTurns.of_loop()
+        self.use = TurnUse()
+
+    def read_until_regex(self, regex, max_bytes=None):
+        return self._admit(super().read_until_regex(regex, max_bytes))
+
+    def read_until(self, delimiter, max_bytes=None):
+        return self._admit(super().read_until(delimiter, max_bytes))
+
+    def read_bytes(self, num_bytes, partial=False):
+        return self._admit(super().read_bytes(num_bytes, partial))
+
+    def _admit(self, read):
+        if read.done() and not read.cancelled() and read.exception() is None:
+            size = len(read.result())
+            if self.turns.admit(self.use, size, time.monotonic()):
+                return read
+        return self._wait(read)
+
+    async def _wait(self, read):
+        is_done = read.done()
+        part = await read
+        size = len(part)
+        if is_done or not self.turns.admit(self.use, size, time.monotonic()):
+            await self.turns.wait(self.use, size, time.monotonic)
+        return part
+
     def has_unread(self):
         """Return whether unrequested bytes wait, or the peer closed the connection."""
         if self._read_buffer_size:
