Heads of responses are searched for their ends in a tenth of the time

What callers saw: ordinary requests wait for half a second at a time beside clients on an engine that sends heads without end.

Cause: tornado looks for the end of a head by a regex whose first byte is optional, which can't skip ahead: 0.9 ms for 64 KiB, and a head without an end is searched six times until it is refused. For 120 connections that arrive together these searches were 0.29 of 0.35 s in a profile, in turns of up to 0.16 s.

Change: connections to servers search for the same ends by a regex that begins with the line feed: 0.04 ms, or 0.15 to 0.28 ms where there are many lines.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -61,6 +61,9 @@
 #: of an order. A report lists the runs of an engine, some tens of bytes each.
 MAX_CALL_BYTES = 256 * 1024
 
+#: The end of a head. Tornado's regex for it begins with an optional byte, which makes a
+#: search ten times as long, and each part of a head without an end is searched.
+HEAD_END = rb"\n\r?\n"
 #: Bytes of one read: what is read of each of many responses takes memory, and time to
 #: parse in one piece.
 READ_CHUNK_BYTES = 16 * 1024
@@ -187,7 +190,8 @@
         self.use = TurnUse()
 
     def read_until_regex(self, regex, max_bytes=None):
-        return self._admit(super().read_until_regex(regex, max_bytes))
+        # Only heads are read so. This regex ends where that of tornado does.
+        return self._admit(super().read_until_regex(HEAD_END, max_bytes))
 
     def read_until(self, delimiter, max_bytes=None):
         return self._admit(super().read_until(delimiter, max_bytes))
--- a/tests/test_response_turns.py
+++ b/tests/test_response_turns.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import collections
+import re
 import time
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders
 
 from mulberrydock.connections import (
+    HEAD_END,
     READ_CHUNK_BYTES,
     BufferedResponse,
     ConnectionPool,
@@ -145,3 +149,11 @@
     assert sum(counts.values()) >= CONNECTIONS
     # The loop's own turn may be part of two.
     assert max(counts.values()) <= 2 * (TURN_SECONDS / PART_SECONDS + 1)
+
+
+# Guards against heads that end elsewhere than tornado parses them.
+@given(st.text("\r\na", max_size=12))
+def test_head_ends_where_tornado_ends_it(text):
+    head = text.encode()
+    ends = [re.search(regex, head) for regex in (HEAD_END, rb"\r?\n\r?\n")]
+    assert len({match and match.end() for match in ends}) == 1
