A response with a status below 100 has failed, instead of its request

What callers saw: no answer at all; the connection is closed without a status (LOST), for each request to an instance that answers with status 000 or 099. 6 of 6 in a trial with one daemon and an instance that sends odd heads.

Cause: such a status counted as informational, so its headers were never recorded; but the response ended there, and what reads it failed on `None`: `AttributeError`, logged as `request fault`. The store's client read its headers in the same way.

Change: the connection's reader refuses it as a response that failed, for all callers.

Result: test_response_without_a_valid_status_has_failed (8 cases) failed with that error and passes.

--- a/src/mulberrydock/connections.py
+++ b/src/mulberrydock/connections.py
@@ -245,6 +245,9 @@
 
     def headers_received(self, start_line, headers):
         self.on_progress()
+        if start_line.code < 100:
+            self._refuse(UpstreamError(f"response with status {start_line.code}"))
+            return
         if start_line.code < 200:
             return
         self.skipped = not self.accept_response(start_line.code, headers)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -247,3 +247,12 @@
             server.server.close()
 
     assert asyncio.run(scenario()) == (EVENTS if is_whole else None)
+
+
+# Guards against a client without an answer, as its instance's status is none.
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("status", [b"000", b"099"])
+def test_response_without_a_valid_status_has_failed(path, status):
+    data = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 2\r\n\r\nok"
+    sink = asyncio.run(serve(CuttingServer(data), path))
+    assert sink.status == 502
