A stream whose version isn't known doesn't move

What callers saw: events of two software versions in one response (ORDER), where an engine had restarted under its id at another version, the VM couldn't confirm its start as the stream began, and the engine left afterwards. Shown by a test with the relay and stand-in engines, on both kinds of routes; not seen elsewhere.

Cause: the mover chose the destination by the version in the record of the source, not by that of the stream, which is unknown then and goes on nowhere by other ways.

Why the fix works: the stream moves only if its version is the one of the source's record, and stays otherwise, with a log line.

The fake stream of test_mover.py has a version now, as real ones have.

--- a/src/mulberrydock/moves/mover.py
+++ b/src/mulberrydock/moves/mover.py
@@ -146,6 +146,16 @@
         """Return this VM's streams at an engine that have begun."""
         return [s for s in self.streams.get(instance.id, ()) if s.is_running]
 
+    def _movable(self, instance):
+        """Return this VM's streams at an engine that may move now."""
+        movable = []
+        for stream in self._running(instance):
+            if not stream.is_version_known:
+                stream.record_stay("its version isn't known")
+            elif stream.may_move:
+                movable.append(stream)
+        return movable
+
     async def _read_report(self, leave):
         """Ask an engine whether it leaves; return whether it says when it ends.
 
@@ -191,7 +201,7 @@
 
     def _decide(self, leave, now):
         """Begin the moves that are due."""
-        streams = {s.request.id: s for s in self._running(leave.instance) if s.may_move}
+        streams = {s.request.id: s for s in self._movable(leave.instance)}
         service = leave.instance.record.service
         spec = self._spec(service)
         if not streams or spec is None:
--- a/src/mulberrydock/moves/stream.py
+++ b/src/mulberrydock/moves/stream.py
@@ -99,6 +99,14 @@
         listening = not self.closed and self.task is not None and not self.task.done()
         return listening and self.listener.first_progress_at is not None
 
+    @property
+    def is_version_known(self):
+        """True when the source is known to be of the stream's version.
+
+        One that may have restarted may be of any.
+        """
+        return self.lifecycle.version.fixed == self.source.record.stream_version
+
     @property
     def may_move(self):
         """True when a move of the stream may begin."""
--- a/tests/test_mover.py
+++ b/tests/test_mover.py
@@ -34,6 +34,7 @@
         service="llm",
         request=Request(name, "POST", "/", "h", [], b"", 0.0, 5.0, prompt),
         stream=types.SimpleNamespace(splitter=EventSplitter()),
+        version=types.SimpleNamespace(fixed=record("dc1").stream_version),
     )
     lifecycle.stream.splitter.last_id = lifecycle.stream.splitter.count = events
     stream = StreamMove(lifecycle)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -19,6 +19,7 @@
     PlatformFleet,
     config,
     event_ids,
+    event_versions,
     send,
     wait_until,
 )
@@ -304,3 +305,27 @@
         assert event_ids(connection.getresponse().read()) == ALL
     finally:
         fleet.stop()
+
+
+# Guards against a stream whose version isn't known, as its engine may have restarted,
+# and that moves to an engine of the former version.
+@BOTH_PATHS
+@on_loop
+async def test_stream_of_unknown_version_stays_at_its_engine(path):
+    async with started_fleet() as fleet:
+        first, *others = (fleet.engines[name] for name in DECODERS)
+        for engine in others:
+            fleet.remove_record(engine)
+        first.started_at_ms = 1000
+        fleet.write_record(first, "ready")
+        # Its report doesn't say that it has restarted since.
+        first.started_at_ms, first.version = None, "v2"
+        stream = await fleet.begin(path)
+        for engine in others:
+            engine.started_at_ms = 1000
+            fleet.write_record(engine, "ready")
+        first.started_at_ms = 2000
+        fleet.announce_leave(first, NOTICE_SECONDS)
+        await stream.end()
+    assert event_versions(stream.sink.data) == {b"v2"}
+    assert not stream.sink.complete and fleet.ledger.calls == []
