Cut streams of HTTP/1.0 clients end with a reset

A whole stream of one that keeps its connection never ended.

Cause: without chunks or a length only the close of the connection marks the end, and an aborted response was closed in the same way as a whole one.

Why the fix works: the socket of such a response is reset by any close, also by the kernel's when the process ends, until all its bytes have been sent. Then the connection is closed, also if the client would keep it.

ConnectionSink has moved to a module of its own, for UnframedSink to build on.

--- a/src/mulberrydock/forward_front.py
+++ b/src/mulberrydock/forward_front.py
@@ -7,7 +7,8 @@
 from . import forward_messages
 from .exceptions import ResultCode
 from .forward_messages import ForwardOutcome
-from .front import ConnectionSink, Front
+from .front import Front
+from .front_sink import ConnectionSink
 
 
 class ForwardSink(ConnectionSink):
@@ -60,7 +61,7 @@
         super().__init__(relay, relay.wire, clock)
         self.key = key
 
-    def make_sink(self, connection):
+    def make_sink(self, connection, version):
         return ForwardSink(connection, self.closing)
 
     def start(self, start_line, headers, body, sink):
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -6,62 +6,8 @@
 import tornado.httputil
 from loguru import logger
 
-from .exceptions import MulberrydockError, ResultCode
-from .ports import Sink
-
-#: Reason phrase of a status code without a standard one.
-UNKNOWN_REASON = "Unknown"
-
-
-class ConnectionSink(Sink):
-    """Answers one request on its client connection.
-
-    :param closing: returns True when the client should open a new connection elsewhere
-        for its next request.
-    """
-
-    def __init__(self, connection, closing):
-        self.connection = connection
-        self.closing = closing
-        self.begun = False
-        self.done = False
-
-    def _head(self, status, headers):
-        fields = tornado.httputil.HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
-        if self.closing():
-            fields["Connection"] = "close"
-        reason = tornado.httputil.responses.get(status, UNKNOWN_REASON)
-        return tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason), fields
-
-    def respond(self, status, headers, body):
-        start, fields = self._head(status, headers)
-        if status not in (204, 304):
-            fields["Content-Length"] = str(len(body))
-        self.done = True
-        self.connection.write_headers(start, fields, body or None)
-        self.connection.finish()
-
-    def begin(self, status, headers):
-        start, fields = self._head(status, headers)
-        self.begun = True
-        self.connection.write_headers(start, fields)
-
-    def write(self, chunk):
-        return self.connection.write(chunk)
-
-    def finish(self):
-        if not self.begun:
-            raise MulberrydockError(
-                "a response ended before it began", ResultCode.INTERNAL
-            )
-        self.done = True
-        self.connection.finish()
-
-    def abort(self):
-        self.done = True
-        self.connection.close()
+from .front_sink import ConnectionSink
+from .unframed_sink import FRAMED_VERSION, UnframedSink
 
 
 class RequestReader(tornado.httputil.HTTPMessageDelegate):
@@ -90,7 +36,7 @@
             self.start_line,
             self.headers,
             body,
-            self.front.make_sink(self.connection),
+            self.front.make_sink(self.connection, self.start_line.version),
         )
         self.connection.set_close_callback(self.on_connection_close)
 
@@ -131,8 +77,13 @@
         self.streams.add(request_conn.stream)
         return RequestReader(self, request_conn)
 
-    def make_sink(self, connection):
-        """Return the sink of one request on ``connection``."""
+    def make_sink(self, connection, version):
+        """Return the sink of one request on ``connection``.
+
+        :param version: the version of HTTP that its client states.
+        """
+        if version < FRAMED_VERSION:
+            return UnframedSink(connection, self.closing)
         return ConnectionSink(connection, self.closing)
 
     def start(self, start_line, headers, body, sink):
--- a/tests/test_ended_streams.py
+++ b/tests/test_ended_streams.py
@@ -10,7 +10,7 @@
 from version_fleet import ONE_OF_EACH, Stream, started_fleet
 
 from mulberrydock.exceptions import MulberrydockError
-from mulberrydock.front import ConnectionSink
+from mulberrydock.front_sink import ConnectionSink
 
 
 # Guards against a request that is never answered, as a response without an event was
