Tests: a stream whose route is moved to another service, known red

A client takes its stream up after a configuration has moved the route to another service.

Cause: what is kept of a stream is found by service and request. Under the new service nobody knows it, and then the only version of that service is taken for the stream's. The service would have to be kept with the version.

--- a/tests/test_split_streams.py
+++ b/tests/test_split_streams.py
@@ -51,10 +51,19 @@
         yield fleet
 
 
-def follows(fleet, name):
-    """Return whether a VM follows the configuration that splits the route."""
+def follows(fleet, name, version=4):
+    """Return whether a VM follows a version of the configuration."""
     records = fleet.log_records("configuration in force", name)
-    return any(record["version"] == 4 for record in records)
+    return any(record["version"] == version for record in records)
+
+
+def move_route(fleet, version, service):
+    """Let the resumable route lead to one service; wait until all VMs follow."""
+    document = split_config(version)
+    document["routes"][0] |= {"service": service, "traffic_split": None}
+    fleet.write("op/config", document)
+    for name in VMS:
+        wait_until(lambda: follows(fleet, name, version))
 
 
 def services_of(stream):
@@ -100,3 +109,22 @@
                 if record["request"] == stream.ids[0]
             ]
             assert set(sent) == services_of(stream)
+
+
+# Guards against a stream that its client takes up and that goes on at the service to
+# which its route was moved meanwhile.
+@pytest.mark.parametrize("versions", [("v1", "v1"), ("v1", "v2")])
+def test_stream_ends_as_its_route_is_moved(tmp_path, versions):
+    with split_fleet(tmp_path, versions) as fleet:
+        move_route(fleet, 5, SERVICES[0])
+        streams = [
+            Stream(fleet, f"s{number}").request("entry-1", until=1)
+            for number in range(STREAMS)
+        ]
+        move_route(fleet, 6, SERVICES[1])
+        for stream in streams:
+            stream.leave()
+            stream.request("entry-2")
+        assert [s.name for s in streams if len(services_of(s)) != 1] == []
+        # New streams are served there.
+        assert Stream(fleet, "new").request("entry-2").complete
