--- a/tests/link_fleet.py
+++ b/tests/link_fleet.py
@@ -65,10 +65,14 @@
         if name not in self.views:
             port = free_ports(1)[0]
             self.call_on_loop(self._serve_view, name, port)
-            self.views[name] = self.add_proxy(f"127.0.0.1:{port}")
+            self.views[name] = self.add_store_proxy(name, f"127.0.0.1:{port}")
         self.store_address = self.views[name]
         return super().start(name, grace)
 
+    def add_store_proxy(self, name, address):
+        """Return the address at which the VM ``name`` reaches its view of the store."""
+        return self.add_proxy(address)
+
     def _serve_view(self, name, port):
         app = platform_store.make_app(
             self.store, lambda key, value: self.view(name, key, value)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,6 +21,7 @@
 
 import collections
 import concurrent.futures
+import functools
 import http.client
 import itertools
 import json
@@ -34,6 +35,7 @@
 
 import attrs
 import defopt
+import soak_streams
 from link_fleet import LinkFleet
 from platform_fleet import (
     IDEMPOTENT_PATH,
@@ -42,7 +44,6 @@
     STREAM_PATH,
     config,
     event_ids,
-    event_versions,
     send,
     wait_until,
     whole_events,
@@ -142,6 +143,9 @@
     :param parts: the parts of its prompt, empty for those of all requests.
     :param timed_out_at: when the client gave up, as nothing came any more, monotonic
         seconds, 0 if it didn't.
+    :param path: what follows ``prefix`` in its path.
+    :param kept: whether its connection had carried a request before.
+    :param retry_after: the seconds that the response asks the client to wait.
     """
 
     id: str
@@ -159,6 +163,9 @@
     after_event: int = 0
     parts: str = ""
     timed_out_at: float = 0.0
+    path: str = ""
+    kept: bool = False
+    retry_after: float | None = None
 
 
 @attrs.define
@@ -194,19 +201,20 @@
     instance_count: int = 0
     finished: threading.Event = attrs.field(factory=threading.Event)
 
+    fleet_class = LinkFleet
+    versions = VERSIONS
+
     @classmethod
     def from_seed(cls, directory, seed, daemons):
         """Start the fleet, with a proxy before each stand-in, and the daemons."""
         # Crashes are drawn on the stand-ins' thread.
         rngs = random.Random(seed), random.Random(f"{seed}/restarts")
-        soak = cls(LinkFleet(directory), seed, daemons, *rngs)
+        soak = cls(cls.fleet_class(directory), seed, daemons, *rngs)
         soak.fleet.add_proxy = soak._add_proxy
         soak.fleet.call_on_loop(soak._note_turn, time.monotonic())
-        soak.fleet.write("op/config", config(soak.version))
-        for stage in ("prefill", "prefill", "decode", "decode", "decode"):
-            soak.add_instance("llm", stage)
-        for _ in range(3):
-            soak.add_instance("app", "")
+        soak.fleet.write("op/config", soak.configuration())
+        for service, stage in soak.first_instances():
+            soak.add_instance(service, stage)
         for number in range(daemons):
             soak.fleet.start(f"entry-{number}")
         names = [f"{e.id}@{e.started_at_ms}" for e in soak.fleet.engines.values()]
@@ -214,6 +222,15 @@
             soak.fleet.wait_ready(f"entry-{number}", names)
         return soak
 
+    def configuration(self):
+        """Return the configuration's document."""
+        return config(self.version)
+
+    def first_instances(self):
+        """Return (service, stage) of each instance at the start."""
+        stages = ("prefill", "prefill", "decode", "decode", "decode")
+        return [("llm", stage) for stage in stages] + [("app", "")] * 3
+
     def _note_turn(self, last):
         """Note that the stand-ins run, and if they stood still since ``last``."""
         now = time.monotonic()
@@ -236,8 +253,11 @@
         self.proxies.append(proxy)
         return listen
 
-    def add_instance(self, service, stage):
-        """Start an instance behind a proxy and register the proxy's address."""
+    def add_instance(self, service, stage, version=None):
+        """Start an instance behind a proxy and register the proxy's address.
+
+        :param version: the version of its software, by default a random one.
+        """
         self.instance_count += 1
         started_at_ms = int(time.time() * 1000)
         engine = self.fleet.add_instance(
@@ -245,7 +265,7 @@
             service,
             stage,
             started_at_ms=started_at_ms,
-            version=self.random.choice(VERSIONS),
+            version=version or self.random.choice(self.versions),
             event_interval_seconds=EVENT_INTERVAL_SECONDS,
             crash_parts=frozenset(DEADLY_PROMPTS),
         )
@@ -259,7 +279,7 @@
         return engine
 
     def _handle_crash(self, engine, proxy):
-        engine.version = self.crash_random.choice(VERSIONS)
+        engine.version = self.crash_random.choice(self.versions)
         proxy.set_mode("partition")
         for link in self.fleet.links_of(targets={engine.id}):
             link.set_target_down(True)
@@ -381,7 +401,7 @@
 
     def write_configuration(self):
         self.version += self.random.choice((1, 3))
-        self.fleet.write("op/config", config(self.version))
+        self.fleet.write("op/config", self.configuration())
         return f"configuration {self.version}"
 
     def _choose_daemon(self):
@@ -415,13 +435,7 @@
         :param faults: False for a run of the same length without faults.
         :returns: the violated guarantees, one line each.
         """
-        clients = [
-            threading.Thread(target=self._run_client, args=(number,), daemon=True)
-            for number in range(CLIENT_COUNT)
-        ]
-        clients.append(threading.Thread(target=self._run_bursts, daemon=True))
-        if faults:
-            clients.append(threading.Thread(target=self._run_crasher, daemon=True))
+        clients = self._clients(faults)
         for client in clients:
             client.start()
         if faults:
@@ -438,6 +452,17 @@
         )
         return violations + self._quarantine_violations() + self.find_violations()
 
+    def _clients(self, faults):
+        """Return the clients' threads."""
+        functions = [
+            functools.partial(self._run_client, number)
+            for number in range(CLIENT_COUNT)
+        ]
+        functions.append(self._run_bursts)
+        if faults:
+            functions.append(self._run_crasher)
+        return [threading.Thread(target=f, daemon=True) for f in functions]
+
     def _inject_faults(self, seconds):
         kinds = (
             [self.break_connection] * 4
@@ -559,6 +584,7 @@
             request_id = f"c{number}-{count}"
             body = f"prompt {request_id}".encode()
             outcome = Outcome(request_id, rng.choice(list(REPEATABLE)), body)
+            outcome.kept = connection is not None
             if connection is None:
                 name = f"entry-{rng.randrange(self.daemons)}"
                 connection = self.fleet.connect(name)
@@ -610,11 +636,13 @@
             fields["Last_Event_Id"] = str(outcome.after_event)
             fields["Resumes"] = outcome.origin
         outcome.sent_at = time.monotonic()
-        send(connection, outcome.prefix, outcome.id, **fields)
+        send(connection, outcome.prefix + outcome.path, outcome.id, **fields)
         response = connection.getresponse()
         outcome.status = response.status
         outcome.signature = response.headers.get(wire.SIGNATURE, "")
         outcome.leaving = wire.SERVER_LEAVING in response.headers
+        if wire.RETRY_AFTER in response.headers:
+            outcome.retry_after = float(response.headers[wire.RETRY_AFTER])
         # Holds if the response is cut, too.
         outcome.answered_at = time.monotonic()
         if self._leaves(outcome):
@@ -630,17 +658,6 @@
         share = random.Random(f"{self.seed}/{outcome.id}").random()
         return outcome.prefix == RESUMABLE_PATH and share < LEFT_SHARE
 
-    def _mixed_violations(self):
-        """Yield the streams with events of instances of two software versions."""
-        versions = collections.defaultdict(set)
-        for outcome in self.outcomes:
-            versions[outcome.origin or outcome.id] |= event_versions(
-                whole_events(outcome.body)
-            )
-        for origin, found in versions.items():
-            if len(found) > 1:
-                yield f"ORDER: {origin} has events of the versions {sorted(found)}"
-
     def find_violations(self):
         """Return each guarantee that clients or instances saw violated."""
         runs = {}
@@ -652,14 +669,17 @@
             violations += _response_violations(outcome)
             violations += _run_violations(outcome, runs.pop(outcome.id, []))
         violations += [
-            f"UNASKED: {request} ran, but no client sent it" for request in runs
+            f"UNASKED: {request} ran, but no client sent it: {run.method} "
+            f"{run.target} at {engine.id} with {dict(run.headers)} and {run.body!r}"
+            for request, found in runs.items()
+            for engine, run in found
         ]
         violations += self._lost_violations()
         violations += self._drain_violations()
         violations += self._pause_violations()
         violations += self._order_violations()
         violations += self._version_violations()
-        violations += self._mixed_violations()
+        violations += soak_streams.find_violations(self.outcomes)
         return violations
 
     def _arrivals(self):
@@ -744,10 +764,16 @@
         return senders
 
     def _order_violations(self):
+        holders = collections.defaultdict(set)
         for engine in self.fleet.engines.values():
             tokens = [order["fencing_token"] for order in engine.orders]
             if tokens != sorted(tokens):
                 yield f"ONE: {engine.id} took orders with decreasing tokens {tokens}"
+            for order in engine.orders:
+                holders[order["fencing_token"]].add(order["holder"])
+        for token, names in holders.items():
+            if len(names) > 1:
+                yield f"ONE: {sorted(names)} gave orders with the token {token}"
 
     def _version_violations(self):
         for name in self.fleet.daemons:
@@ -802,12 +828,17 @@
     try:
         return soak.run(seconds, faults), soak.outcomes
     finally:
-        for process in soak.fleet.daemons.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-        for proxy in soak.proxies:
-            soak.fleet.call_on_loop(proxy.release)
-        soak.fleet.stop()
+        end(soak)
+
+
+def end(soak):
+    """Stop the fleet of a run."""
+    for process in soak.fleet.daemons.values():
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+    for proxy in soak.proxies:
+        soak.fleet.call_on_loop(proxy.release)
+    soak.fleet.stop()
 
 
 def main(
