Release soak: engines that restart at the new version, and streams under way at a stopped VM

Cause: two hypotheses for the reports weren't played: an engine that restarts under its id at the new version while a VM stands still, and a stream that a VM relays as it is stopped while its client goes on elsewhere.

Change: a share of the releases restarts engines instead of adding some; streams begin at a VM right before it is stopped, and their clients go on elsewhere after a second without an event. A run may begin before all VMs have read each other's records, or after. The soaks' clients keep what they have read of an answer that then falls silent, so that they take such streams up. How streams went on that were taken up is counted apart for VMs in touch, VMs out of touch, and versions whose engines have gone, with the Retry-After that was told.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -79,6 +79,8 @@
 #: Time in which requests must be served again once all faults are over.
 RECOVERY_TIMEOUT_SECONDS = 20.0
 CLIENT_COUNT = 6
+#: Most bytes that a client reads at a time.
+READ_BYTES = 4096
 #: Streams that one client begins at once, each on a connection of its own, and the
 #: range of the random interval between two such bursts.
 BURST_STREAMS = 24
@@ -203,6 +205,7 @@
 
     fleet_class = LinkFleet
     versions = VERSIONS
+    event_interval = EVENT_INTERVAL_SECONDS
 
     @classmethod
     def from_seed(cls, directory, seed, daemons):
@@ -266,7 +269,7 @@
             stage,
             started_at_ms=started_at_ms,
             version=version or self.random.choice(self.versions),
-            event_interval_seconds=EVENT_INTERVAL_SECONDS,
+            event_interval_seconds=self.event_interval,
             crash_parts=frozenset(DEADLY_PROMPTS),
         )
         engine.address = self._add_proxy(engine.address)
@@ -620,7 +623,7 @@
         try:
             return self._exchange(connection, outcome, tokens)
         except Exception as error:  # http.client raises undocumented exceptions
-            outcome.body = getattr(error, "partial", repr(error).encode())
+            outcome.body = outcome.body or repr(error).encode()
             if isinstance(error, TimeoutError):
                 outcome.timed_out_at = time.monotonic()
             return True
@@ -646,9 +649,12 @@
         # Holds if the response is cut, too.
         outcome.answered_at = time.monotonic()
         if self._leaves(outcome):
-            outcome.body = response.read1(4096)
+            outcome.body = response.read1(READ_BYTES)
             raise http.client.IncompleteRead(outcome.body)
-        outcome.body = response.read()
+        while chunk := response.read1(READ_BYTES):
+            outcome.body += chunk
+        # Raises if the body ends early, which ``read1`` may not tell.
+        response.read()
         outcome.answered_at = time.monotonic()
         outcome.complete = True
         return response.headers.get("Connection", "").lower() == "close"
--- a/tests/soak_release.py
+++ b/tests/soak_release.py
@@ -3,9 +3,10 @@
 Each service begins with engines of one software version. Again and again, VMs are put
 out of step: cut off from their peers, from the store or from both, stopped, or several
 of these at once; a cut outlasts the stop. Meanwhile engines of a new version join a
-service, streams begin through the other VMs, and their clients leave them after the
-first events and take them up at the VMs out of step and at others. A client that is
-told to come back does so.
+service, or its engines restart at that version under their ids. Streams begin through
+the other VMs, and their clients leave them after the first events and take them up at
+the VMs out of step and at others. Other streams are under way at a VM that is stopped.
+A client that is told to come back does so.
 
 Run ``python tests/soak_release.py --seed 7 --seconds 15 --daemons 4``. It prints the
 violated guarantees with the log lines of the streams concerned, and how the streams
@@ -14,6 +15,7 @@
 
 import collections
 import concurrent.futures
+import functools
 import json
 import pathlib
 import random
@@ -27,7 +29,14 @@
 import defopt
 import soak
 from cut_fleet import STORE, CutFleet
-from platform_fleet import RESUMABLE_PATH, config, event_ids, route, whole_events
+from platform_fleet import (
+    RESUMABLE_PATH,
+    config,
+    event_ids,
+    event_versions,
+    route,
+    whole_events,
+)
 
 from mulberrydock.standin.pair_link import CUTS
 
@@ -56,6 +65,10 @@
 JOIN_DELAY_SECONDS = (0.0, 0.3)
 BEGIN_DELAY_SECONDS = (0.1, 0.6)
 REST_SECONDS = (0.5, 1.5)
+#: Share of the releases in which engines restart instead, and of the runs that begin
+#: before all VMs know each other.
+RESTART_SHARE = 0.3
+EARLY_SHARE = 0.3
 #: Share of the releases in which the engines of the former versions leave, in which the
 #: configuration changes, and with ``others``, in which another fault follows.
 LEAVING_SHARE = 0.4
@@ -64,8 +77,17 @@
 #: Streams of one release, and requests with which a client goes on at most.
 STREAMS = 12
 MAX_TRIES = 5
-#: Share of the tries that go to a VM out of step, and of those that are left again.
-OUT_OF_STEP_SHARE = 0.6
+#: Streams under way at the VMs that are put out of step, and seconds for which their
+#: clients wait for the next event.
+STREAMS_UNDER_WAY = 4
+WAIT_FOR_EVENT_SECONDS = 1.0
+#: Seconds between two events: a stream is under way for longer than it takes to stop
+#: a VM.
+EVENT_INTERVAL_SECONDS = 0.15
+#: Share of the clients that take their streams up once a stopped VM wakes, of the tries
+#: that go to a VM out of step, and of those that are left again.
+WAITING_SHARE = 0.8
+LATE_SHARE = 0.6
 LEFT_SHARE = 0.2
 #: The longest that a client waits before it comes back, seconds.
 MAX_WAIT_SECONDS = 1.5
@@ -79,13 +101,16 @@
 
     :param others: whether the soak's other faults are injected, too.
     :param releases: what each release was, for the run's log.
+    :param next_versions: versions at which engines restart, by service.
     """
 
     others: bool = False
     releases: list = attrs.field(factory=list)
+    next_versions: dict = attrs.field(factory=dict)
 
     fleet_class = CutFleet
     versions = ("v1",)
+    event_interval = EVENT_INTERVAL_SECONDS
 
     def configuration(self):
         document = config(self.version)
@@ -113,6 +138,8 @@
     def _inject_faults(self, seconds):
         end = time.monotonic() + seconds
         self._wait_for_versions()
+        if self.random.random() > EARLY_SHARE:
+            self._wait_for_peers()
         while time.monotonic() < end:
             self._release(len(self.releases) + 1)
             if self.others and self.random.random() < OTHERS_SHARE:
@@ -144,6 +171,18 @@
             )
         )
 
+    def _wait_for_peers(self):
+        """Wait until all VMs have read each other's records."""
+        names = self.fleet.daemons.keys()
+        for name in names:
+            rows = functools.partial(self.fleet.log_records, "peer seen", name)
+            soak.wait_until(lambda: names <= {row["peer"] for row in rows()})
+
+    def _handle_crash(self, engine, proxy):
+        version = engine.version
+        super()._handle_crash(engine, proxy)
+        engine.version = self.next_versions.get(engine.service, version)
+
     def _release(self, number):
         """Let engines of a new version join while VMs are out of step."""
         rng = random.Random(f"{self.seed}/release-{number}")
@@ -151,28 +190,43 @@
         names = sorted(self.fleet.daemons)
         late = rng.sample(names, 2 if len(names) > 4 and rng.random() < 0.5 else 1)
         case = rng.choice(CASES)
-        woken, seconds = threading.Event(), rng.uniform(*STOP_SECONDS)
-        former = [e for e in self.fleet.engines.values() if e.service == service]
-        self._begin_out_of_step(rng, late, case, seconds, woken)
-        time.sleep(rng.uniform(*JOIN_DELAY_SECONDS))
-        for stage in STAGES:
-            self.add_instance(service, stage, f"v{number + 1}")
-        if rng.random() < LEAVING_SHARE:
-            for old in former:
-                self.replaced.append(old)
-                self._call_later(self._drain, old)
-        if rng.random() < CONFIGURATION_SHARE:
-            self._log(self.write_configuration())
-        time.sleep(rng.uniform(*BEGIN_DELAY_SECONDS))
-        what = f"release {number} of {service}, {late} out of step: {case}"
-        self.releases.append(f"{what}, {seconds:.2f} s")
-        self._log(self.releases[-1])
         touch = [name for name in names if name not in late]
-        with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+        woken, seconds = threading.Event(), rng.uniform(*STOP_SECONDS)
+        with concurrent.futures.ThreadPoolExecutor(STREAMS + STREAMS_UNDER_WAY) as pool:
+            for place in range(STREAMS_UNDER_WAY):
+                request_id = f"u{number}-{place}"
+                pool.submit(self._run_stream, request_id, service, late, touch)
+            self._begin_out_of_step(rng, late, case, seconds, woken)
+            time.sleep(rng.uniform(*JOIN_DELAY_SECONDS))
+            how = self._bring_version(rng, service, f"v{number + 1}")
+            if rng.random() < CONFIGURATION_SHARE:
+                self._log(self.write_configuration())
+            time.sleep(rng.uniform(*BEGIN_DELAY_SECONDS))
+            what = f"release {number} of {service} ({how}), {late} out of step: {case}"
+            self.releases.append(f"{what}, {seconds:.2f} s")
+            self._log(self.releases[-1])
             for place in range(STREAMS):
                 request_id = f"r{number}-{place}"
                 pool.submit(self._run_stream, request_id, service, touch, late, woken)
 
+    def _bring_version(self, rng, service, version):
+        """Bring a new version of a service; return how."""
+        live = [e for e in self.fleet.engines.values() if e.service == service]
+        live = [engine for engine in live if engine not in self.replaced]
+        self.next_versions[service] = version
+        if rng.random() < RESTART_SHARE:
+            for engine in rng.sample(live, len(live) // 2):
+                self.fleet.call_on_loop(engine.crash)
+            return "restarts"
+        for stage in STAGES:
+            self.add_instance(service, stage, version)
+        if rng.random() > LEAVING_SHARE:
+            return "joins"
+        for old in live:
+            self.replaced.append(old)
+            self._call_later(self._drain, old)
+        return "replaces"
+
     def _begin_out_of_step(self, rng, late, case, seconds, woken):
         """Put VMs out of step; ``woken`` is set when they run again."""
         cut_seconds = seconds + rng.uniform(*CUT_SECONDS)
@@ -197,35 +251,39 @@
     def _later(self, seconds, function, *args):
         self._call_later(function, *args, within=(seconds, seconds))
 
-    def _run_stream(self, request_id, service, touch, late, woken):
-        """Begin a stream at a VM in touch and go on with it until it is complete."""
+    def _run_stream(self, request_id, service, first, late, woken=None):
+        """Begin a stream at one of the VMs ``first`` and go on until it is complete.
+
+        :param late: the VMs at which the client takes the stream up more often.
+        :param woken: when most clients do so, None for at once.
+        """
         rng = random.Random(f"{self.seed}/{request_id}")
         tokens = rng.choice(("100,10", "9000,10"))
         outcome = soak.Outcome(
             request_id,
             RESUMABLE_PATH,
             f"prompt {request_id}".encode(),
-            daemon=rng.choice(touch),
+            daemon=rng.choice(first),
             path=f"{service}/",
         )
         self._send(outcome, tokens)
-        waits = rng.random() < 0.8
+        waits = woken is not None and rng.random() < WAITING_SHARE
         for number in range(MAX_TRIES):
-            events = (
-                event_ids(whole_events(outcome.body)) if outcome.status == 200 else []
-            )
+            has_events = outcome.status == 200
+            events = event_ids(whole_events(outcome.body)) if has_events else []
             last = events[-1] if events else outcome.after_event
             if last in (0, soak.STREAM_EVENT_IDS[-1]):
                 return
             if outcome.retry_after is not None:
                 time.sleep(min(outcome.retry_after, MAX_WAIT_SECONDS))
-            name = rng.choice(late if rng.random() < OUT_OF_STEP_SHARE else touch)
             if waits:
                 woken.wait(STOP_SECONDS[1] + 1)
             before = outcome
-            outcome = attrs.evolve(
-                soak.Outcome(f"{request_id}.{number}", before.prefix, before.sent),
-                daemon=name,
+            outcome = soak.Outcome(
+                f"{request_id}.{number}",
+                before.prefix,
+                before.sent,
+                daemon=rng.choice(late if rng.random() < LATE_SHARE else first),
                 path=before.path,
                 origin=request_id,
                 after_event=last,
@@ -235,6 +293,8 @@
     def _send(self, outcome, tokens):
         connection = self.fleet.connect(outcome.daemon)
         connection.timeout = soak.CLIENT_TIMEOUT_SECONDS
+        if outcome.id.startswith("u") and not outcome.after_event:
+            connection.timeout = WAIT_FOR_EVENT_SECONDS
         self._try_exchange(connection, outcome, tokens)
         connection.close()
 
@@ -242,7 +302,8 @@
         if not outcome.path:
             return super()._leaves(outcome)
         share = random.Random(f"{self.seed}/{outcome.id}").random()
-        return outcome.status == 200 and (not outcome.after_event or share < LEFT_SHARE)
+        begins = not outcome.after_event and outcome.id.startswith("r")
+        return outcome.status == 200 and (begins or share < LEFT_SHARE)
 
     def find_violations(self):
         closed = [o for o in self.outcomes if o.kept and self._is_closed(o)]
@@ -265,23 +326,41 @@
         return not self._is_disturbed({outcome.daemon}, start, end)
 
     def count_taken_up(self):
-        """Return how the streams went on that were taken up, by (in touch, how)."""
+        """Return how the streams went on that were taken up.
+
+        :returns: a counter of (what the VM was, how).
+        """
         causes = {}
         for name in self.fleet.daemons:
             for event, key in (("rejected", "reason"), ("answered", "cause")):
                 for row in self.fleet.log_records(event, name):
                     if row[key]:
                         causes.setdefault((name, row["request"]), row[key])
+        begun = {o.id: event_versions(o.body) for o in self.outcomes}
         counts = collections.Counter()
         for outcome in self.outcomes:
-            if outcome.after_event:
-                goes_on = outcome.status == 200 and event_ids(outcome.body)
-                how = f"{outcome.status}: " + causes.get(
-                    (outcome.daemon, outcome.id), "no reason logged"
-                )
-                counts[self.in_touch(outcome), "goes on" if goes_on else how] += 1
+            if not outcome.after_event or not outcome.path:
+                continue
+            cause = causes.get((outcome.daemon, outcome.id), "no reason logged")
+            how = f"{outcome.status}, {cause}, Retry-After {outcome.retry_after}"
+            if outcome.status == 200 and event_ids(outcome.body):
+                how = "goes on"
+            where = "in touch" if self.in_touch(outcome) else "out of touch"
+            if not begun[outcome.origin] & self._live_versions(outcome.path[:-1]):
+                where = "version gone"
+            counts[where, how] += 1
         return counts
 
+    def _live_versions(self, service):
+        """Return the versions of a service whose engines stayed to the end."""
+        return {
+            engine.version.encode()
+            for engine in self.fleet.engines.values()
+            if engine.service == service
+            and engine.stage == "decode"
+            and engine not in self.replaced
+        }
+
     def trace(self, origin):
         """Return the log lines of a stream's requests, in order of time."""
         ids = {o.id for o in self.outcomes if origin in (o.id, o.origin)}
@@ -335,8 +414,8 @@
     violations, run = run_soak(directory, seed, seconds, daemons, others)
     print(f"seed {seed}, {daemons} daemons, {len(run.outcomes)} requests")
     print(*run.releases, sep="\n", flush=True)
-    for (in_touch, how), count in sorted(run.count_taken_up().items()):
-        print(f"taken up {'in' if in_touch else 'out of'} touch, {how}: {count}")
+    for (where, how), count in sorted(run.count_taken_up().items()):
+        print(f"taken up, {where}: {how}: {count}")
     print(
         "\n".join(violations) or "no guarantee violated",
         f"logs in {directory}",
