Release soak: links of a fleet of any size, and engines enough for its streams

Change: a link listens at its VM's loopback address and the target's own port. Services have three decode engines. Streams that began at a VM as it was put out of step are counted apart: nobody else may have been told of them.

--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -28,6 +28,10 @@
         address = super().add_store_proxy(name, address)
         return self.call_on_loop(self.link, name, STORE, address)
 
+    def link_address(self, name, address):
+        # With a port for each link, those of a large fleet wouldn't suffice.
+        return f"{self.datagrams.host(name)}:{address.rpartition(':')[2]}"
+
     def view(self, name, key, value):
         peer = key.removeprefix(ENTRY_PREFIX)
         if not key.startswith(ENTRY_PREFIX) or peer == name:
--- a/tests/link_fleet.py
+++ b/tests/link_fleet.py
@@ -94,12 +94,16 @@
         """Return the address of a VM's link to ``target``, which is at ``address``."""
         link = self.links.get((name, target))
         if link is None:
-            link = PairLink(f"127.0.0.1:{free_ports(1)[0]}", address)
+            link = PairLink(self.link_address(name, address), address)
             link.open()
             self.links[name, target] = link
         host, port = link.listen_address
         return f"{host}:{port}"
 
+    def link_address(self, name, address):
+        """Return the address of the link from a VM to what is at ``address``."""
+        return f"127.0.0.1:{free_ports(1)[0]}"
+
     def cut(self, names, cut, targets=None):
         """Cut the links of VMs to ``targets``, by default all instances."""
         links = self.links_of(names, targets or self.engines)
--- a/tests/soak_release.py
+++ b/tests/soak_release.py
@@ -44,7 +44,7 @@
 #: has had one version only for a minute is known to have just that.
 SERVICES = 5
 #: Engines of each version of a service.
-STAGES = ("prefill", "decode", "decode")
+STAGES = ("prefill", "decode", "decode", "decode")
 #: What puts VMs out of step.
 CASES = (
     ("peers",),
@@ -346,6 +346,8 @@
             if outcome.status == 200 and event_ids(outcome.body):
                 how = "goes on"
             where = "in touch" if self.in_touch(outcome) else "out of touch"
+            if outcome.id.startswith("u"):
+                where += ", begun at a VM as it was put out of step"
             if not begun[outcome.origin] & self._live_versions(outcome.path[:-1]):
                 where = "version gone"
             counts[where, how] += 1
