--- a/src/mulberrydock/forward_attempt.py
+++ b/src/mulberrydock/forward_attempt.py
@@ -35,13 +35,14 @@
     headers ``is_whole``, not a stream.
 
     :param on_version: called with the version of the instance that begins a stream.
+    :param share: as of :class:`~mulberrydock.sends.StreamListener`.
     """
 
     outcome: ForwardOutcome | None = None
     is_whole = False
 
-    def __init__(self, wire, stream, on_version):
-        super().__init__(wire, stream)
+    def __init__(self, wire, stream, on_version, share=None):
+        super().__init__(wire, stream, share=share)
         self.on_version = on_version
 
     def on_headers(self, status, headers):
@@ -111,7 +112,10 @@
         )
         lifecycle.relay.metrics.forwards.labels(lifecycle.service).inc()
         listener = ForwardedResponse(
-            lifecycle.wire, lifecycle.stream, self._record_version
+            lifecycle.wire,
+            lifecycle.stream,
+            self._record_version,
+            lifecycle.response_share,
         )
         try:
             exchange = self.forwarding.exchange(plan, data, listener)
@@ -133,9 +137,15 @@
             deadline=lifecycle.deadline,
             last_event_id=lifecycle.stream.splitter.last_id,
         )
+        # The retry that was granted for this attempt is the peer's to use.
+        lifecycle.retries.keep(self.plan)
         prior = PriorCalls.from_lifecycle(lifecycle)
         forwarded = ForwardedRequest(
-            request, lifecycle.route.priority, prior, self.forwarding.name
+            request,
+            lifecycle.route.priority,
+            prior,
+            self.forwarding.name,
+            lifecycle.service,
         )
         return forward_messages.encode(forwarded, now)
 
@@ -167,14 +177,19 @@
     def _refused(self, reason):
         """Let neither this request nor others be forwarded to the peer for now."""
         lifecycle, plan = self.lifecycle, self.plan
-        lifecycle.cause = f"{plan.name}: {reason}"
-        lifecycle.refused_by.add(plan.name)
         self.forwarding.avoid(plan.name, lifecycle.service, time.monotonic())
+        self._not_again(f"{plan.name}: {reason}")
+
+    def _not_again(self, cause):
+        """Don't forward this request to the peer again; others may be."""
+        lifecycle, plan = self.lifecycle, self.plan
+        lifecycle.cause = cause
+        lifecycle.refused_by.add(plan.name)
         logger.warning(
             "forward failed",
             request=lifecycle.request.id,
             peer=plan.name,
-            reason=reason,
+            reason=cause,
         )
 
     def _deliver(self, response):
@@ -197,6 +212,9 @@
         if outcome.code in FINAL_REFUSAL_CODES:
             return self._refuse(response)
         lifecycle.may_have_run = True
+        if not outcome.has_calls:
+            # Its retry budget is spent, for one: it would answer the same again.
+            self._not_again(lifecycle.cause)
         passed_on = (
             response.metadata.signed
             and not response.is_signed_stream
@@ -212,7 +230,7 @@
         lifecycle.sends.maybe_received += outcome.sends - 1
         lifecycle.sends.rejected += outcome.rejected
         lifecycle.prefills.maybe_received += outcome.prefills
-        if not outcome.sends:
+        if not outcome.has_calls:
             lifecycle.retries.reserved += int(was_retry)
 
     def _refuse(self, response):
--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -36,6 +36,11 @@
 ALIVE_TIMEOUT_SECONDS = 2.0
 
 
+async def _no_store():
+    """Return that no store has answered."""
+    return False
+
+
 class Relay:
     """Serves requests on the instances of ``fleet``.
 
@@ -51,7 +56,9 @@
     ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
     peers; and ``response_room``, the
     :class:`~mulberrydock.response_room.ResponseRoom` of this process, without which the
-    sum of all responses has no limit.
+    sum of all responses has no limit; and ``catch_up``, the
+    :meth:`~mulberrydock.store_view.StoreView.catch_up` of this VM, without which its
+    view of the store counts as outdated.
     """
 
     def __init__(self, fleet, wire, metrics):
@@ -62,6 +69,7 @@
         self.forwarding = None
         self.claim_trial = None
         self.origins = OriginExchange()
+        self.catch_up = _no_store
         self.connection_pools = {}
         self.link_monitor = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
@@ -124,7 +132,7 @@
         route = self.authenticate(request, route, sink)
         if route is None:
             return
-        service = routes.service_for(route)
+        service = routes.service_for(route, request.stream_id)
         lifecycle = RequestLifecycle(self, request, route, service, sink)
         code = await self._run(lifecycle)
         seconds = time.monotonic() - request.arrived
@@ -140,7 +148,10 @@
         request, routes = forwarded.request, self.fleet.routes
         logger.info("forwarded request", request=request.id, sender=forwarded.sender)
         route = routes.match(request.host, request.path) if routes.config else None
-        service = routes.service_for(route) if route else None
+        service = forwarded.service
+        if route is not None and not service:
+            # A peer of an earlier release doesn't state it.
+            service = routes.service_for(route, request.stream_id)
         if route is None or not self.fleet.links.can_run(service):
             cause = "no links to the instances" if route else "no route"
             self.reject(request, sink, 503, cause)
--- a/src/mulberrydock/version_history.py
+++ b/src/mulberrydock/version_history.py
@@ -28,6 +28,7 @@
     the history is complete since ``complete_since``, None before the first observation.
     ``recorded`` maps services to the versions that the store holds of them, None until
     they were read; ``is_recorded`` is False when versions may have been added since.
+    ``read_at`` is when the store last told this VM all changes, None before.
     """
 
     seen_at: dict = attrs.field(factory=dict)
@@ -35,12 +36,21 @@
     observed_at: float | None = None
     recorded: dict | None = None
     is_recorded: bool = False
+    read_at: float | None = None
 
     def restart(self, now):
         """Begin anew, as versions may have been missed up to ``now``."""
         self.complete_since = now
         self.is_recorded = False
 
+    def record_read(self, now):
+        """Record that the store has told this VM all changes."""
+        self.read_at = now
+
+    def confirm(self):
+        """Record that all changes of the store are read, so its record is current."""
+        self.is_recorded = self.recorded is not None
+
     def record(self, service, version, now):
         """Record that an instance of ``version`` is registered."""
         self.seen_at[service, version] = now
@@ -74,7 +84,10 @@
         return self.seen(service) | set((self.recorded or {}).get(service, ()))
 
     def sole_version(self, service, now):
-        """Return the only version that streams of ``service`` can be of, or empty."""
+        """Return the only version that streams of ``service`` can be of, or empty.
+
+        It holds for streams that began before this VM last read the store.
+        """
         versions = self._known(service, now)
         if len(versions) != 1:
             return ""
