--- a/tests/link_fleet.py
+++ b/tests/link_fleet.py
@@ -65,10 +65,14 @@
         if name not in self.views:
             port = free_ports(1)[0]
             self.call_on_loop(self._serve_view, name, port)
-            self.views[name] = self.add_proxy(f"127.0.0.1:{port}")
+            self.views[name] = self.add_store_proxy(name, f"127.0.0.1:{port}")
         self.store_address = self.views[name]
         return super().start(name, grace)
 
+    def add_store_proxy(self, name, address):
+        """Return the address at which the VM ``name`` reaches its view of the store."""
+        return self.add_proxy(address)
+
     def _serve_view(self, name, port):
         app = platform_store.make_app(
             self.store, lambda key, value: self.view(name, key, value)
@@ -90,12 +94,16 @@
         """Return the address of a VM's link to ``target``, which is at ``address``."""
         link = self.links.get((name, target))
         if link is None:
-            link = PairLink(f"127.0.0.1:{free_ports(1)[0]}", address)
+            link = PairLink(self.link_address(name, address), address)
             link.open()
             self.links[name, target] = link
         host, port = link.listen_address
         return f"{host}:{port}"
 
+    def link_address(self, name, address):
+        """Return the address of the link from a VM to what is at ``address``."""
+        return f"127.0.0.1:{free_ports(1)[0]}"
+
     def cut(self, names, cut, targets=None):
         """Cut the links of VMs to ``targets``, by default all instances."""
         links = self.links_of(names, targets or self.engines)
