A stream that began at another service isn't taken up at the one its route leads to now

Cause: what VMs keep of a stream was found by service and request. Under the new service nobody knew it, and the only version of that service was taken for the stream's. The same class as the version concluded from an old view: what isn't found is taken for what isn't so.

Change: the service is kept with the version, in memory, in the messages of peers and in the records of the store, and streams are found by the request alone. One that began elsewhere is refused as not run; at its former service, a request that comes after the change may not run.

VMs of an earlier release state no service, and look streams up under other keys: while both run, a stream known to the other kind only is refused or goes on at the only version, as one that nobody remembers.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -34,7 +34,7 @@
 
 
 def refuse_unknown_version(lifecycle, search, now):
-    """Refuse to go on with a stream of which this VM doesn't find the version.
+    """Refuse to go on with a stream of which no version can be used.
 
     A VM that the store doesn't answer sends its client to another one. A peer that
     hasn't answered is asked again once it has reported to this VM.
@@ -42,6 +42,8 @@
     :param search: the :class:`~mulberrydock.stream_version.VersionSearch`.
     """
     lifecycle.cause = "the version that began the stream isn't known"
+    if lifecycle.version.began_elsewhere:
+        lifecycle.cause = "the stream began at another service"
     if not search.is_current:
         retry_after = OTHER_VM_RETRY_SECONDS
     elif not search.is_final:
--- a/src/mulberrydock/origin_exchange.py
+++ b/src/mulberrydock/origin_exchange.py
@@ -192,8 +192,7 @@
         """
         origin = message.origin
         if message.kind is OriginMessageKind.ASK:
-            version = self.origins.get(origin.key, now)
-            answer = StreamOrigin(origin.key, version)
+            answer = self.origins.find(origin.key, now)
             reply(self._encode(OriginMessageKind.ANSWER, answer))
             return
         if message.kind is OriginMessageKind.WRITE:
--- a/src/mulberrydock/origin_records.py
+++ b/src/mulberrydock/origin_records.py
@@ -45,7 +45,7 @@
 
 @attrs.define(eq=False)
 class Segment:
-    """The streams that began in one span of time, as version by key.
+    """The streams that began in one span of time, as their origins by key.
 
     ``revision`` is that of the record in the store that it replaces, 0 for none;
     ``written`` is the number of its streams that the store holds.
@@ -64,9 +64,13 @@
     def encode(self):
         """Return the record as text."""
         keys = {}
-        for key, version in self.origins.items():
-            keys.setdefault(version, bytearray()).extend(bytes.fromhex(key))
-        rows = [{"version": v, "keys": bytes(data)} for v, data in keys.items()]
+        for key, origin in self.origins.items():
+            place = origin.service, origin.version
+            keys.setdefault(place, bytearray()).extend(bytes.fromhex(key))
+        rows = [
+            {"service": service, "version": version, "keys": bytes(data)}
+            for (service, version), data in keys.items()
+        ]
         return records.encode(records.OriginRecord.new_message(origins=rows))
 
 
@@ -78,10 +82,10 @@
     record, origins = records.decode(records.OriginRecord, text), []
     for row in record.origins:
         # Each access to a field of the record reads the whole of it.
-        version, keys = row.version, bytes(row.keys)
+        service, version, keys = row.service, row.version, bytes(row.keys)
         for start in range(0, len(keys), FINGERPRINT_BYTES):
             key = keys[start : start + FINGERPRINT_BYTES].hex()
-            origins.append(StreamOrigin(key, version))
+            origins.append(StreamOrigin(key, version, service))
     return origins
 
 
@@ -162,7 +166,7 @@
             if former is not None:
                 segment.revision = former[1].revision
             self.segments[place] = (number, segment)
-        self.segments[place][1].origins.setdefault(origin.key, origin.version)
+        self.segments[place][1].origins.setdefault(origin.key, origin)
 
     def _writers(self, now):
         names = itertools.islice(self.exchange.names(WRITERS, now), MAX_WRITERS)
--- a/src/mulberrydock/peer_messages.py
+++ b/src/mulberrydock/peer_messages.py
@@ -234,7 +234,7 @@
 
 def _decode_origin(message):
     row = message.streamOrigin
-    origin = StreamOrigin(row.key, row.version)
+    origin = StreamOrigin(row.key, row.version, row.service)
     return OriginMessage(message.name, OriginMessageKind(row.kind), origin)
 
 
--- a/src/mulberrydock/schema/messages.capnp
+++ b/src/mulberrydock/schema/messages.capnp
@@ -133,6 +133,7 @@
   kind @0 :UInt8;          # 0 told, 1 asked, 2 answered, 3 to be written to the store
   key @1 :Text;            # of the stream, derived from the request that began it
   version @2 :Text;        # empty if asked, or not known
+  service @3 :Text;        # at which it began; empty if asked, or not known
 }
 
 struct OriginRecord {
@@ -143,6 +144,7 @@
 struct VersionStreams {
   version @0 :Text;
   keys @1 :Data;           # of the streams, without a separator
+  service @2 :Text;
 }
 
 struct VersionsRecord {
--- a/src/mulberrydock/stream_origins.py
+++ b/src/mulberrydock/stream_origins.py
@@ -20,12 +20,12 @@
 UNKNOWN_VERSION = "@"
 
 
-def origin_key(service, request_id):
-    """Return the key of the stream of ``service`` whose first event a request brought.
+def origin_key(request_id):
+    """Return the key of the stream whose first event a request brought.
 
     It has a fixed length, however long a client's id is.
     """
-    return fingerprint("stream", service, request_id)
+    return fingerprint("stream", request_id)
 
 
 class OriginMessageKind(enum.IntEnum):
@@ -39,13 +39,15 @@
 
 @attrs.define(frozen=True)
 class StreamOrigin:
-    """The version at which a stream goes on, as in ``InstanceRecord.stream_version``.
+    """The service and version at which a stream goes on.
 
-    ``key`` is the stream's :func:`origin_key`. The version is empty if it isn't known.
+    ``key`` is the stream's :func:`origin_key`. The version is as in
+    ``InstanceRecord.stream_version``. Both are empty if they aren't known.
     """
 
     key: str
     version: str = ""
+    service: str = ""
 
 
 @attrs.define
@@ -54,25 +56,29 @@
 
     Methods take the current time as ``now``, in monotonic seconds.
 
-    ``origins`` maps keys to (version, when it was last recorded), the oldest first.
+    ``origins`` maps keys to (origin, when it was last recorded), the oldest first.
     """
 
     origins: dict = attrs.field(factory=dict)
 
     def record(self, origin, now):
-        """Remember a :class:`StreamOrigin`; the first version of a stream counts.
+        """Remember a :class:`StreamOrigin`; the first one of a stream counts.
 
         :returns: the version that counts.
         """
-        version, _ = self.origins.pop(origin.key, (origin.version, now))
-        self.origins[origin.key] = (version, now)
+        first, _ = self.origins.pop(origin.key, (origin, now))
+        self.origins[origin.key] = (first, now)
         self._drop_expired(now)
-        return version
+        return first.version
+
+    def find(self, key, now):
+        """Return the :class:`StreamOrigin` of a stream, only its key if unknown."""
+        origin, recorded_at = self.origins.get(key, (StreamOrigin(key), now))
+        return origin if now - recorded_at <= RETENTION_SECONDS else StreamOrigin(key)
 
     def get(self, key, now):
         """Return the version of a stream, empty if it isn't known."""
-        version, recorded_at = self.origins.get(key, ("", now))
-        return version if now - recorded_at <= RETENTION_SECONDS else ""
+        return self.find(key, now).version
 
     def age(self, key, now):
         """Return the seconds since a stream was recorded, None if it wasn't."""
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -33,7 +33,8 @@
 
     ``fixed`` is the version at which the stream goes on, empty while it may begin at
     any; ``attempted`` that of the instance that was sent to last, empty if unknown.
-    ``is_known`` is True if a VM remembers the stream that the client takes up.
+    ``is_known`` is True if a VM remembers the stream that the client takes up,
+    ``began_elsewhere`` if it began at another service, to which its route led then.
     """
 
     relay: object
@@ -44,6 +45,7 @@
     fixed: str = ""
     attempted: str = ""
     is_known: bool = False
+    began_elsewhere: bool = False
 
     @property
     def is_taken_up(self):
@@ -55,7 +57,7 @@
     def _key(self):
         """Key of the stream, which is named after the request that began it."""
         resumes = self.request.resumes if self.is_taken_up else ""
-        return origin_key(self.service, resumes or self.request.id)
+        return origin_key(resumes or self.request.id)
 
     def ranked_route(self):
         """Return the route as it holds for a stream that may have been taken up.
@@ -76,11 +78,12 @@
         reading = asyncio.ensure_future(self._read_store(origin))
         try:
             is_final, source = await origin
-            is_current = bool(self.fixed) or await reading
+            is_found = bool(self.fixed) or self.began_elsewhere
+            is_current = is_found or await reading
         finally:
             origin.cancel()
             reading.cancel()
-        if not self.fixed and is_current:
+        if not is_found and is_current:
             versions = self.relay.fleet.instances.versions
             self.fixed = versions.sole_version(self.service, time.monotonic())
             source = "sole version" if self.fixed else ""
@@ -93,6 +96,7 @@
             version=self.fixed,
             final=is_final,
             current=is_current,
+            began_elsewhere=self.began_elsewhere,
             source=source,
             age=self._age(source, time.monotonic()),
         )
@@ -107,7 +111,8 @@
         :returns: whether the store answered.
         """
         await asyncio.wait([origin], timeout=ASK_INTERVAL_SECONDS)
-        return bool(self.fixed) or await self.relay.catch_up()
+        is_found = bool(self.fixed) or self.began_elsewhere
+        return is_found or await self.relay.catch_up()
 
     async def _find_origin(self):
         """Fix the version that VMs remember for the stream.
@@ -122,7 +127,12 @@
             await self.relay.catch_up()
         now = time.monotonic()
         source = "told" if origins.origins.get(key, now) else "asked"
-        self.fixed, final = await origins.find(key, now)
+        version, final = await origins.find(key, now)
+        service = origins.origins.find(key, time.monotonic()).service
+        if version and service not in ("", self.service):
+            self.began_elsewhere = True
+        else:
+            self.fixed = version
         self.is_known = bool(self.fixed)
         return final, source
 
@@ -149,5 +159,5 @@
             # The sender may have gone on elsewhere: the event that it passes on counts.
             sink.state_version(self.fixed)
         else:
-            origin = StreamOrigin(self._key, self.fixed)
+            origin = StreamOrigin(self._key, self.fixed, self.service)
             self.relay.origins.record(origin, now, self.service)
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -100,7 +100,7 @@
 
 
 def stream(number, version="v1"):
-    return StreamOrigin(origin_key("llm", f"request-{number}"), version)
+    return StreamOrigin(origin_key(f"request-{number}"), version)
 
 
 def step(vm, now):
@@ -201,9 +201,14 @@
 # Guards against a record of a busy VM that can't be read, as it is large.
 @pytest.mark.parametrize("count", [1, 2000, MAX_ORIGINS])
 def test_record_of_any_size_can_be_read(count):
-    streams = {stream(number).key: f"v{number % 2}" for number in range(count)}
+    places = [("v1", "a"), ("v2", "a"), ("v1", "b")]
+    rows = (
+        StreamOrigin(stream(number).key, *places[number % len(places)])
+        for number in range(count)
+    )
+    streams = {origin.key: origin for origin in rows}
     text = origin_records.Segment("origins/x/0", origins=streams).encode()
-    assert {o.key: o.version for o in origin_records.decode(text)} == streams
+    assert {o.key: o for o in origin_records.decode(text)} == streams
 
 
 # Guards against a VM that forgets the streams which it was told of, and that works for
@@ -217,7 +222,7 @@
         vm.finish_reload()
     vm.exchange.origins.record(stream("told"), now)
     for number in range(MAX_ORIGINS):
-        segment.origins[stream(number).key] = "v1"
+        segment.origins[stream(number).key] = stream(number)
     vm.apply(segment.key, segment.encode(), 1)
     known = [vm.exchange.origins.get(stream(n).key, now) for n in ("told", 7)]
     assert known == (["v1", ""] if is_running else ["", "v1"])
@@ -314,9 +319,7 @@
         catch_up=answered,
     )
     versions.observed_at = versions.complete_since = time.monotonic()
-    relay.origins.origins.record(
-        StreamOrigin(origin_key("llm", "s"), "v1"), time.monotonic()
-    )
+    relay.origins.origins.record(StreamOrigin(origin_key("s"), "v1"), time.monotonic())
     request = Request("r", "POST", "/", "h", [], b"", 0.0, 5.0)
     request.last_event_id, request.resumes = 7, resumes
     route = attrs.evolve(ROUTE, priority=7, resumable=is_resumable)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -78,7 +78,7 @@
         rows = []
         for number in range(count):
             name = self.random.choice(list(self.vms))
-            key = origin_key("llm", f"{number}")
+            key = origin_key(f"{number}")
             self.vms[name].record(StreamOrigin(key, f"v{number % 3}"), 0.0)
             rows.append((name, key))
         return rows
@@ -146,7 +146,7 @@
     network.begin()
     assert sum(network.received.values()) == TOLD_PEERS * STREAMS
     network.received.clear()
-    network.find([("", origin_key("llm", "unknown"))])
+    network.find([("", origin_key("unknown"))])
     assert sum(network.received.values()) <= 2 * min(len(network.vms) - 1, 24)
 
 
@@ -154,7 +154,7 @@
 # know it hasn't answered.
 def test_unknown_is_final_once_all_peers_have_answered():
     network = Network(SIZES[0])
-    rows = [("", origin_key("llm", "unknown"))]
+    rows = [("", origin_key("unknown"))]
     assert network.find(rows) == [("", True)]
     network.dead = {"a-0"}
     assert network.find(rows, lambda name: "b-0") == [("", False)]
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -59,7 +59,7 @@
 
 def record(network, vm, version):
     network.vms[vm].origins.record(
-        StreamOrigin(origin_key("llm", "s"), version), time.monotonic()
+        StreamOrigin(origin_key("s"), version), time.monotonic()
     )
 
 
