A pause of the process isn't measured as an engine's time

What callers saw: after a VM had stood still for a second, it refused requests for as long as half a minute, `first event expected after its caller gives up`, while engines were quick and had room.

Cause: prefills, streams and plain responses in progress were measured from the call to when their end was read. A pause made each as long as itself: one prompt of 10,000 tokens gave 1.1e-4 s a token, seven times the prior, and peers get the sample too; 24 streams of 0.6 s raised the average time of a place to 1.67 s. Class: what a VM reads late is taken for what happened late.

Evidence: `reading speed learnt` and `room refused` (place_wait 2.5 s with 19 streams in 8 places) 0.7 s after the pause.

Change: what was in progress while the process stood still is no sample of a cost, of the time of a place, nor of a stream's.

--- a/src/mulberrydock/fleet_view.py
+++ b/src/mulberrydock/fleet_view.py
@@ -141,6 +141,13 @@
         """Return the seconds until this VM has read what came while it stood still."""
         return self.pauses.catch_up_seconds(now, boot_seconds())
 
+    def is_measurable(self, since, now):
+        """Return whether something that took from ``since`` to ``now`` can be measured.
+
+        What ended while this process stood still was read at the end of the pause.
+        """
+        return not self.pauses.has_paused(since, now, boot_seconds())
+
     def budget(self, service):
         """Return this VM's retry budget for a service."""
         budget = self.retry_budgets.get(service)
--- a/src/mulberrydock/prefill.py
+++ b/src/mulberrydock/prefill.py
@@ -165,6 +165,8 @@
             # The time of a queued prompt includes its wait in the queue, so it is no
             # sample of the prefill cost.
             return
+        if not self.fleet.is_measurable(started, now):
+            return
         tokens = self.request.prompt.tokens - plan.cached
         sample = PrefillSample(self.service, tokens, plan.cached, seconds)
         self.fleet.estimates.record_sample(sample, now)
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -355,6 +355,8 @@
         One that may have waited for it is no sample.
         """
         places = plan.places
+        if not self.fleet.is_measurable(sent_at, now):
+            return
         if response.status < 300 and places.streams < places.total:
             place_use = self.fleet.estimates.pool(self.service).place_use
             place_use.record_end(self.route.urgency, now - sent_at, now)
@@ -417,6 +419,8 @@
         """Record a complete stream in the service's estimates and metrics."""
         if not self.stream.has_started:
             return
+        if not self.fleet.is_measurable(self.stream.first_event_at, now):
+            return
         estimates = self.fleet.estimates.pool(self.service)
         estimates.record_stream(now - self.stream.first_event_at)
         estimates.place_use.record_end(
--- a/tests/test_woken_vm.py
+++ b/tests/test_woken_vm.py
@@ -14,6 +14,7 @@
 from platform_fleet import IDEMPOTENT_PATH, wait_until
 from version_fleet import Stream
 
+from mulberrydock.pauses import CATCH_UP_SECONDS
 from mulberrydock.standin.platform_engine import Fault
 
 VMS = tuple(f"entry-{number}" for number in range(1, 7))
@@ -90,9 +91,9 @@
     assert [(s.status, s.complete) for s in late] == [(200, True)] * len(late)
 
 
-def streams_in_progress(fleet, tokens):
+def streams_in_progress(fleet, tokens, count=6):
     """Let streams go on at their engines while the VM stands still."""
-    begun = [Stream(fleet, f"s{n}", TOKEN_COUNTS[tokens]) for n in range(6)]
+    begun = [Stream(fleet, f"s{n}", TOKEN_COUNTS[tokens]) for n in range(count)]
     join(start_threads(lambda stream: stream.request(PAUSED_VM, until=1), begun))
     with Paused(fleet):
         pass
@@ -158,3 +159,46 @@
     assert sorted(run_ids) == sorted(set(run_ids))
     for event in ("attempt failed", "prefill failed", "takeover"):
         assert not fleet.log_records(event, PAUSED_VM)
+
+
+def one_after_the_other(streams):
+    """Send them so that each finds the places of those before it taken."""
+    for stream in streams:
+        stream.request(PAUSED_VM, until=1)
+
+
+def all_at_once(streams):
+    join(start_threads(lambda stream: stream.request(PAUSED_VM), streams))
+
+
+def streams_across_the_pause(fleet):
+    for name in ("d1", "d2"):
+        fleet.engines[name].event_interval_seconds = 0.15
+    usual = Stream(fleet, "usual", TOKEN_COUNTS["in place"])
+    usual.request(PAUSED_VM)
+    streams_in_progress(fleet, "in place", 24)
+    return "in place", 24
+
+
+def prompt_across_the_pause(fleet):
+    prompt_in_progress(fleet)
+    return "handoff", 8
+
+
+# Guards against engines that count as slow, and requests that are refused for it, as
+# their answers were read late.
+@pytest.mark.parametrize(
+    ("play", "send"),
+    [
+        (streams_across_the_pause, one_after_the_other),
+        (prompt_across_the_pause, all_at_once),
+    ],
+)
+def test_woken_vm_measures_no_engine_by_its_own_pause(fleet, play, send):
+    tokens, count = play(fleet)
+    # Until all is read, nobody is refused.
+    time.sleep(CATCH_UP_SECONDS)
+    sent = [Stream(fleet, f"after{n}", TOKEN_COUNTS[tokens]) for n in range(count)]
+    send(sent)
+    assert [s.status for s in sent] == [200] * count
+    assert not fleet.log_records("room unknown", PAUSED_VM)
