A prefill's response that can't be read has failed, instead of its request

What callers saw: no answer at all; the connection is closed without a status (LOST), where a prefill engine answers 200 with JSON that is nested too deeply, with an infinite number, or with a handle that no header field can hold. A sound decode engine stood beside it.

Cause: the parser's RecursionError, the OverflowError of `int(inf)` and the HTTPInputError of writing the handle into the next request's head weren't among the errors that count as a bad response; each was logged as `request fault`. A handle with a line end was refused only by tornado's check of heads. Class: input that is read in several places, each with its own list of what may be wrong.

Change: handles of prefills and moves are checked where they are read, as visible characters of at most 200, and read with the same list of errors as all documents.

--- a/src/mulberrydock/platform/wire.py
+++ b/src/mulberrydock/platform/wire.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 
 import tornado.httputil
 
@@ -15,7 +16,7 @@
     ResponseMetadata,
     UpstreamCall,
 )
-from .documents import read_report
+from .documents import DECODE_ERRORS, MAX_TEXT_CHARS, read_report
 
 ATTEMPT_ID = "X-Mulberrydock-Attempt-Id"
 AUTHORIZATION = "Authorization"
@@ -93,6 +94,8 @@
 #: Maximum of a client's number: milliseconds, tokens or events. Larger ones overflow
 #: where they are multiplied.
 MAX_QUANTITY = 10**9
+#: Id of a KV handle: visible characters, so that no engine ends a line of a head.
+HANDLE_ID = re.compile(r"[!-~]{1,%d}" % MAX_TEXT_CHARS)
 
 
 class PlatformWire(Wire):
@@ -167,8 +170,9 @@
     def read_handle(self, address, body):
         try:
             document = json.loads(body)
-            return KvHandle(address, document["kv_handle"], int(document["tokens"]))
-        except (ValueError, KeyError, TypeError) as error:
+            handle = _handle_id(document["kv_handle"])
+            return KvHandle(address, handle, int(document["tokens"]))
+        except DECODE_ERRORS as error:
             raise UpstreamError(
                 f"unreadable prefill response from {address}: {error!r}"
             ) from error
@@ -186,11 +190,10 @@
 
     def read_move(self, address, body):
         try:
-            handle = json.loads(body)["kv_handle"]
-        except (ValueError, KeyError, TypeError):
+            handle = _handle_id(json.loads(body)["kv_handle"])
+        except DECODE_ERRORS:
             return None
-        valid = isinstance(handle, str) and handle
-        return KvHandle(address, handle, 0) if valid else None
+        return KvHandle(address, handle, 0)
 
     def report_call(self, record):
         return UpstreamCall(
@@ -214,6 +217,13 @@
         return UpstreamCall("POST", "/order", _call_headers(record, payload), payload)
 
 
+def _handle_id(value):
+    """Check the id of a KV handle, which becomes a part of heads of requests."""
+    if not isinstance(value, str) or not HANDLE_ID.fullmatch(value):
+        raise TypeError(f"kv_handle: expected an id, got {value!r:.40}")
+    return value
+
+
 def _call_headers(record, payload):
     """Return the headers of a call with a body, to the instance of ``record`` only."""
     return {
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from mulberrydock.engine_report import RunReport
+from mulberrydock.exceptions import UpstreamError
 from mulberrydock.instances import InstanceRecord
 from mulberrydock.platform import PlatformWire, documents, wire
 from mulberrydock.request import KvHandle
@@ -57,6 +58,16 @@
     assert read(**{wire.DEADLINE: text}).deadline == 10.0 + seconds
 
 
+#: Responses to calls that name no usable handle.
+ODD_HANDLES = [
+    b"[" * 100_000,
+    b'{"kv_handle":' * 100_000,
+    b'{"kv_handle":["a"],"tokens":1}',
+    b'{"kv_handle":"a\\r\\nX: y","tokens":1}',
+    b'{"kv_handle":"\\ud800","tokens":1}',
+    b'{"kv_handle":"a b","tokens":1}',
+    b'{"kv_handle":"%s","tokens":1}' % (b"a" * 1000),
+]
 RECORD = InstanceRecord("i1", "llm", "127.0.0.1:1", "dc1", 4, False)
 
 
@@ -79,12 +90,21 @@
         (b"[]", None),
         (b"", None),
         (b"\xff", None),
+        *[(body, None) for body in ODD_HANDLES],
     ],
 )
 def test_answer_to_a_move_is_read(body, handle):
     assert PlatformWire().read_move("127.0.0.1:1", body) == handle
 
 
+# Guards against requests without an answer, as a prefill engine's response can't be
+# read, or names a handle that no head of a request can hold.
+@pytest.mark.parametrize("body", [*ODD_HANDLES, b'{"kv_handle":"a","tokens":1e999}'])
+def test_unreadable_response_to_a_prefill_has_failed(body):
+    with pytest.raises(UpstreamError):
+        PlatformWire().read_handle("127.0.0.1:1", body)
+
+
 # Guards against stage orders that stop because a report has a field that can't be read,
 # or lacks one that only moves need.
 @pytest.mark.parametrize(
