A VM that stood still through its stop answers its requests before it ends

Callers saw: a VM that got the processor back only when its grace period was over closed the connections of all requests in progress, plain ones that may not be repeated among them, with no status; a peer got no outcome for what it had forwarded.

Cause: at the end of the finish step the limit of each request is set to now, and its task gives the final response some turns of the event loop later. With the deadlines of all steps over, none of them waits, and the process ended first. Class: a last word that depends on further turns of the event loop. The refusal of requests that arrive during a stop had the same gap, as it ran in a task of its own.

Why it works: what is left after the wait gets its final response in the same turn, from the same state, and its task is cancelled, so that it can't send any more. A response that has ended can't begin again. Refusals at a stopping VM are written as the request is read.

--- a/src/mulberrydock/forward_front.py
+++ b/src/mulberrydock/forward_front.py
@@ -65,23 +65,24 @@
 
     def start(self, start_line, headers, body, sink):
         signature = headers.get(forward_messages.SIGNATURE_HEADER, "")
-        return self.track(self._serve_signed(body, signature, sink))
+        forwarded = self._read(body, signature, sink)
+        return None if forwarded is None else self.track(self._serve(forwarded, sink))
 
-    async def _serve_signed(self, body, signature, sink):
-        """Serve the request in ``body`` if a peer has signed it."""
+    def _read(self, body, signature, sink):
+        """Return the request in ``body``, None after declining it."""
         if not forward_messages.is_signed(self.key, body, signature):
             # The sender may know the key of this VM's former process.
             self._decline(sink, ResultCode.BAD_REQUEST, "wrong signature")
-            return
+            return None
         try:
             forwarded = forward_messages.decode(body, self.clock())
         except Exception as error:  # capnp raises undocumented types
             self._decline(sink, ResultCode.BAD_REQUEST, repr(error))
-            return
+            return None
         if self.refusing:
             self._decline(sink, ResultCode.DRAINING, "stopping")
-            return
-        await self._serve(forwarded, sink)
+            return None
+        return forwarded
 
     def _decline(self, sink, code, cause):
         logger.warning("forwarded request declined", code=code.name, cause=cause)
@@ -94,7 +95,8 @@
             sink.complete(outcome)
         except asyncio.CancelledError:
             # The relay has logged that the peer left.
-            sink.close()
+            if not sink.done:
+                sink.close()
         except Exception:
             logger.exception("request fault", request=forwarded.request.id)
             sink.close()
--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -8,6 +8,7 @@
 
 from .exceptions import MulberrydockError, ResultCode
 from .ports import Sink
+from .refusal import OTHER_VM_RETRY_SECONDS
 
 #: Reason phrase of a status code without a standard one.
 UNKNOWN_REASON = "Unknown"
@@ -27,6 +28,10 @@
         self.done = False
 
     def _head(self, status, headers):
+        if self.done:
+            raise MulberrydockError(
+                "a response began after it had ended", ResultCode.INTERNAL
+            )
         fields = tornado.httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
@@ -136,9 +141,14 @@
         return ConnectionSink(connection, self.closing)
 
     def start(self, start_line, headers, body, sink):
-        """Start serving one whole request; return its task."""
+        """Serve one whole request; return its task, None if it has ended already."""
         self.has_requests = True
         request = self.wire.read_request(start_line, headers, body, self.clock())
+        if self.refusing:
+            # At once, as the process may end before a task would run. The client has
+            # other addresses and may retry there.
+            self.relay.reject(request, sink, 503, "stopping", OTHER_VM_RETRY_SECONDS)
+            return None
         return self.track(self._serve(request, sink))
 
     def track(self, coroutine):
@@ -149,15 +159,12 @@
         return task
 
     async def _serve(self, request, sink):
-        if self.refusing:
-            # The client has other addresses and may retry there at once.
-            self.relay.reject(request, sink, 503, "stopping", 0.0)
-            return
         try:
             await self.relay.serve(request, sink)
         except asyncio.CancelledError:
             # The relay has logged that the client left.
-            sink.abort()
+            if not sink.done:
+                sink.abort()
         except Exception:
             # A fault of this process: the connection is closed so that the client
             # doesn't wait, and as it is unknown whether an upstream ran the request, no
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -17,7 +17,7 @@
 from .demand import Demand
 from .exceptions import CallWithheld, ConnectionCut, ResultCode, UpstreamError
 from .forward_attempt import ForwardAttempt
-from .forward_messages import PriorCalls
+from .forward_messages import ForwardOutcome, PriorCalls
 from .forwarding import ForwardPlan
 from .incarnation_check import IncarnationCheck
 from .moves import StreamMove, StreamMoved
@@ -57,7 +57,8 @@
     ``takeover`` is the :class:`~mulberrydock.takeover.Takeover` in progress, if any.
     ``served`` is True once an instance has answered with success, ``began_at`` when it
     began to write its answer, None if unknown.
-    ``is_answered`` is True once the client was sent an instance's whole response.
+    ``is_answered`` is True once the client was sent an instance's whole response, or
+    the final response at the stop of this VM. ``task`` is the task that serves it.
     ``is_stopped`` is True once the stop of this VM ends it before its deadline,
     ``is_left_to_others`` once an attempt is left out as it couldn't end before that.
     ``forwards`` counts the attempts through peers, ``refused_by`` names the peers that
@@ -102,6 +103,7 @@
         self.stream.on_progress = self._end_takeover
         self.served = False
         self.is_answered = False
+        self.task = None
         self.is_stopped = False
         self.is_left_to_others = False
         self.began_at = None
@@ -129,6 +131,7 @@
 
         :returns: the :class:`ResultCode` of the outcome.
         """
+        self.task = asyncio.current_task()
         if not self.is_forwarded:
             self._record_arrival()
         loop = asyncio.get_running_loop()
@@ -157,6 +160,24 @@
             self.begin.record_plain(self.sends)
             self.move.close()
 
+    def answer_at_stop(self, now):
+        """Give the final response at once, as the process ends before this task would.
+
+        The task makes no further call.
+        """
+        if self.is_answered or self.sink.done:
+            return
+        code = final_response.expire(self, now)
+        self.is_answered = True
+        if self.is_forwarded:
+            self.sink.complete(ForwardOutcome.from_lifecycle(self, code))
+        self.task.cancel()
+        logger.warning(
+            "request answered at the end of the process",
+            request=self.request.id,
+            code=code.name,
+        )
+
     def _record_arrival(self):
         """Record a client's request; a forwarded one was recorded by its sender."""
         arrived = self.request.arrived
--- a/src/mulberrydock/stopping/requests.py
+++ b/src/mulberrydock/stopping/requests.py
@@ -5,6 +5,7 @@
 import math
 
 import attrs
+from loguru import logger
 
 from .response_times import ResponseTimes
 
@@ -82,3 +83,16 @@
                 lifecycle.is_stopped, lifecycle.cause = True, STOP_CAUSE
                 lifecycle.time_limit.reschedule(now)
         return len(self.lifecycles)
+
+    def answer_rest(self, now):
+        """Give those that haven't ended their final responses without their tasks.
+
+        The event loop may have stood still for so long that no time is left for them.
+
+        :param now: monotonic seconds.
+        """
+        for lifecycle in list(self.lifecycles):
+            try:
+                lifecycle.answer_at_stop(now)
+            except Exception:
+                logger.exception("request not answered", request=lifecycle.request.id)
--- a/src/mulberrydock/stopping/stop.py
+++ b/src/mulberrydock/stopping/stop.py
@@ -94,6 +94,7 @@
             )
             self.unfinished.inc(self.requests.end_all())
             await self._wait_for_requests()
+            self.requests.answer_rest(self.clock())
         logger.info("drained", in_flight=len(self._tasks()), unsent=self._unsent())
 
     async def _bounded(self, tasks):
--- a/tests/test_stop_late.py
+++ b/tests/test_stop_late.py
@@ -4,34 +4,34 @@
 """
 
 import asyncio
-import base64
-import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from link_fleet import forward
 from platform_fleet import (
-    HOST,
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
     RESUMABLE_PATH,
     STREAM_PATH,
-    PlatformFleet,
-    config,
     event_ids,
-    route,
     wait_until,
 )
+from stop_fleet import (
+    VM,
+    begin_stop,
+    forward_key,
+    forwarded_request,
+    request,
+    runs,
+    started_fleet,
+)
 
-from mulberrydock import defaults, records
 from mulberrydock.exceptions import ResultCode
 from mulberrydock.forward_messages import ForwardOutcome
 from mulberrydock.platform import wire
-from mulberrydock.request import Request
 from mulberrydock.standin.platform_engine import Fault
 
-VM = "entry-1"
 PATHS = (RESUMABLE_PATH, STREAM_PATH, IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH)
 #: Grace period of the stops, in seconds. Most of a response of :data:`LONG_SECONDS`
 #: lies within it, the whole of one that begins :data:`LATE_SECONDS` after the signal
@@ -39,29 +39,14 @@
 GRACE = 4.0
 LONG_SECONDS = 3.2
 LATE_SECONDS = 0.6
-#: Time limits of clients in milliseconds: one beyond the grace period, one within it.
-LONG_LIMIT = "20000"
+#: A client's time limit in milliseconds, within the grace period.
 SHORT_LIMIT = "1500"
 
 
 @pytest.fixture
 def fleet(tmp_path):
-    """A ready VM, one decode engine and one plain instance."""
-    fleet = PlatformFleet(tmp_path)
-    options = {"timeout_ms": 20000, "target_latency_ms": 5000}
-    routes = [
-        route(RESUMABLE_PATH, "streaming", "llm", resumable=True, **options),
-        route(STREAM_PATH, "streaming", "llm", max_attempts=1, **options),
-        route(IDEMPOTENT_PATH, "idempotent", "app", **options),
-        route(NON_IDEMPOTENT_PATH, "non_idempotent", "app", **options),
-    ]
-    fleet.write("op/config", config(3, routes))
-    fleet.add_instance("d1", "llm", "decode")
-    fleet.add_instance("a1", "app")
-    fleet.start(VM, grace=GRACE)
-    fleet.wait_ready(VM)
-    yield fleet
-    fleet.stop()
+    with started_fleet(tmp_path, GRACE) as running:
+        yield running
 
 
 def set_duration(fleet, seconds):
@@ -71,12 +56,6 @@
         engine.response_seconds = seconds
 
 
-def begin_stop(fleet):
-    """Send SIGTERM; return once the VM has seen it."""
-    fleet.daemons[VM].send_signal(signal.SIGTERM)
-    wait_until(lambda: fleet.log_records("draining", VM))
-
-
 def observe(fleet, path):
     """Let the VM see four responses of a service."""
     with ThreadPoolExecutor() as pool:
@@ -85,22 +64,6 @@
             assert response.status == 200
 
 
-def request(fleet, path, request_id, connection=None, limit=LONG_LIMIT, **headers):
-    """Send one request with a time limit in milliseconds; return the response."""
-    headers[wire.DEADLINE] = limit
-    return fleet.request(path, request_id, connection, VM, **headers)
-
-
-def runs(fleet, request_id):
-    """Return the runs of a request at all instances."""
-    return [
-        run
-        for engine in fleet.engines.values()
-        for run in engine.runs
-        if run.id == request_id
-    ]
-
-
 def is_left_to_others(fleet, response, request_id):
     """Return whether a request was refused, true to its promise, for another VM."""
     refused = response.status == 503 and float(response.getheader("Retry-After")) == 0
@@ -183,13 +146,6 @@
     assert wait_until(lambda: fleet.engines["p1"].released_handles)
 
 
-def forward_key(fleet):
-    """Return the key that signs requests forwarded to the VM."""
-    item = fleet.store.items[f"{defaults.ENTRY_PREFIX}{VM}"]
-    text = base64.b64decode(item.value).decode()
-    return records.decode(records.EntryRecord, text).forwardKey
-
-
 # Guards against a forwarded request that a stopping VM takes and cuts, although its
 # sender could have chosen another peer.
 @pytest.mark.parametrize("path", PATHS)
@@ -199,7 +155,7 @@
     key = forward_key(fleet)
     begin_stop(fleet)
     time.sleep(LATE_SECONDS)
-    late = Request("late", "POST", f"{path}x", HOST, [], b"", 0.0, 20.0)
+    late = forwarded_request(path, "late")
     _, response = forward(fleet, VM, late, key)
     assert response.status == 503 and not runs(fleet, "late")
     outcome = ForwardOutcome.from_headers(response.headers)
--- a/tests/test_stop_steps.py
+++ b/tests/test_stop_steps.py
@@ -58,7 +58,7 @@
         return int(time.monotonic() < self.read_at)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, slots=False)
 class FakeLifecycle:
     """A request that ends when its limit is over."""
 
@@ -66,6 +66,8 @@
     ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     is_stopped: bool = False
     cause: str = ""
+    keeps_limit: bool = True
+    answered: bool = False
 
     @property
     def time_limit(self):
@@ -75,7 +77,11 @@
         return self.ended.is_set()
 
     def reschedule(self, when):
-        self.ended.set()
+        if self.keeps_limit:
+            self.ended.set()
+
+    def answer_at_stop(self, now):
+        self.answered = not self.expired()
 
 
 @attrs.define
@@ -174,6 +180,26 @@
     assert stop.unfinished.value == len(waits.get("requests", ()))
 
 
+# Guards against a request without an answer whose task can't end in the time left, and
+# against one whose fault keeps the answers from others.
+def test_requests_that_do_not_end_in_time_are_answered_without_their_tasks():
+    async def run():
+        requests = RequestsInProgress()
+        rows = [FakeLifecycle(FakeRequest(name), keeps_limit=False) for name in "abc"]
+        rows[1].answer_at_stop = failing_answer
+        rows[2].keeps_limit = True
+        requests.lifecycles.update(rows)
+        assert requests.end_all() == 3
+        requests.answer_rest(0.0)
+        assert [row.answered for row in rows] == [True, False, False]
+
+    asyncio.run(run())
+
+
+def failing_answer(now):
+    raise ValueError("fault")
+
+
 # Guards against a stop that waits for the whole grace period with nothing to wait for,
 # and against one that cuts a response whose client reads it slowly.
 @pytest.mark.parametrize(("read_after", "least"), [(0.0, 0.0), (1.2, 1.2)])
