A stopping VM refuses requests whose bodies are still arriving

Callers saw: a client whose body came slowly across the stop of its VM got a closed connection and no status. A peer whose forwarded request was refused before it was read took it for one that may have run.

Cause: a request was refused once it was whole, and nothing looked at those that weren't when the process ended. A refusal on the port of forwarded requests bore no outcome.

Why it works: when later requests are refused, and once more at the end, those with a head and no whole body get 503 with Retry-After 0, a promise that holds as they are never passed on; on the port of forwarded requests with the outcome that nothing was served.

--- a/src/mulberrydock/inbound/bounded_request.py
+++ b/src/mulberrydock/inbound/bounded_request.py
@@ -54,6 +54,7 @@
             return None
         now = self.connections.clock()
         self.headers = headers
+        self.connection.request = self
         self.connection.enter(Phase.BODY, now, self.bounds.body_timeout(headers))
         self.connection.add_parsed(ELEMENT_BYTES * _elements(start_line, headers))
         if self.connection.closed:
@@ -94,6 +95,8 @@
         return self.max_body_bytes
 
     def finish(self):
+        # It must not stay in memory while its connection is idle.
+        self.connection.request = None
         if self.refused:
             self.http.close()
             return
@@ -108,12 +111,20 @@
         self._refuse(503, retry_after=OTHER_VM_RETRY_SECONDS)
         self.http.finish()
 
+    def refuse_unfinished(self):
+        """Refuse the request, whose body hasn't arrived yet, for another VM."""
+        self._refuse(503, retry_after=OTHER_VM_RETRY_SECONDS, closes=True)
+
     def on_connection_close(self):
         if self.passed_on:
             self.delegate.on_connection_close()
 
-    def _refuse(self, status, retry_after=None):
-        """Answer with an error; the rest of the request is read and dropped."""
+    def _refuse(self, status, retry_after=None, closes=False):
+        """Answer with an error; the rest of the request is read and dropped.
+
+        :param retry_after: seconds after which the client should retry, None for never.
+        :param closes: whether the connection is closed then.
+        """
         logger.warning(
             "request refused",
             request=self.bounds.request_id(self.headers),
@@ -127,9 +138,9 @@
         self.headers.pop("Expect", None)
         fields = tornado.httputil.HTTPHeaders(self.bounds.refusal_fields(status))
         fields["Content-Length"] = "0"
-        if retry_after is None:
+        if retry_after is None or closes:
             fields["Connection"] = "close"
-        else:
+        if retry_after is not None:
             fields["Retry-After"] = f"{retry_after:.1f}"
         start = tornado.httputil.ResponseStartLine("HTTP/1.1", status, REASONS[status])
         self.http.write_headers(start, fields)
--- a/src/mulberrydock/inbound/connection.py
+++ b/src/mulberrydock/inbound/connection.py
@@ -39,7 +39,8 @@
     monotonic seconds. ``received`` counts the bytes of its present request and
     ``unsent`` those of the response that is being sent, as the whole of it stays in
     memory until its last byte is sent: ``pending`` of them are left. ``whole`` is the
-    size of its request while that is whole.
+    size of its request while that is whole. ``request`` is the
+    :class:`~mulberrydock.inbound.bounded_request.BoundedRequest` whose body arrives.
 
     :param connections: the
         :class:`~mulberrydock.inbound.connections.InboundConnections` of the process.
@@ -57,6 +58,7 @@
     counted: int = 0
     whole: int = 0
     stream: object = None
+    request: object = None
 
     @property
     def closed(self):
--- a/src/mulberrydock/inbound/connections.py
+++ b/src/mulberrydock/inbound/connections.py
@@ -182,6 +182,12 @@
         self.whole -= connection.whole
         connection.whole = 0
 
+    def refuse_unfinished(self):
+        """Refuse the requests whose bodies are still arriving."""
+        for connection in list(self.open):
+            if connection.phase is Phase.BODY:
+                connection.request.refuse_unfinished()
+
     def sweep(self, now):
         """Close the connections whose phase lasts too long; log the latest closes.
 
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -461,6 +461,7 @@
         for front in (self.front, self.forward_front):
             front.refusing = True
         self.servers.front.stop()
+        self.connections.refuse_unfinished()
 
     def _record_last(self):
         """Write the crashes that the last requests revealed."""
--- a/src/mulberrydock/servers.py
+++ b/src/mulberrydock/servers.py
@@ -3,6 +3,8 @@
 import attrs
 
 from ._http import split_address
+from .exceptions import ResultCode
+from .forward_messages import ForwardOutcome
 from .inbound import InboundServer, PageBounds, RequestBounds
 from .pages import make_pages
 from .request import RequestLimits
@@ -32,6 +34,15 @@
         return self.wire.read_time_limit(headers)
 
 
+@attrs.define
+class ForwardBounds(RequestBounds):
+    """Bounds of forwarded requests. A refusal tells the peer that nothing has run."""
+
+    def refusal_fields(self, status):
+        outcome = ForwardOutcome(ResultCode.NOT_READY, cause=f"refused with {status}")
+        return dict(outcome.headers()) if status == 503 else {}
+
+
 @attrs.define
 class Servers:
     """The servers of one VM. Create it with :meth:`from_daemon`.
@@ -53,7 +64,7 @@
         bounds = (
             (daemon.front, ClientBounds(limits, wire=wire)),
             # The message that a peer has sent is kept beside the request in it.
-            (daemon.forward_front, RequestBounds(_forward_limits(limits), copies=2)),
+            (daemon.forward_front, ForwardBounds(_forward_limits(limits), copies=2)),
             (make_pages(daemon), PageBounds(page_limits, answered_at_once=True)),
         )
         on_refuse = daemon.metrics.inbound.record_refusal
--- a/src/mulberrydock/stopping/stop.py
+++ b/src/mulberrydock/stopping/stop.py
@@ -26,7 +26,8 @@
     :param requests: the :class:`~mulberrydock.stopping.requests.RequestsInProgress`.
     :param store_calls: returns the store calls in progress, as text.
     :param leave: coroutine function that tells the store and the peers.
-    :param refuse: called when later requests are to be refused.
+    :param refuse: called when later requests are to be refused, and those that haven't
+        arrived as a whole; once more before the end.
     :param record: coroutine function that writes what the last requests showed.
     :param background: the set of tasks that requests have left behind.
     :param unfinished: counter of the requests that the stop ended.
@@ -95,6 +96,7 @@
             self.unfinished.inc(self.requests.end_all())
             await self._wait_for_requests()
             self.requests.answer_rest(self.clock())
+        self.refuse()
         logger.info("drained", in_flight=len(self._tasks()), unsent=self._unsent())
 
     async def _bounded(self, tasks):
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import http.client
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -11,6 +12,7 @@
 import pytest
 from link_fleet import forward
 from platform_fleet import (
+    HOST,
     IDEMPOTENT_PATH,
     NON_IDEMPOTENT_PATH,
     RESUMABLE_PATH,
@@ -28,7 +30,8 @@
 )
 
 from mulberrydock.exceptions import ResultCode
-from mulberrydock.forward_messages import ForwardOutcome
+from mulberrydock.forward_attempt import NOT_SERVED_CODES
+from mulberrydock.forward_messages import FORWARD_PATH, ForwardOutcome
 from mulberrydock.platform import wire
 from mulberrydock.standin.platform_engine import Fault
 
@@ -118,3 +121,37 @@
     outcome = ForwardOutcome.from_headers(response.headers)
     assert (outcome.code, outcome.sends) == (ResultCode.OUTCOME_UNKNOWN, 1)
     assert fleet.daemons[VM].wait(10) == 0
+
+
+def send_half(connection, target, fields):
+    """Send a request without the end of its body."""
+    connection.putrequest("POST", target, skip_host="Host" in fields)
+    for name, value in {**fields, "Content-Length": "1000"}.items():
+        connection.putheader(name, value)
+    connection.endheaders(b"half")
+
+
+# Guards against a client that still sends its body when its VM ends, and isn't told
+# that the request can go elsewhere.
+@pytest.mark.parametrize("stop", STOPS)
+@pytest.mark.parametrize("path", PATHS)
+def test_unfinished_request_gets_a_promise_at_the_end(fleet, path, stop):
+    connection = fleet.connect(VM)
+    fields = {"Host": HOST, wire.ATTEMPT_ID: "half", wire.DEADLINE: "20000"}
+    send_half(connection, f"{path}x", fields)
+    stop(fleet)
+    response = connection.getresponse()
+    assert (response.status, response.getheader("Retry-After")) == (503, "0.0")
+    assert not runs(fleet, "half")
+    assert fleet.daemons[VM].wait(10) == 0
+
+
+# Guards against a peer that takes a request for one that may have run, although the VM
+# that it forwards it to has refused to read it.
+def test_unfinished_forwarded_request_gets_its_outcome_at_the_end(fleet):
+    port = fleet.settings[VM]["peer"]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    send_half(connection, FORWARD_PATH, {})
+    stop_calmly(fleet)
+    outcome = ForwardOutcome.from_headers(connection.getresponse().headers)
+    assert outcome.code in NOT_SERVED_CODES
