--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from .front_sink import ConnectionSink
+from .refusal import OTHER_VM_RETRY_SECONDS
 from .unframed_sink import FRAMED_VERSION, UnframedSink
 
 
@@ -87,9 +88,14 @@
         return ConnectionSink(connection, self.closing)
 
     def start(self, start_line, headers, body, sink):
-        """Start serving one whole request; return its task."""
+        """Serve one whole request; return its task, None if it has ended already."""
         self.has_requests = True
         request = self.wire.read_request(start_line, headers, body, self.clock())
+        if self.refusing:
+            # At once, as the process may end before a task would run. The client has
+            # other addresses and may retry there.
+            self.relay.reject(request, sink, 503, "stopping", OTHER_VM_RETRY_SECONDS)
+            return None
         return self.track(self._serve(request, sink))
 
     def track(self, coroutine):
@@ -100,15 +106,12 @@
         return task
 
     async def _serve(self, request, sink):
-        if self.refusing:
-            # The client has other addresses and may retry there at once.
-            self.relay.reject(request, sink, 503, "stopping", 0.0)
-            return
         try:
             await self.relay.serve(request, sink)
         except asyncio.CancelledError:
             # The relay has logged that the client left.
-            sink.abort()
+            if not sink.done:
+                sink.abort()
         except Exception:
             # A fault of this process: the connection is closed so that the client
             # doesn't wait, and as it is unknown whether an upstream ran the request, no
--- a/src/mulberrydock/front_sink.py
+++ b/src/mulberrydock/front_sink.py
@@ -23,6 +23,10 @@
         self.done = False
 
     def _head(self, status, headers):
+        if self.done:
+            raise MulberrydockError(
+                "a response began after it had ended", ResultCode.INTERNAL
+            )
         fields = tornado.httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
