--- a/src/mulberrydock/relay.py
+++ b/src/mulberrydock/relay.py
@@ -56,8 +56,8 @@
     ``origins``, the :class:`~mulberrydock.origin_exchange.OriginExchange` with the
     peers; and ``response_room``, the
     :class:`~mulberrydock.response_room.ResponseRoom` of this process, without which the
-    sum of all responses has no limit; and ``catch_up``, the
-    :meth:`~mulberrydock.store_view.StoreView.catch_up` of this VM, without which its
+    sum of all responses has no limit; and ``refresh_view``, the
+    :meth:`~mulberrydock.store_view.StoreView.refresh` of this VM, without which its
     view of the store counts as outdated.
     """
 
@@ -69,7 +69,7 @@
         self.forwarding = None
         self.claim_trial = None
         self.origins = OriginExchange()
-        self.catch_up = _no_store
+        self.refresh_view = _no_store
         self.connection_pools = {}
         self.link_monitor = LinkMonitor(fleet, self)
         self.crash_probe = CrashProbe(self.connection_pool, self.link_monitor)
--- a/src/mulberrydock/serve.py
+++ b/src/mulberrydock/serve.py
@@ -193,9 +193,9 @@
         self.watch.on_read = lambda: self.fleet.instances.versions.record_read(
             time.monotonic()
         )
-        self.relay.catch_up = StoreView(
+        self.relay.refresh_view = StoreView(
             self.watch, self.fleet.instances.versions.confirm
-        ).catch_up
+        ).refresh
         self.freshness.on_news = self.watch.wake
         self.handlers = {
             platform.CONFIG_PREFIX: self._on_config,
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -149,7 +149,7 @@
                         now = time.monotonic()
                         return final_response.refuse_unknown_version(self, search, now)
                 if self._lacks_instances(time.monotonic()):
-                    await self.relay.catch_up()
+                    await self.relay.refresh_view()
                 self.route = self.version.ranked_route()
                 if not self.is_forwarded:
                     await self.quarantine.claim_trial(time.monotonic())
--- a/src/mulberrydock/store_view.py
+++ b/src/mulberrydock/store_view.py
@@ -11,7 +11,7 @@
 
 #: Seconds after which a read is given up. The client of a stream waits for its next
 #: event for two seconds, and an instance needs the rest.
-CATCH_UP_SECONDS = 1.0
+REFRESH_SECONDS = 1.0
 
 
 class StoreView:
@@ -29,7 +29,7 @@
         self.reading = None
         self.following = None
 
-    async def catch_up(self):
+    async def refresh(self):
         """Read all changes made before this call.
 
         A read that has begun may lack the latest of them, so the calls that come
@@ -47,8 +47,8 @@
         self.reading, self.following = self.following, None
         started_at, is_current = time.monotonic(), False
         try:
-            async with asyncio.timeout(CATCH_UP_SECONDS):
-                is_current = await self.watch.catch_up()
+            async with asyncio.timeout(REFRESH_SECONDS):
+                is_current = await self.watch.refresh()
         except TimeoutError:
             pass
         if is_current:
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -112,7 +112,7 @@
         """
         await asyncio.wait([origin], timeout=ASK_INTERVAL_SECONDS)
         is_found = bool(self.fixed) or self.began_elsewhere
-        return is_found or await self.relay.catch_up()
+        return is_found or await self.relay.refresh_view()
 
     async def _find_origin(self):
         """Fix the version that VMs remember for the stream.
@@ -124,7 +124,7 @@
         origins, key = self.relay.origins, self._key
         if not origins.has_peers(time.monotonic()):
             # A VM that has just started may have peers of which it hasn't read yet.
-            await self.relay.catch_up()
+            await self.relay.refresh_view()
         now = time.monotonic()
         source = "told" if origins.origins.get(key, now) else "asked"
         version, final = await origins.find(key, now)
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -14,9 +14,9 @@
 #: one is lost as well, it must end soon, as changes may be written as soon as the
 #: store is available again.
 RECOVERY_POLL_SECONDS = 0.3
-#: Seconds for which the poll that catches up waits at the store: the least that a poll
+#: Seconds for which the poll of a refresh waits at the store: the least that a poll
 #: can state.
-CATCH_UP_POLL_SECONDS = 0.001
+REFRESH_POLL_SECONDS = 0.001
 #: Seconds between two checks whether a poll is due.
 CHECK_INTERVAL_SECONDS = 0.25
 
@@ -125,7 +125,7 @@
         self.revision = max(self.revision, batch.revision)
         self._record_read()
 
-    async def catch_up(self):
+    async def refresh(self):
         """Read all changes made before this call, beside the poll in progress.
 
         :returns: True, or False when the store doesn't answer.
@@ -133,7 +133,7 @@
         while True:
             await self.has_loaded.wait()
             batch = await self.store.watch(
-                self.prefix, self.revision, CATCH_UP_POLL_SECONDS
+                self.prefix, self.revision, REFRESH_POLL_SECONDS
             )
             if batch.is_error():
                 return False
--- a/tests/test_origin_records.py
+++ b/tests/test_origin_records.py
@@ -316,7 +316,7 @@
         fleet=types.SimpleNamespace(instances=instances),
         metrics=ServeMetrics(),
         origins=OriginExchange(),
-        catch_up=answered,
+        refresh_view=answered,
     )
     versions.observed_at = versions.complete_since = time.monotonic()
     relay.origins.origins.record(StreamOrigin(origin_key("s"), "v1"), time.monotonic())
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -36,7 +36,7 @@
         reads=0,
     )
 
-    async def catch_up():
+    async def refresh_view():
         relay.reads += 1
         if answers:
             for version in versions:
@@ -45,7 +45,7 @@
             on_read(network)
         return answers
 
-    relay.catch_up = catch_up
+    relay.refresh_view = refresh_view
     return relay, network
 
 
@@ -112,7 +112,7 @@
         self.revision = 0
         self.read = []
 
-    async def catch_up(self):
+    async def refresh(self):
         begun_at = self.revision
         await asyncio.sleep(0.01)
         self.read.append(begun_at)
@@ -126,11 +126,11 @@
     async def run():
         watch = Watch()
         view = StoreView(watch)
-        first = [asyncio.ensure_future(view.catch_up()) for _ in range(callers)]
+        first = [asyncio.ensure_future(view.refresh()) for _ in range(callers)]
         while view.reading is None:
             await asyncio.sleep(0)
         watch.revision = 1
-        second = [asyncio.ensure_future(view.catch_up()) for _ in range(callers)]
+        second = [asyncio.ensure_future(view.refresh()) for _ in range(callers)]
         assert all(await asyncio.gather(*first))
         assert watch.read == [0]
         assert all(await asyncio.gather(*second))
@@ -144,7 +144,7 @@
 def test_unanswered_read_is_told_to_all_callers():
     async def run():
         view = StoreView(Watch(answers=False), on_current=lambda: pytest.fail())
-        calls = [asyncio.ensure_future(view.catch_up()) for _ in range(3)]
+        calls = [asyncio.ensure_future(view.refresh()) for _ in range(3)]
         await asyncio.sleep(0)
         calls[0].cancel()
         assert await asyncio.gather(*calls[1:]) == [False, False]
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -147,7 +147,7 @@
         state.write("k/1", 1)
         also(state)
         running = asyncio.ensure_future(watch.run())
-        assert await watch.catch_up()
+        assert await watch.refresh()
         read = {key for key, _ in items}
         assert read == {key for key in state.items}
         state.write("k/9", 9)
@@ -167,7 +167,7 @@
     async def run():
         state, server, watch = await started_watch([])
         state.refusing = True
-        answered = await watch.catch_up()
+        answered = await watch.refresh()
         server.stop()
         return answered
 
