A store that came back from an older copy doesn't show the only version for some seconds

What callers could see: streams joined from two versions, where the store is restored from a copy made before a version joined, and a VM that hadn't read of it gets a stream of that version while its peers are silent.

Cause: the copy was read in full and counted as current. It lacks the records written since, until their writers have written them again. The same class: what isn't read is taken for what isn't so.

--- a/src/mulberrydock/instances.py
+++ b/src/mulberrydock/instances.py
@@ -281,6 +281,7 @@
         self.mark_store_unavailable(now)
         self.mark_store_available(now)
         self.unconfirmed_until = now + UNCONFIRMED_SECONDS
+        self.versions.incomplete_until = now + UNCONFIRMED_SECONDS
         self.removed_at = {
             name: at
             for name, at in self.removed_at.items()
--- a/src/mulberrydock/store_view.py
+++ b/src/mulberrydock/store_view.py
@@ -18,14 +18,15 @@
     """What this VM has read of the store.
 
     :param watch: the :class:`~mulberrydock.watch.PrefixWatch` that reads it.
-    :param on_current: called without arguments after each read that was answered.
+    :param confirm: called with the time (monotonic seconds) after each read that the
+        store answered; returns whether what was read is whole.
 
     ``reading`` is the task of the read in progress, ``following`` that of the next one.
     """
 
-    def __init__(self, watch, on_current=lambda: None):
+    def __init__(self, watch, confirm=lambda now: True):
         self.watch = watch
-        self.on_current = on_current
+        self.confirm = confirm
         self.reading = None
         self.following = None
 
@@ -35,7 +36,7 @@
         A read that has begun may lack the latest of them, so the calls that come
         meanwhile share the next one.
 
-        :returns: False when the store didn't answer in time.
+        :returns: False when the store didn't answer in time, or lacks records.
         """
         if self.following is None:
             self.following = asyncio.ensure_future(self._read_after(self.reading))
@@ -51,11 +52,10 @@
                 is_current = await self.watch.refresh()
         except TimeoutError:
             pass
-        if is_current:
-            self.on_current()
+        is_current = is_current and self.confirm(time.monotonic())
         logger.info(
             "store read for a request",
-            answered=is_current,
+            current=is_current,
             revision=self.watch.revision,
             seconds=round(time.monotonic() - started_at, 3),
         )
--- a/src/mulberrydock/version_history.py
+++ b/src/mulberrydock/version_history.py
@@ -4,6 +4,8 @@
 streams are of that version, also those of which this VM knows nothing else.
 """
 
+import math
+
 import attrs
 
 from .stream_origins import RETENTION_SECONDS, UNKNOWN_VERSION
@@ -28,7 +30,8 @@
     the history is complete since ``complete_since``, None before the first observation.
     ``recorded`` maps services to the versions that the store holds of them, None until
     they were read; ``is_recorded`` is False when versions may have been added since.
-    ``read_at`` is when the store last told this VM all changes, None before.
+    The store lacks records until ``incomplete_until``. ``read_at`` is when it last told
+    this VM all changes, None before.
     """
 
     seen_at: dict = attrs.field(factory=dict)
@@ -36,6 +39,7 @@
     observed_at: float | None = None
     recorded: dict | None = None
     is_recorded: bool = False
+    incomplete_until: float = -math.inf
     read_at: float | None = None
 
     def restart(self, now):
@@ -47,9 +51,15 @@
         """Record that the store has told this VM all changes."""
         self.read_at = now
 
-    def confirm(self):
-        """Record that all changes of the store are read, so its record is current."""
-        self.is_recorded = self.recorded is not None
+    def confirm(self, now):
+        """Record that all changes of the store are read.
+
+        :returns: whether they show all versions in use. A store that was restored from
+            an older copy doesn't, until the instances have written their records again.
+        """
+        is_whole = now >= self.incomplete_until
+        self.is_recorded = is_whole and self.recorded is not None
+        return is_whole
 
     def record(self, service, version, now):
         """Record that an instance of ``version`` is registered."""
--- a/src/mulberrydock/version_records.py
+++ b/src/mulberrydock/version_records.py
@@ -50,7 +50,7 @@
         """End a full read: what was read is current."""
         if self.versions.recorded is None:
             self.versions.recorded = {}
-        self.versions.is_recorded = True
+        self.versions.confirm(time.monotonic())
 
     def apply(self, key, value, revision):
         """Apply the record, or its removal when ``value`` is None."""
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -112,6 +112,23 @@
     assert mixed(streams) == []
 
 
+# Guards against a stream that goes on at another version, at a VM that stood still as a
+# second version joined, as the store then comes back from a copy without it.
+def test_restored_store_does_not_show_the_only_version(fleet):
+    vm, _ = vms_by_mode(fleet)
+    others = [name for name in VMS if name != vm]
+    copy = fleet.call_on_loop(fleet.store.snapshot)
+    with contextlib.ExitStack() as stack:
+        with stopped(fleet, vm):
+            join(fleet, "v2", others[0])
+            streams = begin(fleet, others[0])
+            assert len(versions(streams)) == 2
+            stack.enter_context(stopped(fleet, *others))
+            fleet.call_on_loop(fleet.store.restore, copy)
+        take_up(streams, vm)
+    assert mixed(streams) == []
+
+
 def peer_stopped(fleet, vm):
     return stopped(fleet, next(name for name in VMS if name != vm))
 
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -41,7 +41,7 @@
         if answers:
             for version in versions:
                 history.record("llm", version, time.monotonic())
-            history.confirm()
+            history.confirm(time.monotonic())
             on_read(network)
         return answers
 
@@ -143,7 +143,7 @@
 # one of them has left.
 def test_unanswered_read_is_told_to_all_callers():
     async def run():
-        view = StoreView(Watch(answers=False), on_current=lambda: pytest.fail())
+        view = StoreView(Watch(answers=False), confirm=lambda now: pytest.fail())
         calls = [asyncio.ensure_future(view.refresh()) for _ in range(3)]
         await asyncio.sleep(0)
         calls[0].cancel()
