The store is read for a stream's version only where no instance of it is known

What callers could see: under overload each take-up waited for a read of the store, and while the store was silent for up to 1.4 s before the same refusal.

Cause: the VM asked whether an instance could be used now, which is also false in a pause, a back-off or under a rate limit.

Change: it asks whether it knows a decode instance of the version. If it knows none and the store doesn't answer, the client is sent to another VM.

--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -54,6 +54,14 @@
     return ResultCode.UNKNOWN_VERSION
 
 
+def refuse_unread_version(lifecycle):
+    """Refuse a stream of a version whose instances this VM couldn't read of."""
+    version = lifecycle.version.fixed
+    lifecycle.cause = f"no instance of version {version} is known; store not read"
+    _reject(lifecycle, 503, lifecycle.cause, OTHER_VM_RETRY_SECONDS)
+    return ResultCode.UNKNOWN_VERSION
+
+
 def shed(lifecycle, refused):
     """Refuse the request before its first attempt.
 
--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -20,6 +20,7 @@
 from .forward_messages import ForwardOutcome, PriorCalls
 from .forwarding import ForwardPlan
 from .incarnation_check import IncarnationCheck
+from .instances import Stage
 from .moves import StreamMove, StreamMoved
 from .prefill import PrefillCall
 from .request import Kind, SendOptions, served_until
@@ -148,8 +149,9 @@
                     if not self.version.fixed:
                         now = time.monotonic()
                         return final_response.refuse_unknown_version(self, search, now)
-                if self._lacks_instances(time.monotonic()):
-                    await self.relay.refresh_view()
+                if self._lacks_instances() and not await self.relay.refresh_view():
+                    if not self.may_have_run:
+                        return final_response.refuse_unread_version(self)
                 self.route = self.version.ranked_route()
                 if not self.is_forwarded:
                     await self.quarantine.claim_trial(time.monotonic())
@@ -163,13 +165,19 @@
             self.begin.record_plain(self.sends)
             self.move.close()
 
-    def _lacks_instances(self, now):
-        """Return whether this VM knows no instance that can take a stream up.
+    def _lacks_instances(self):
+        """Return whether this VM knows no instance of the version of its stream.
 
-        Its peers may have read earlier of the instances of the stream's version.
+        Its peers may have read of them earlier.
         """
         version = self.version.fixed
-        return bool(version) and is_stated(version) and self._local_plan(now) is None
+        if not version or not is_stated(version):
+            return False
+        return not any(
+            instance.record.stream_version == version
+            and instance.record.stage is not Stage.PREFILL
+            for instance in self.fleet.instances.serving(self.service)
+        )
 
     def answer_at_stop(self, now):
         """Give the final response at once, as the process ends before this task would.
