A request waits for the store for a second at most, and not for its own streams

What callers could see: a VM without peers waited for the store, also a silent one, before it went on with a stream that it remembered itself; a request that came while a read was in progress waited for two reads, nearly 2 s.

Change: the VM's own memory comes first; each request has its own limit. A view that was read in full meanwhile isn't read in full again.

--- a/src/mulberrydock/store_view.py
+++ b/src/mulberrydock/store_view.py
@@ -9,8 +9,8 @@
 
 from loguru import logger
 
-#: Seconds after which a read is given up. The client of a stream waits for its next
-#: event for two seconds, and an instance needs the rest.
+#: Seconds after which a request no longer waits, and a read is given up. The client of a
+#: stream waits for its next event for two seconds, and an instance needs the rest.
 REFRESH_SECONDS = 1.0
 
 
@@ -21,7 +21,8 @@
     :param confirm: called with the time (monotonic seconds) after each read that the
         store answered; returns whether what was read is whole.
 
-    ``reading`` is the task of the read in progress, ``following`` that of the next one.
+    ``reading`` is the task of the last read that began, ``following`` that of the next
+    one, which waits for it, None if nobody has asked for one.
     """
 
     def __init__(self, watch, confirm=lambda now: True):
@@ -40,7 +41,11 @@
         """
         if self.following is None:
             self.following = asyncio.ensure_future(self._read_after(self.reading))
-        return await asyncio.shield(self.following)
+        shared = asyncio.shield(self.following)
+        try:
+            return await asyncio.wait_for(shared, REFRESH_SECONDS)
+        except TimeoutError:
+            return False
 
     async def _read_after(self, former):
         if former is not None:
--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -15,9 +15,9 @@
 class VersionSearch:
     """What the search for a stream's version rests on.
 
-    ``is_final`` is False if a peer that hasn't answered may know the version,
-    ``is_current`` is False if the store didn't answer, so that this VM may not know of
-    all versions.
+    ``is_final`` is False if a peer that hasn't answered may know the version.
+    ``is_current`` is False if the store was asked and didn't answer, so that this VM
+    may not know of all versions.
     """
 
     is_final: bool
@@ -122,11 +122,11 @@
         if not self.request.resumes:
             return True, ""
         origins, key = self.relay.origins, self._key
-        if not origins.has_peers(time.monotonic()):
+        source = "told" if origins.origins.get(key, time.monotonic()) else "asked"
+        if source == "asked" and not origins.has_peers(time.monotonic()):
             # A VM that has just started may have peers of which it hasn't read yet.
             await self.relay.refresh_view()
         now = time.monotonic()
-        source = "told" if origins.origins.get(key, now) else "asked"
         version, final = await origins.find(key, now)
         service = origins.origins.find(key, time.monotonic()).service
         if version and service not in ("", self.service):
--- a/src/mulberrydock/watch.py
+++ b/src/mulberrydock/watch.py
@@ -132,15 +132,14 @@
         """
         while True:
             await self.has_loaded.wait()
-            batch = await self.store.watch(
-                self.prefix, self.revision, REFRESH_POLL_SECONDS
-            )
+            revision = self.revision
+            batch = await self.store.watch(self.prefix, revision, REFRESH_POLL_SECONDS)
             if batch.is_error():
                 return False
             if self.loaded and not batch.ok.compacted:
                 self._apply(batch.ok)
                 return True
-            if self.loaded:
+            if self.loaded and self.revision == revision:
                 self.invalidate()
 
     async def _pause(self):
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -104,6 +104,16 @@
     assert find(relay)[1] == "v2"
 
 
+# Guards against a VM without peers that waits for the store before it goes on with a
+# stream which it remembers itself.
+def test_vm_without_peers_needs_no_store_for_its_own_streams():
+    relay, network = vm_before_streams(False)
+    record(network, "a-0", "v2")
+    network.vms["a-0"].groups.peers = {}
+    assert find(relay) == (VersionSearch(True, True), "v2")
+    assert relay.reads == 0
+
+
 class Watch:
     """A watch whose reads show the changes made before they began."""
 
