--- a/src/mulberrydock/store_view.py
+++ b/src/mulberrydock/store_view.py
@@ -9,8 +9,8 @@
 
 from loguru import logger
 
-#: Seconds after which a request no longer waits, and a read is given up. The client of a
-#: stream waits for its next event for two seconds, and an instance needs the rest.
+#: Seconds after which a request no longer waits, and a read is given up. The client of
+#: a stream waits for its next event for two seconds, and an instance needs the rest.
 REFRESH_SECONDS = 1.0
 
 
