An answer of the store that can't be read is a failed call, and ends no process

What callers saw: a VM that the store answers with JSON of another shape ends by itself, and its requests with it (LOST); all VMs that get such an answer do. Trial with one daemon: ended within 5 s of answers of `[]`, `task ended` with a TypeError in its log.

Cause: the store's client took an answer with status 200 for what it should be; a missing field, a value of another type or JSON nested too deeply raised an error in the task that made the call. Tasks that end stop the process, as its state would become outdated. Records that can't be read were handled (odd entries), the answer around them wasn't. Class, as with the handles: input read without one place that says what may be wrong with it.

Change: every answer is read in one function that returns an `Error` instead; revisions and keys are checked, as other tasks compare them. A VM keeps its state, as in an outage.

--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -24,6 +24,7 @@
 from ..sends import ProgressTimeouts, run_exchange
 from ..store import Event, Item, WatchBatch
 from ..store_calls import StoreOperation
+from .documents import DECODE_ERRORS
 
 #: Seconds without progress after which a call has failed. The store responds in 4 ms;
 #: a changed configuration must be in force within 2 s, so a lost response must be
@@ -130,10 +131,8 @@
             )
         if response.status in (429, 500, 502, 503, 504):
             return Error(StoreError(f"{method} {path}: status {response.status}"))
-        try:
-            return Ok((response.status, json.loads(response.body or b"{}")))
-        except ValueError as error:
-            return Error(StoreError(f"{method} {path}: {error}"))
+        body = response.body or b"{}"
+        return _read(f"{method} {path}", lambda: (response.status, _document(body)))
 
     def _update_era(self, headers):
         """Update the known era from a response's headers.
@@ -155,7 +154,7 @@
         if result.is_error():
             return result
         status, document = result.ok
-        return Ok(None if status == 404 else _item(document))
+        return _read(key, lambda: None if status == 404 else _item(document))
 
     async def range(self, prefix):
         """Read every key under ``prefix``: ``Ok((revision, [Item]))``.
@@ -175,11 +174,15 @@
             status, document = result.ok
             if status != 200:
                 return Error(StoreError(f"range {prefix}: status {status}"))
-            items.extend(_item(row) for row in document["items"])
-            revision = document["store_revision"] if revision is None else revision
-            if not document.get("truncated") or not document["items"]:
+            page = _read(prefix, lambda: _page(document))
+            if page.is_error():
+                return page
+            page_revision, rows = page.ok
+            items.extend(rows)
+            revision = page_revision if revision is None else revision
+            if not document.get("truncated") or not rows:
                 return Ok((revision, items))
-            after = document["items"][-1]["key"]
+            after = rows[-1].key
 
     async def put(self, key, value, expect_version=None, lease=0):
         """Write ``value`` under ``key``; see :meth:`StoreClient.put`."""
@@ -215,12 +218,15 @@
             return result
         status, document = result.ok
         if status == 412:
-            rows = document.get("items") or [{}]
-            current = rows[0].get("revision", 0)
-            return Error(VersionConflict(f"{key} is at version {current}", current))
+            current = _read(key, lambda: _current_revision(document))
+            if current.is_error():
+                return current
+            return Error(
+                VersionConflict(f"{key} is at version {current.ok}", current.ok)
+            )
         if status != 200:
             return Error(StoreError(f"write {key}: status {status}"))
-        return Ok(document["revision"])
+        return _read(key, lambda: _number(document["revision"]))
 
     async def watch(self, prefix, after, timeout):
         """Long-poll for changes under ``prefix`` newer than revision ``after``.
@@ -247,8 +253,7 @@
             return Ok(WatchBatch(0, [], compacted=True))
         if status != 200:
             return Error(StoreError(f"watch {prefix}: status {status}"))
-        events = [_event(row) for row in document["events"]]
-        return Ok(WatchBatch(document["store_revision"], events))
+        return _read(prefix, lambda: _batch(document))
 
     async def grant(self, ttl):
         """Create a lease of ``ttl`` seconds: ``Ok(lease_id)``."""
@@ -259,7 +264,7 @@
         status, document = result.ok
         if status != 200:
             return Error(StoreError(f"lease: status {status}"))
-        return Ok(document["lease"])
+        return _read("lease", lambda: document["lease"])
 
     async def keepalive(self, lease):
         """Extend ``lease``: ``Ok(True)``, or ``Ok(False)`` when it has expired."""
@@ -287,11 +292,44 @@
     return base64.b64decode(text).decode(errors="surrogateescape")
 
 
+def _read(what, read):
+    """Return ``Ok`` with what ``read()`` returns, ``Error`` if it can't be read.
+
+    An error raised by a call would end the task that makes it, and with it the process.
+
+    :param what: names the call, for the error.
+    """
+    try:
+        return Ok(read())
+    except (AttributeError, *DECODE_ERRORS) as error:
+        return Error(StoreError(f"{what}: unreadable response: {error!r:.200}"))
+
+
+def _document(body):
+    document = json.loads(body)
+    if not isinstance(document, dict):
+        raise TypeError(f"expected an object, got {document!r:.40}")
+    return document
+
+
+def _number(value):
+    # Not isinstance: bool is a subclass of int.
+    if type(value) is not int or not 0 <= value:
+        raise TypeError(f"expected a number, got {value!r:.40}")
+    return value
+
+
+def _key(value):
+    if not isinstance(value, str):
+        raise TypeError(f"expected a key, got {value!r:.40}")
+    return value
+
+
 def _item(row):
     return Item(
-        key=row["key"],
+        key=_key(row["key"]),
         value=_decode(row["value"]),
-        version=row["revision"],
+        version=_number(row["revision"]),
         # ``created`` is a revision, not a time.
         create_revision=row.get("created", 0),
         lease=row.get("lease", 0),
@@ -300,4 +338,19 @@
 
 def _event(row):
     value = None if row.get("tombstone") else _decode(row["value"])
-    return Event(row["revision"], row["key"], value)
+    return Event(_number(row["revision"]), _key(row["key"]), value)
+
+
+def _page(document):
+    items = [_item(row) for row in document["items"]]
+    return _number(document["store_revision"]), items
+
+
+def _batch(document):
+    events = [_event(row) for row in document["events"]]
+    return WatchBatch(_number(document["store_revision"]), events)
+
+
+def _current_revision(document):
+    rows = document.get("items") or [{}]
+    return _number(rows[0].get("revision", 0))
