A listing of the store ends when a page comes again

What callers saw: nothing so far; found in the inventory of what reads from servers. A store that answers each page of a listing with the same rows and `truncated` is read without end, and all rows are kept: memory grows until the VM ends.

Cause: each page is bounded, and the time of each call, but not the number of pages. Class: a bound on one part that says nothing of how many there are.

Change: a page that ends at a key at which an earlier one has ended is an error of the store.

A store that makes up new keys without end is still read: nothing states how many there may be.

--- a/src/mulberrydock/platform/store.py
+++ b/src/mulberrydock/platform/store.py
@@ -162,7 +162,7 @@
         The store may return several pages, which aren't one snapshot. The revision is
         that of the first page: a watch from there may repeat a change but misses none.
         """
-        items, revision, after = [], None, None
+        items, revision, after, page_ends = [], None, None, set()
         while True:
             query = {"path_prefix": prefix}
             if after:
@@ -183,6 +183,9 @@
             if not document.get("truncated") or not rows:
                 return Ok((revision, items))
             after = rows[-1].key
+            if after in page_ends:
+                return Error(StoreError(f"range {prefix}: the page to {after} again"))
+            page_ends.add(after)
 
     async def put(self, key, value, expect_version=None, lease=0):
         """Write ``value`` under ``key``; see :meth:`StoreClient.put`."""
--- a/tests/test_odd_store.py
+++ b/tests/test_odd_store.py
@@ -72,3 +72,18 @@
         return result
 
     assert asyncio.run(run()).is_error()
+
+
+# Guards against a VM that keeps the same page of a listing without end.
+def test_page_that_comes_again_is_an_error():
+    async def run():
+        body = page(ROW).replace("{", '{"truncated": true, ', 1)
+        server = OddStore("200 OK", body)
+        store = PlatformStore(await server.start(), TIMEOUT_SECONDS)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            result = await store.range("op/")
+        store.pool.close()
+        server.server.close()
+        return result
+
+    assert asyncio.run(run()).is_error()
