--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -13,7 +13,7 @@
     MAX_HELD_BYTES,
     BufferedResponse,
 )
-from mulberrydock.exceptions import UpstreamError
+from mulberrydock.exceptions import ResultCode, UpstreamError
 from mulberrydock.platform import PlatformStore, PlatformWire, wire
 from mulberrydock.request import Prompt, Request, SendOptions, UpstreamCall
 from mulberrydock.sends import ClientStream, StreamListener
@@ -44,6 +44,8 @@
     "body-in-chunks": (NAMED + CHUNKED, CHUNK),
     "one-chunk": (NAMED + CHUNKED + "fffffffff\r\n", b"x" * BLOCK),
     "chunk-size": (NAMED + CHUNKED, b"0" * BLOCK),
+    "chunk-extension": (NAMED + CHUNKED + "2;", b"x" * BLOCK),
+    "trailers": (NAMED + CHUNKED + "2\r\nok\r\n0\r\n", b"A: b\r\n" * (BLOCK // 6)),
     "length-of-a-terabyte": (
         NAMED + "Content-Length: 1000000000000\r\n\r\n",
         b"x" * BLOCK,
@@ -155,6 +157,26 @@
     asyncio.run(ends_within_bounds(EndlessServer(*ENDLESS[kind]), send))
 
 
+# Guards against bytes that are read as the next response on a kept connection, or kept
+# without end while it is idle.
+def test_bytes_after_a_whole_response_are_given_up():
+    async def run():
+        head = NAMED + "Content-Length: 2\r\n\r\nok"
+        server = EndlessServer(head, b"x" * BLOCK)
+        sender = Sender(await server.start(), None)
+        async with asyncio.timeout(HANG_SECONDS):
+            for _ in range(3):
+                code, _ = await plain(sender)
+                assert code is ResultCode.OK
+            sender.relay.forget(sender.instance.id)
+            while server.open:
+                await asyncio.sleep(0.01)
+        server.server.close()
+        return server.sent
+
+    assert asyncio.run(run()) <= 3 * SOCKET_BYTES
+
+
 def failure():
     listener = StreamListener(
         PlatformWire(), ClientStream(None, Sink(), EventSplitter())
