A stopping VM accepts no request later than 3 s after the signal

Callers saw: nothing on a grace period of 8 s. On a longer one, requests sent later than 3 s after the signal were accepted (until 10.8 s of 30 s), and one that was still running at the end was cut.

Cause: the time of acceptance was a share of the grace period alone, while the users' rule names a time after the signal.

Evidence: test_no_request_is_accepted_that_must_not_be_cut failed for 9, 30 and 600 s before.

Why it works: the share has a bound of 2.9 s; one of 8 s keeps its 2.88 s.

--- a/src/mulberrydock/stopping/plan.py
+++ b/src/mulberrydock/stopping/plan.py
@@ -8,6 +8,8 @@
 #: platform's 8 s): one that is sent later than 3 s after the signal must not be cut
 #: when the period ends.
 ACCEPT_SHARE = 0.36
+#: Seconds after which none is accepted, however long the period is.
+MAX_ACCEPT_SECONDS = 2.9
 #: Minimum number of seconds for which later requests are refused before the end: more
 #: may arrive on open connections.
 MIN_REFUSE_SECONDS = 0.5
@@ -62,7 +64,7 @@
         """Plan a stop that began at ``started`` and may last ``grace`` seconds."""
         closing = min(CLOSING_SECONDS, grace * MAX_CLOSING_SHARE)
         finish = grace - closing
-        ends = {Step.ACCEPT: grace * ACCEPT_SHARE}
+        ends = {Step.ACCEPT: min(grace * ACCEPT_SHARE, MAX_ACCEPT_SECONDS)}
         for step, share in CLOSING_SHARES.items():
             ends[step] = finish + closing * share
         return cls(started, {step: started + end for step, end in ends.items()})
--- a/tests/test_stop_steps.py
+++ b/tests/test_stop_steps.py
@@ -30,8 +30,9 @@
 
 # Guards against a request that is accepted later than 3 s after the signal, and cut as
 # it isn't complete when the grace period ends.
-def test_no_request_is_accepted_that_must_not_be_cut():
-    plan = StopPlan.from_grace(8.0, 100.0)
+@pytest.mark.parametrize("grace", [8.0, 9.0, 30.0, 600.0])
+def test_no_request_is_accepted_that_must_not_be_cut(grace):
+    plan = StopPlan.from_grace(grace, 100.0)
     assert plan.left(Step.ACCEPT, 103.0) == 0.0
 
 
