Release soak: seeds in which a follower of the store is out of step twice

The seeds that had shown ORDER were drawn before streams under way and restarts were added, and draw other runs since.

Change: seeds 2580 and 13088, whose first two releases stop a VM that follows the store through others and cut all its links for 1.4 s or more beyond that.

With the mend of both pass, as do all of test_soak.py and test_soak_release.py (21 tests, load 30 to 41).

--- a/tests/test_soak_release.py
+++ b/tests/test_soak_release.py
@@ -15,7 +15,7 @@
 
 # Guards against a stream that goes on at another version, as the VM at which its client
 # takes it up was out of step while that version's engines joined.
-@pytest.mark.parametrize(("seed", "daemons"), [(3, 6), (6, 5)])
+@pytest.mark.parametrize(("seed", "daemons"), [(2580, 6), (13088, 6)])
 def test_no_guarantee_is_violated_by_releases_that_vms_miss(tmp_path, seed, daemons):
     violations, run = soak_release.run_soak(tmp_path, seed, 10.0, daemons)
     assert not violations
