--- a/src/mulberrydock/final_response.py
+++ b/src/mulberrydock/final_response.py
@@ -19,7 +19,12 @@
         return ResultCode.UPSTREAM_FAILED
     if lifecycle.may_have_run:
         _reject(lifecycle, 502, lifecycle.cause)
+        if lifecycle.is_left_to_others and not lifecycle.has_sent:
+            return ResultCode.DRAINING
         return ResultCode.UPSTREAM_FAILED
+    if lifecycle.is_left_to_others:
+        _reject(lifecycle, 503, lifecycle.cause, OTHER_VM_RETRY_SECONDS)
+        return ResultCode.DRAINING
     if lifecycle.is_quarantined(now):
         retry_after = lifecycle.quarantine.retry_seconds(now)
         _reject(lifecycle, 503, lifecycle.cause, retry_after)
@@ -29,7 +34,7 @@
 
 
 def refuse_unknown_version(lifecycle, search, now):
-    """Refuse to go on with a stream of which this VM doesn't find the version.
+    """Refuse to go on with a stream of which no version can be used.
 
     A VM that the store doesn't answer sends its client to another one. A peer that
     hasn't answered is asked again once it has reported to this VM.
@@ -37,6 +42,8 @@
     :param search: the :class:`~mulberrydock.stream_version.VersionSearch`.
     """
     lifecycle.cause = "the version that began the stream isn't known"
+    if lifecycle.version.began_elsewhere:
+        lifecycle.cause = "the stream began at another service"
     if not search.is_current:
         retry_after = OTHER_VM_RETRY_SECONDS
     elif not search.is_final:
