A peer whose sequence has gone back counts once it was silent

What callers could see: a VM that restarts after its time of day was set back is taken for silent, or for leaving, by its peers for minutes: nothing is forwarded to it and its loads aren't counted. Shown by tests in simulated time, not seen elsewhere.

Cause: the sequence of a VM's messages begins at the Unix time of its start, and peers drop what isn't larger than the last one.

Why the fix works: datagrams overtake each other by much less than the time after which a silent peer counts as unreachable, so a lower sequence after that time is that of another process. The same for the sums of data centres.

--- a/src/mulberrydock/peer_loads.py
+++ b/src/mulberrydock/peer_loads.py
@@ -69,6 +69,19 @@
         """Return whether the peer counts as reachable."""
         return now <= self.unreachable_at
 
+    def replaces(self, known):
+        """Return whether this report is a later one of a peer than ``known``.
+
+        The sequence of a peer that has restarted may begin lower, as its clock may have
+        been set back. Datagrams overtake each other by less than the time for which
+        such a peer was silent.
+
+        :param known: the last :class:`PeerReport` that counted, None for none.
+        """
+        if known is None or self.sequence > known.sequence:
+            return True
+        return not known.is_reachable(self.received_at)
+
 
 @attrs.define(eq=False)
 class InFlightSend:
@@ -120,7 +133,7 @@
         self.cordoned_until = {}
         self.reports = {}
         self.sums = {}
-        self.sum_sequences = {}
+        self.sums_by_reporter = {}
         # What is recent enough to be used, as found at ``checked_at``; it stays so
         # until ``check_at``, and a report that arrives is added.
         self.fresh, self.fresh_sums = {}, {}
@@ -214,13 +227,8 @@
         return {i: _load_of(sends) for i, sends in self.sends.items()}
 
     def receive(self, peer, report):
-        """Store a peer's report unless a newer one was received.
-
-        The sequence of a peer that restarted begins at a larger number, which it takes
-        from its clock.
-        """
-        known = self.reports.get(peer)
-        if known is None or report.sequence > known.sequence:
+        """Store a peer's report unless a newer one was received."""
+        if report.replaces(self.reports.get(peer)):
             self.reports[peer] = self.fresh[peer] = report
             self._use(False, peer, report)
 
@@ -263,9 +271,9 @@
         Several VMs report for each data centre, and each report arrives on several
         paths. Their views are nearly the same, so the last one to arrive counts.
         """
-        if self.sum_sequences.get(reporter, 0) >= report.sequence:
+        if not report.replaces(self.sums_by_reporter.get(reporter)):
             return False
-        self.sum_sequences[reporter] = report.sequence
+        self.sums_by_reporter[reporter] = report
         self.sums[data_centre] = self.fresh_sums[data_centre] = report
         self._use(True, data_centre, report)
         return True
--- a/src/mulberrydock/peers.py
+++ b/src/mulberrydock/peers.py
@@ -100,7 +100,7 @@
         self.origins = None
         self.freshness = None
         self.on_unsent = lambda: None
-        # Larger after each restart, so that peers accept the new sequence.
+        # Larger after most restarts, so that peers accept the new sequence at once.
         self.sequence = int(time.time() * 1000)
         self.message_count = 0
         self.sum_count = 0
--- a/tests/test_peer_groups.py
+++ b/tests/test_peer_groups.py
@@ -207,3 +207,22 @@
         Directory(fleet.vms[first[dead]].groups, first[dead]).takeover_rank(fleet.now)
         == 0
     )
+
+
+# Guards against a VM whose messages are dropped for minutes, as it has restarted after
+# its time of day was set back and its sequence begins lower.
+@pytest.mark.parametrize("leaving", [False, True])
+@pytest.mark.parametrize("sizes", [{"dc1": 3}, {"dc1": 2, "dc2": 2}])
+def test_messages_of_a_vm_whose_clock_was_set_back_count(peer_fleet, sizes, leaving):
+    fleet = peer_fleet(**sizes)
+    first, second = fleet.vms["dc1-0"], fleet.vms["dc1-1"]
+    first.link.leaving = lambda: leaving
+    fleet.run(5.0)
+    first.link.leaving = bool
+    first.link.sequence -= 60_000
+    first.tracker.begin("e1", 100)
+    fleet.run(3.0)
+    report = second.tracker.fresh_reports(fleet.now)["dc1-0"]
+    assert report.loads["e1"].running == 1 and not report.leaving
+    for vm in fleet.vms.values():
+        assert vm.tracker.total(fleet.now)["e1"].running == 1
--- a/tests/test_peer_loads.py
+++ b/tests/test_peer_loads.py
@@ -100,6 +100,19 @@
     assert tracker.total(1.2)["e1"].running == running
 
 
+# Guards against a restarted peer whose reports are dropped, as its sequence is lower.
+@pytest.mark.parametrize(
+    ("silent_seconds", "accepted"), [(0.1, False), (1.1, False), (1.3, True)]
+)
+def test_lower_sequence_counts_once_the_peer_was_silent(silent_seconds, accepted):
+    tracker, now = LoadTracker(), 1.0 + silent_seconds
+    tracker.receive("entry-2", report(9, 1.0))
+    tracker.receive("entry-2", report(2, now))
+    assert (tracker.reports["entry-2"].sequence == 2) is accepted
+    assert tracker.receive_sum("dc2", "entry-3", report(9, 1.0))
+    assert tracker.receive_sum("dc2", "entry-3", report(2, now)) is accepted
+
+
 @pytest.mark.parametrize(
     ("heard", "leaving", "draining", "expected"),
     [
