--- a/tests/stream_plays.py
+++ b/tests/stream_plays.py
@@ -321,7 +321,10 @@
 
     def replace(self):
         """Let a new engine take the address of one that ends without a notice."""
-        old = self.random.choice([e for e in self.live() if e.server_running])
+        running = [engine for engine in self.live() if engine.server_running]
+        if not running:
+            return "no engine to replace"
+        old = self.random.choice(running)
         self.gone.add(old.id)
         self.fleet.remove(f"servers/{old.id}")
         self.fleet.call_on_loop(old.terminate)
