--- a/src/mulberrydock/unframed_sink.py
+++ b/src/mulberrydock/unframed_sink.py
@@ -19,25 +19,31 @@
     """
 
     def begin(self, status, headers):
-        super().begin(status, headers)
         self._reset_on_close(True)
+        super().begin(status, headers)
 
     def finish(self):
         self._check_begun()
         self.done = True
+        if self.connection.stream.closed():
+            self._log_left()
+            return
         # Nothing may be unsent once the connection is no longer reset.
         sent = self.connection.stream.write(b"")
         sent.add_done_callback(self._close)
 
     def _close(self, sent):
         if isinstance(sent.exception(), tornado.iostream.StreamClosedError):
-            logger.info("client left before the end of its response")
+            self._log_left()
             return
         self._reset_on_close(False)
         stream = self.connection.stream
         self.connection.finish()
         stream.close()
 
+    def _log_left(self):
+        logger.info("client left before the end of its response")
+
     def _reset_on_close(self, resets):
         stream = self.connection.stream
         if stream.closed():
--- a/tests/test_unframed_clients.py
+++ b/tests/test_unframed_clients.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+import types
 
 import pytest
 from platform_fleet import (
@@ -12,10 +13,12 @@
     PlatformFleet,
     config,
     event_ids,
+    wait_until,
 )
 
 from mulberrydock.platform import wire
 from mulberrydock.standin.platform_engine import Fault
+from mulberrydock.unframed_sink import UnframedSink
 
 EVENTS = 8
 ALL = list(range(1, EVENTS + 1))
@@ -113,3 +116,27 @@
 def test_whole_response_is_no_stream(fleet, headers):
     response = Response(fleet, IDEMPOTENT_PATH, headers | {"Connection": "close"})
     assert response.data.endswith(b"a1 answers r") and response.is_whole
+
+
+# Guards against work for a client that has left, and against an end for it that fails.
+@BOTH_PATHS
+def test_stream_of_a_client_that_left_is_dropped(fleet, path):
+    Response(fleet, path, {}, until=2).socket.close()
+    (run,) = fleet.engines["d1"].runs
+    wait_until(lambda: run.ended)
+    assert run.ended == "cancelled" and "Traceback" not in fleet.log()
+
+
+# Guards against an end of a response that fails as its client has just left.
+def test_response_whose_client_has_left_is_ended():
+    ours, theirs = socket.socketpair()
+    theirs.close()
+    stream = types.SimpleNamespace(closed=lambda: True, socket=ours)
+    connection = types.SimpleNamespace(
+        stream=stream, write_headers=lambda start, fields: None
+    )
+    sink = UnframedSink(connection, lambda: False)
+    sink.begin(200, [])
+    sink.finish()
+    assert sink.done
+    ours.close()
