--- a/tests/stream_plays.py
+++ b/tests/stream_plays.py
@@ -247,7 +247,10 @@
         return "; ".join(self.pause(name) for name in pair)
 
     def kill(self):
-        name = self.random.choice([n for n in self.names if n not in self.stopping])
+        running = [name for name in self.names if name not in self.stopping]
+        if not running:
+            return "no daemon to kill"
+        name = self.random.choice(running)
         process = self.fleet.daemons[name]
         process.send_signal(signal.SIGKILL)
         process.wait()
@@ -272,7 +275,10 @@
 
     def term(self):
         """Stop a daemon as planned, and start it again."""
-        name = self.random.choice([n for n in self.names if n not in self.stopping])
+        running = [name for name in self.names if name not in self.stopping]
+        if not running:
+            return "no daemon to stop"
+        name = self.random.choice(running)
         process = self.fleet.daemons[name]
         self.stopping.add(name)
         process.send_signal(signal.SIGCONT)
