A request whose client has left before it was read isn't sent

Cause: the end of the connection lies behind the request in the socket and was noticed only after the request had been started.

Why the fix works: once a whole request has been read, the VM peeks whether the connection has ended, and then drops it.

--- a/src/mulberrydock/front.py
+++ b/src/mulberrydock/front.py
@@ -1,6 +1,7 @@
 """The client-facing HTTP server: reads whole requests and passes them to a relay."""
 
 import asyncio
+import socket
 import weakref
 
 import tornado.httputil
@@ -10,6 +11,21 @@
 from .unframed_sink import FRAMED_VERSION, UnframedSink
 
 
+def has_left(stream):
+    """Return whether the client of a connection has closed it.
+
+    Where this process stood still, that may have come right after the request.
+    """
+    if stream.closed():
+        return True
+    try:
+        return not stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class RequestReader(tornado.httputil.HTTPMessageDelegate):
     """Reads one request and starts the relay; cancels it when the client leaves."""
 
@@ -32,6 +48,13 @@
         body = b"".join(self.chunks)
         # This object lives until the response is sent, and the body with the request.
         self.chunks.clear()
+        if has_left(self.connection.stream):
+            logger.info(
+                "client left before its request was read",
+                request=self.front.wire.read_id(self.headers),
+            )
+            self.connection.close()
+            return
         self.task = self.front.start(
             self.start_line,
             self.headers,
