--- a/src/mulberrydock/log.py
+++ b/src/mulberrydock/log.py
@@ -81,7 +81,9 @@
     """Forwards the log records of libraries to loguru, as JSON lines."""
 
     def emit(self, record):
-        logger.log(record.levelname, record.getMessage(), logger=record.name)
+        logger.opt(exception=record.exc_info).log(
+            record.levelname, record.getMessage(), logger=record.name
+        )
 
 
 def configure(process, level="INFO", stream=None):
