--- a/tests/stream_plays.py
+++ b/tests/stream_plays.py
@@ -247,7 +247,10 @@
         return "; ".join(self.pause(name) for name in pair)
 
     def kill(self):
-        name = self.random.choice([n for n in self.names if n not in self.stopping])
+        running = [name for name in self.names if name not in self.stopping]
+        if not running:
+            return "no daemon to kill"
+        name = self.random.choice(running)
         process = self.fleet.daemons[name]
         process.send_signal(signal.SIGKILL)
         process.wait()
@@ -272,7 +275,10 @@
 
     def term(self):
         """Stop a daemon as planned, and start it again."""
-        name = self.random.choice([n for n in self.names if n not in self.stopping])
+        running = [name for name in self.names if name not in self.stopping]
+        if not running:
+            return "no daemon to stop"
+        name = self.random.choice(running)
         process = self.fleet.daemons[name]
         self.stopping.add(name)
         process.send_signal(signal.SIGCONT)
@@ -321,7 +327,10 @@
 
     def replace(self):
         """Let a new engine take the address of one that ends without a notice."""
-        old = self.random.choice([e for e in self.live() if e.server_running])
+        running = [engine for engine in self.live() if engine.server_running]
+        if not running:
+            return "no engine to replace"
+        old = self.random.choice(running)
         self.gone.add(old.id)
         self.fleet.remove(f"servers/{old.id}")
         self.fleet.call_on_loop(old.terminate)
