A VM that stood still during the only stream that it has seen knows its time

Its log: `process stood still`, 0.512 s, during the first stream; then `room refused` with `stream` 0.0 and `place_wait` 20.0, the route's timeout, which a VM assumes that has seen no stream end.

Change: such a sample counts while the VM knows of no other one. A time that is too long by a pause is closer than the timeout.

--- a/src/mulberrydock/serving.py
+++ b/src/mulberrydock/serving.py
@@ -418,7 +418,7 @@
         One that may have waited for it is no sample.
         """
         places = plan.places
-        if not self.fleet.is_measurable(sent_at, now):
+        if not self._is_sample(sent_at, now):
             return
         if response.status < 300 and places.streams < places.total:
             place_use = self.fleet.estimates.pool(self.service).place_use
@@ -481,11 +481,21 @@
         metadata = listener.metadata
         return complete and self._deliver_buffered(plan, listener, metadata, counter)
 
+    def _is_sample(self, since, now):
+        """Return whether what took from ``since`` to ``now`` shows the service's time.
+
+        While no time is known, one that a pause of this process has made longer is
+        closer than what is assumed without any.
+        """
+        if not self.fleet.held_seconds(self.service, self.route, now):
+            return True
+        return self.fleet.is_measurable(since, now)
+
     def _record_stream(self, plan, now):
         """Record a complete stream in the service's estimates and metrics."""
         if not self.stream.has_started:
             return
-        if not self.fleet.is_measurable(self.stream.first_event_at, now):
+        if not self._is_sample(self.stream.first_event_at, now):
             return
         estimates = self.fleet.estimates.pool(self.service)
         estimates.record_stream(now - self.stream.first_event_at)
--- a/tests/test_room_fleet.py
+++ b/tests/test_room_fleet.py
@@ -3,7 +3,9 @@
 The engine and the store are stand-ins, the daemon is a real process.
 """
 
+import concurrent.futures
 import contextlib
+import signal
 import time
 
 import pytest
@@ -18,6 +20,8 @@
     wait_until,
 )
 
+from mulberrydock.pauses import MIN_GAP_SECONDS
+
 #: Places of the only decode engine.
 PLACES = 4
 #: Seconds between two of the four events of a stream.
@@ -32,7 +36,16 @@
 @pytest.fixture(params=[True, False], ids=["team", "no-team"])
 def fleet(request, tmp_path):
     """A daemon with one engine; the parameter says whether it has a team."""
-    fleet = PlatformFleet(tmp_path)
+    with started_fleet(tmp_path, request.param) as fleet:
+        # The daemon learns for how long a stream holds its place.
+        fleet.request(RESUMABLE_PATH, "first", **KEY)
+        yield fleet
+
+
+@contextlib.contextmanager
+def started_fleet(directory, has_team):
+    """Start a daemon with one engine, before its first request."""
+    fleet = PlatformFleet(directory)
     options = {"resumable": True, "timeout_ms": int(AMPLE)}
     document = config(
         1,
@@ -41,7 +54,7 @@
             route(STREAM_PATH, "streaming", "llm", target_gap_ms=2000, **options),
         ],
     )
-    if request.param:
+    if has_team:
         document["tenants"] = [TEAM]
     try:
         fleet.write("op/config", document)
@@ -50,8 +63,6 @@
         )
         fleet.start()
         fleet.wait_ready()
-        # The daemon learns for how long a stream holds its place.
-        fleet.request(RESUMABLE_PATH, "first", **KEY)
         yield fleet
     finally:
         fleet.stop()
@@ -110,3 +121,19 @@
     (record,) = fleet.log_records("room refused")
     assert record["request"] == "new"
     assert record["total"] == PLACES and record["streams"] == PLACES + 8
+
+
+# Guards against a VM that refuses what it has room for, as it stood still for a moment
+# during the only stream that it has seen, and so knows of no stream's time.
+def test_vm_that_stood_still_during_its_only_stream_knows_its_time(tmp_path):
+    with started_fleet(tmp_path, False) as fleet, contextlib.ExitStack() as stack:
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            first = pool.submit(fleet.request, RESUMABLE_PATH, "first", **KEY)
+            wait_until(lambda: fleet.engines["d1"].runs)
+            fleet.daemons["entry-1"].send_signal(signal.SIGSTOP)
+            time.sleep(2 * MIN_GAP_SECONDS)
+            fleet.daemons["entry-1"].send_signal(signal.SIGCONT)
+            assert first.result().complete
+        assert fleet.log_records("process stood still")
+        fill(fleet, stack, waiting=8)
+        assert not fleet.log_records("room refused")
