A stream's search says in one place when it is over

What it rests on stood twice in stream_version.py, once for the search and once for the read of the store beside it; it is the property is_found now.

Not all tests were run again on it.

--- a/src/mulberrydock/stream_version.py
+++ b/src/mulberrydock/stream_version.py
@@ -53,6 +53,11 @@
         is_stream = self.route.kind is Kind.STREAMING
         return is_stream and self.request.last_event_id > 0
 
+    @property
+    def is_found(self):
+        """True once it is known where the stream goes on, or that it can't."""
+        return bool(self.fixed) or self.began_elsewhere
+
     @property
     def _key(self):
         """Key of the stream, which is named after the request that began it."""
@@ -78,12 +83,11 @@
         reading = asyncio.ensure_future(self._read_store(origin))
         try:
             is_final, source = await origin
-            is_found = bool(self.fixed) or self.began_elsewhere
-            is_current = is_found or await reading
+            is_current = self.is_found or await reading
         finally:
             origin.cancel()
             reading.cancel()
-        if not is_found and is_current:
+        if not self.is_found and is_current:
             versions = self.relay.fleet.instances.versions
             self.fixed = versions.sole_version(self.service, time.monotonic())
             source = "sole version" if self.fixed else ""
@@ -111,8 +115,7 @@
         :returns: whether the store answered.
         """
         await asyncio.wait([origin], timeout=ASK_INTERVAL_SECONDS)
-        is_found = bool(self.fixed) or self.began_elsewhere
-        return is_found or await self.relay.refresh_view()
+        return self.is_found or await self.relay.refresh_view()
 
     async def _find_origin(self):
         """Fix the version that VMs remember for the stream.
